--- a/rillmux/__init__.py
+++ b/rookwood/__init__.py
@@ -1,5 +1,5 @@
-"""Decisions of a dispatcher that pushes jobs to workers. See ``rillmux.policy``."""
+"""Decisions of a dispatcher that pushes jobs to workers. See ``rookwood.policy``."""
 
-from rillmux.policy import Policy
+from rookwood.policy import Policy
 
 __all__ = ["Policy"]
--- a/rillmux/interface.py
+++ b/rookwood/interface.py
@@ -1,4 +1,4 @@
-"""Everything that passes between a dispatcher and ``rillmux.policy.Policy``: types alone.
+"""Everything that passes between a dispatcher and ``rookwood.policy.Policy``: types alone.
 
 Times are integer microseconds on one clock that only advances. An optional value that is
 absent is ``None``.
--- a/rillmux/policy.py
+++ b/rookwood/policy.py
@@ -1,4 +1,4 @@
-"""All decisions of a dispatcher. In and out: rillmux/interface.py; memory: state.py; why: docs/design.md.
+"""All decisions of a dispatcher. In and out: rookwood/interface.py; memory: state.py; why: docs/design.md.
 
 The ordinary path: `_step` (Algorithm 1) gives each key a few workers with fractions phi; `_draw` takes
 two by phi and the lower estimate gets the job. All else is a departure and says what it guards against.
@@ -13,9 +13,9 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
-from rillmux import interface as api
-from rillmux.interface import Ending, Group, Health, Repeat
-from rillmux.state import Attempt, Fleet, Job, Lane, Row, State, Table
+from rookwood import interface as api
+from rookwood.interface import Ending, Group, Health, Repeat
+from rookwood.state import Attempt, Fleet, Job, Lane, Row, State, Table
 
 SERVING, SECOND = Health.SERVING, 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
--- a/rillmux/state.py
+++ b/rookwood/state.py
@@ -1,10 +1,10 @@
-"""What a dispatcher remembers: types alone, read and changed by rillmux/policy.py only."""
+"""What a dispatcher remembers: types alone, read and changed by rookwood/policy.py only."""
 
 import math
 from dataclasses import dataclass, field
 
-from rillmux import interface as api
-from rillmux.interface import Ending
+from rookwood import interface as api
+from rookwood.interface import Ending
 
 Row = tuple[str, int, int]  # kind the job is bound to ("": none), slot group, key (-1: none)
 Lane = tuple[str, float, int]  # held requests wait by class, fairness and slot group
--- a/rillmux/wirehost.py
+++ b/rookwood/wirehost.py
@@ -13,8 +13,8 @@
 from enum import Enum
 from typing import Any, NoReturn, TextIO, TypeVar
 
-from rillmux import interface as api
-from rillmux.policy import Policy
+from rookwood import interface as api
+from rookwood.policy import Policy
 
 E = TypeVar("E", bound=Enum)
 
@@ -393,7 +393,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"rillmux: {error}", file=sys.stderr)
+        print(f"rookwood: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,12 +11,12 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from rillmux import interface as api
-from rillmux.policy import hashed, pack
-from rillmux.state import Row, Table
+from rookwood import interface as api
+from rookwood.policy import hashed, pack
+from rookwood.state import Row, Table
 from tests.world import MS, World, settings, worker
 
-MODULE = Path(__file__).parent.parent / "rillmux" / "policy.py"
+MODULE = Path(__file__).parent.parent / "rookwood" / "policy.py"
 
 
 def place(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from rillmux import Policy
-from rillmux import interface as api
+from rookwood import Policy
+from rookwood import interface as api
 from tests.world import MS, World, settings, worker
 
 LOAD = st.one_of(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rillmux import wirehost
+from rookwood import wirehost
 
 PROFILE = {
     "balancers": 1,
@@ -100,7 +100,7 @@
     monkeypatch.setattr("sys.stdin", io.StringIO(text))
     assert wirehost.main() == 2
     captured = capsys.readouterr()
-    assert captured.err.startswith(f"rillmux: line {9 + line.count(chr(10))}, field {field}: ")
+    assert captured.err.startswith(f"rookwood: line {9 + line.count(chr(10))}, field {field}: ")
     assert captured.err.count("\n") == 1
     assert captured.out.count("END") == 1  # the malformed batch has no reply
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from rillmux import Policy
-from rillmux import interface as api
+from rookwood import Policy
+from rookwood import interface as api
 
 MS = 1_000
 SLACK = 16 * MS
