--- /dev/null
+++ b/rookwood/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real dispatcher: the decisions of ``rookwood.policy`` on sockets."""
--- /dev/null
+++ b/rookwood/net/config.py
@@ -0,0 +1,114 @@
+"""What this dispatcher is told: environment and JSON file, checked and given defaults in this one place."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+from rookwood import interface as api
+from rookwood.net.destinations import DestinationSet, destination_set_of
+from rookwood.settings import FaultyKeyError, Tree, settings_of
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the network side keeps to; the decisions have their own settings."""
+
+    connect_timeout: timedelta
+    idle: timedelta  # an endpoint closes a connection that stood idle this long
+    drain_grace: timedelta
+    max_open: int  # requests in hand
+    retry_after: bool  # clients are told when to come back
+    max_retry_after: timedelta
+    sockets: int  # file descriptors of this process
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    bounds: Bounds
+    settings: api.Settings
+    known: DestinationSet
+
+
+def address_of(text: str, key: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise FaultyKeyError(key, f"not host:port: {text!r}")
+    return Address(host.strip("[]"), int(port))
+
+
+def span(tree: Tree, path: str, default: int | None = None) -> timedelta:
+    return timedelta(microseconds=tree.get(path, int, default))
+
+
+def seed_of(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise FaultyKeyError("seed", f"not hexadecimal: {text!r}") from None
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Raises `FaultyKeyError`; single variables go before the file."""
+    place = environ.get("PROXY_CONFIG")
+    if not place:
+        raise FaultyKeyError("PROXY_CONFIG", "missing")
+    try:
+        data = json.loads(Path(place).read_text())
+    except (OSError, ValueError) as error:
+        raise FaultyKeyError("PROXY_CONFIG", f"cannot be read: {error}") from None
+    if not isinstance(data, dict):
+        raise FaultyKeyError("PROXY_CONFIG", "not a JSON object")
+    tree = Tree(data)
+
+    def own(variable: str, key: str) -> tuple[str, str]:
+        found = environ.get(variable)
+        return (found, variable) if found else (tree.get(key, str), key)
+
+    told = tree.branch("settings")
+    bounds = Bounds(
+        connect_timeout=span(told, "bounds.connect-timeout", 150_000),
+        idle=span(told, "bounds.conn-idle", 60_000_000),
+        drain_grace=span(told, "rules.drain-grace", 1_000_000),
+        max_open=told.get("bounds.max-open", int, 20_000),
+        retry_after=told.get("bounds.retry-after", bool, True),
+        max_retry_after=span(told, "bounds.max-retry-after", 2_000_000),
+        sockets=tree.get("limits.sockets", int, 1024),
+    )
+    if bounds.sockets < 64:
+        raise FaultyKeyError("limits.sockets", "under 64")
+    try:
+        settings = settings_of(told)
+    except FaultyKeyError:
+        raise
+    except ValueError as error:
+        raise FaultyKeyError("settings", str(error).removeprefix("settings: ")) from None
+    for key in ("balancers", "tick", "bounds.attempts-cap"):  # the module takes none of these as 0
+        if told.get(key, int) < 1:
+            raise told.bad(key, "under 1")
+    known = tree.branch("known") if "known" in data else Tree({"rev": 0, "all": True, "targets": []}, "known")
+    return Config(
+        name=own("PROXY_NAME", "name")[0],
+        listen=address_of(*own("PROXY_LISTEN", "listen")),
+        discovery=address_of(*own("PROXY_DISCOVERY", "discovery")),
+        seed=seed_of(tree.get("seed", str)),
+        bounds=bounds,
+        settings=settings,
+        known=destination_set_of(known),
+    )
--- /dev/null
+++ b/rookwood/net/decisions.py
@@ -0,0 +1,260 @@
+"""The door to the decision module: sole owner of the policy and its timers. It knows no HTTP.
+
+Whatever brings requests in (HTTP now, another protocol beside it) calls `admit`, then asks the ticket
+for decisions and tells it what became of each attempt. Only here do the module's words and integer
+microseconds appear.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import logging
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+
+from rookwood import interface as api
+from rookwood.net.clock import EPOCH, Clock
+from rookwood.net.destinations import DestinationSet, Endpoint, State
+from rookwood.policy import Policy
+
+log = logging.getLogger(__name__)
+
+
+class End(Enum):
+    """How an attempt ended, in the network's words."""
+
+    SERVED = "served"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    NO_CONNECTION = "could not connect"
+    RESET = "reset"
+    TIMED_OUT = "timed out"
+    CALLED_OFF = "called off"
+    NEVER_SENT = "never sent"
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """What the decisions need to know of a request."""
+
+    job_class: str
+    deadline: datetime
+    slots: float = 1.0
+    memory: float | None = None
+    key: str | None = None
+    is_retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Decision: try this endpoint."""
+
+    number: int
+    uid: str
+    until: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class FailFast:
+    """Decision: refuse; a new try does no harm."""
+
+    retry_after: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Decision: fail, with no promise about the effect."""
+
+
+Decision = Attempt | FailFast | GiveUp
+
+ENDINGS = {
+    End.SERVED: api.Ending.OK,
+    End.ERROR: api.Ending.FAILED,
+    End.TURNED_AWAY: api.Ending.FULL,
+    End.NO_CONNECTION: api.Ending.CONNECT_FAILED,
+    End.RESET: api.Ending.RESET,
+    End.TIMED_OUT: api.Ending.TIMED_OUT,
+    End.CALLED_OFF: api.Ending.CANCELLED,
+    End.NEVER_SENT: api.Ending.IGNORED,
+}
+HEALTH = {
+    State.UP: api.Health.SERVING,
+    State.DRAINING: api.Health.DRAINING,
+    State.REMOVED: api.Health.DELETED,
+}
+
+
+def micros(span: timedelta) -> int:
+    return span // timedelta(microseconds=1)
+
+
+def key_of(text: str | None) -> int | None:
+    """Any text becomes the same number at every dispatcher."""
+    return None if text is None else int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest())
+
+
+def worker_of(endpoint: Endpoint) -> api.Worker:
+    return api.Worker(
+        id=endpoint.uid,
+        health=HEALTH[endpoint.state],
+        size=endpoint.capacity,
+        cell=endpoint.cell,
+        kind=endpoint.kind,
+        zone=endpoint.zone,
+        started_at=None if endpoint.booted is None else micros(endpoint.booted - EPOCH),
+    )
+
+
+class Ticket:
+    """One request's place at the door, from `admit` to the end of the `with` block."""
+
+    def __init__(self, door: Decisions, number: int, job: Job) -> None:
+        self._door, self._number, self._job = door, number, job
+        self._decided: asyncio.Queue[Decision] = asyncio.Queue()
+        self._attempts = 0
+        self._out: tuple[Attempt, datetime] | None = None
+        self._settled = False  # the module has let go of the request
+
+    def __enter__(self) -> Ticket:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """The one place of release: the module is told of everything that it still counts on."""
+        self._door.release(self._number)
+        try:
+            if not self._settled:
+                self._settled = True
+                self._door.feed(api.Abandoned(self._number))
+        finally:
+            if self._out:
+                self.ended(End.CALLED_OFF)
+
+    async def decision(self) -> Decision:
+        return await self._decided.get()
+
+    def started(self) -> None:
+        self._sign(started=True)
+
+    def moving(self) -> None:
+        self._sign(started=False)
+
+    def _sign(self, started: bool) -> None:
+        if self._out:
+            attempt, _ = self._out
+            self._door.feed(api.Note(self._number, attempt.number, attempt.uid, started))
+
+    def ended(self, end: End) -> None:
+        assert self._out
+        (attempt, since), self._out = self._out, None
+        self._settled = self._settled or end is End.SERVED
+        latency = micros(self._door.clock.now() - since)
+        ending = ENDINGS[end]
+        self._door.feed(
+            api.Outcome(self._number, attempt.number, attempt.uid, ending, latency, self._settled)
+        )
+
+    def decided(self, action: api.Send | api.Refuse | api.Fail) -> None:
+        """Called by the door alone."""
+        match action:
+            case api.Send(_, uid, timeout):
+                now = self._door.clock.now()
+                until = now + timedelta(microseconds=timeout) if timeout else self._job.deadline
+                attempt = Attempt(self._attempts, uid, min(until, self._job.deadline))
+                self._attempts += 1
+                self._out = (attempt, now)
+                self._decided.put_nowait(attempt)
+            case api.Refuse():
+                self._settled = True
+                self._decided.put_nowait(FailFast(self._door.retry_after))
+            case api.Fail():
+                self._settled = True
+                self._decided.put_nowait(GiveUp())
+
+
+class Decisions:
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, retry_after: timedelta | None = None
+    ) -> None:
+        self.clock, self.retry_after = clock, retry_after
+        self._policy = Policy(settings, seed)
+        self._numbers = itertools.count(1)
+        self._tickets: dict[int, Ticket] = {}
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._serial = itertools.count()
+        self._last = 0
+
+    @property
+    def open(self) -> int:
+        return len(self._tickets)
+
+    def close(self) -> None:
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+
+    def update(self, told: DestinationSet, kept: bool = False) -> None:
+        whole = api.Listing.KEPT if kept else api.Listing.WHOLE
+        workers = tuple(worker_of(endpoint) for endpoint in told.endpoints)
+        self.feed(api.WorkersChanged(whole if told.whole or kept else api.Listing.CHANGES, workers))
+
+    def admit(self, job: Job) -> Ticket:
+        number = next(self._numbers)
+        ticket = self._tickets[number] = Ticket(self, number, job)
+        left = max(0, micros(job.deadline - self.clock.now()))
+        try:
+            self.feed(
+                api.Request(
+                    id=number,
+                    job_class=job.job_class,
+                    time_left=left,
+                    slots=job.slots,
+                    memory=job.memory,
+                    key=key_of(job.key),
+                    is_retry=job.is_retry,
+                )
+            )
+        except BaseException:
+            with ticket:  # a defect of the module must not leave the request behind
+                raise
+        return ticket
+
+    def release(self, number: int) -> None:
+        self._tickets.pop(number, None)
+
+    def feed(self, event: api.Event, not_before: int = 0) -> None:
+        now = micros(self.clock.now() - EPOCH)
+        self._last = max(self._last, now, not_before)
+        for action in self._policy.handle(self._last, event):
+            match action:
+                case api.Send(request) | api.Refuse(request) | api.Fail(request):
+                    if ticket := self._tickets.get(request):
+                        ticket.decided(action)
+                    else:
+                        log.error("a decision for a request that has ended: %s", action)
+                case api.SetTimer(token, delay):
+                    self._set_timer(token, delay)
+                case api.Log(text):
+                    log.info("decisions: %s", text)
+                case api.Cancel() | api.Subscribe():
+                    pass  # an abandoned attempt is ended by its request; the watch is always on
+
+    def _set_timer(self, token: int, delay: int) -> None:
+        serial, due = next(self._serial), self._last + delay
+
+        def elapsed() -> None:
+            del self._timers[serial]
+            try:
+                # asyncio may call a hair early, but the module waits for the very microsecond
+                # it named: told of an earlier one it would set no further timer.
+                self.feed(api.Timer(token), not_before=due)
+            except Exception:
+                log.exception("the decision module failed at a timer")
+
+        wait = (due - micros(self.clock.now() - EPOCH)) / 1_000_000
+        self._timers[serial] = asyncio.get_running_loop().call_later(max(0.0, wait), elapsed)
+
+
--- /dev/null
+++ b/rookwood/net/destinations.py
@@ -0,0 +1,151 @@
+"""The destination set: the kept list, and the watch on discovery that changes it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+from typing import Any
+
+import h11
+
+from rookwood.net.clock import EPOCH, Clock
+from rookwood.net.http1 import Wire
+from rookwood.settings import FaultyKeyError, Tree
+
+log = logging.getLogger(__name__)
+
+CONNECT_LIMIT = timedelta(seconds=1)
+SILENCE_LIMIT = timedelta(seconds=5)  # a watch says something every 2 s
+PAUSE = timedelta(milliseconds=200)  # between tries; the agent is on this machine
+MAX_LINE = 4 * 1024 * 1024
+
+
+class State(Enum):
+    UP = "up"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    uid: str  # the same at every dispatcher, unlike the address
+    address: str
+    state: State
+    zone: str
+    kind: str
+    cell: int
+    capacity: float
+    booted: datetime | None  # None: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class DestinationSet:
+    revision: int
+    whole: bool  # the whole list, or just what changed
+    endpoints: tuple[Endpoint, ...]
+
+
+def endpoint_of(tree: Tree) -> Endpoint:
+    booted = tree.get("boot_ms", float, 0.0)
+    return Endpoint(
+        uid=tree.get("uid", str),
+        address=tree.get("endpoint", str),
+        state=tree.word("state", State),
+        zone=tree.get("az", str, ""),
+        kind=tree.get("model", str, ""),
+        cell=tree.get("pod_group", int, 0),
+        capacity=tree.get("capacity_hint", float, 1.0),
+        booted=EPOCH + timedelta(milliseconds=booted) if booted else None,
+    )
+
+
+def destination_set_of(tree: Tree) -> DestinationSet:
+    return DestinationSet(
+        revision=tree.get("rev", int),
+        whole=tree.get("all", bool),
+        endpoints=tuple(endpoint_of(item) for item in tree.items("targets")),
+    )
+
+
+class Destinations:
+    """Holds the list as told; `watch` runs as one task and is the only one that talks to discovery."""
+
+    def __init__(self, clock: Clock, grace: timedelta, apply: Callable[[DestinationSet, bool], None]) -> None:
+        self._clock, self._grace, self._apply = clock, grace, apply
+        self._endpoints: dict[str, Endpoint] = {}
+        self._stopped: dict[str, datetime] = {}  # draining or gone since
+        self.revision = 0
+
+    def update(self, told: DestinationSet, kept: bool = False) -> None:
+        now = self._clock.now()
+        named = {endpoint.uid: endpoint for endpoint in told.endpoints}
+        for endpoint in named.values():
+            self._endpoints[endpoint.uid] = endpoint
+            if endpoint.state is State.UP:
+                self._stopped.pop(endpoint.uid, None)
+            else:
+                self._stopped.setdefault(endpoint.uid, now)
+        if told.whole:
+            for uid in self._endpoints.keys() - named.keys():
+                self._stopped.setdefault(uid, now)
+        self.revision = told.revision
+        self._apply(told, kept)
+
+    def address(self, uid: str) -> str:
+        return self._endpoints[uid].address
+
+    def accepts(self, uid: str) -> bool:
+        """Half the grace is kept back: what is written now arrives a little later."""
+        stopped = self._stopped.get(uid)
+        return uid in self._endpoints and (stopped is None or self._clock.now() < stopped + self._grace / 2)
+
+    async def watch(self, host: str, port: int) -> None:
+        while True:
+            try:
+                await self._follow(host, port)
+                log.info("the discovery watch ended; asking again")
+            except (OSError, h11.RemoteProtocolError, json.JSONDecodeError, FaultyKeyError) as error:
+                log.warning("the discovery watch broke: %s: %s", type(error).__name__, error)
+            except Exception:
+                log.exception("a change of the destination set failed")
+            await asyncio.sleep(PAUSE.total_seconds())
+
+    async def _follow(self, host: str, port: int) -> None:
+        async with asyncio.timeout(CONNECT_LIMIT.total_seconds()):
+            reader, writer = await asyncio.open_connection(host, port)
+        wire = Wire(h11.Connection(h11.CLIENT), reader, writer)
+        try:
+            ask = h11.Request(
+                method="GET",
+                target=f"/api/targets?follow=1&since={self.revision}",
+                headers=[("Host", f"{host}:{port}"), ("Accept", "application/json")],
+            )
+            await wire.write(wire.encode(ask, h11.EndOfMessage()))
+            rest = b""
+            while True:
+                async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
+                    event = await wire.event()
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    raise ConnectionError(f"discovery answered {event.status_code}")
+                if isinstance(event, h11.Data):
+                    *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                    for line in filter(None, map(bytes.strip, lines)):
+                        self.update(destination_set_of(Tree(parsed(line))))
+                    if len(rest) > MAX_LINE:
+                        raise ConnectionError("discovery sent a line without an end")
+                if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    return
+        finally:
+            await wire.close()
+
+
+def parsed(line: bytes) -> Any:
+    try:
+        return json.loads(line)
+    except UnicodeDecodeError as error:
+        raise json.JSONDecodeError(str(error), "", 0) from None
--- /dev/null
+++ b/rookwood/net/endpoints.py
@@ -0,0 +1,279 @@
+"""Connections to endpoints: kept, one request at a time on each, and what an attempt came to."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+
+import h11
+
+from rookwood.net.clock import Clock
+from rookwood.net.decisions import End
+from rookwood.net.http1 import MAX_BODY, NotWrittenError, Wire
+from rookwood.settings import FaultyKeyError, Tree
+
+log = logging.getLogger(__name__)
+
+SETTLE_LIMIT = timedelta(seconds=1)  # for what follows an answer's last line
+SWEEP = timedelta(seconds=1)
+IDLE_PART = 0.75  # of the time after which an endpoint closes: later, a request could cross that
+MAX_LINE = 4 * MAX_BODY
+
+
+class Stage(Enum):
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    RETURNED = "returned"
+    LOST = "lost"
+
+
+LAST = {
+    Stage.DONE: End.SERVED,
+    Stage.FAILED: End.ERROR,
+    Stage.RETURNED: End.TURNED_AWAY,
+    Stage.LOST: End.RESET,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One line of an endpoint's answer."""
+
+    request_id: str
+    stage: Stage
+    result: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """What goes to an endpoint, the same at each attempt but for the time left."""
+
+    request_id: str
+    target: bytes
+    host: str
+    content_type: str | None
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    end: End
+    body: bytes = b""
+
+
+class CannotConnectError(Exception):
+    """No connection came up, so nothing was sent."""
+
+
+def message_of(line: bytes) -> Message:
+    try:
+        tree = Tree(json.loads(line))
+    except ValueError as error:
+        raise FaultyKeyError("line", f"not JSON: {error}") from None
+    stage = tree.word("state", Stage)
+    return Message(tree.get("id", str), stage, tree.get("result", str, None if stage is Stage.DONE else ""))
+
+
+def encoded(wire: Wire, request: Outgoing, left: float) -> bytes:
+    headers = [
+        ("Host", request.host),
+        ("Request-Id", request.request_id),
+        ("Request-Timeout", f"{left:.3f}"),
+        ("Content-Length", str(len(request.body))),
+    ]
+    if request.content_type is not None:
+        headers.append(("Content-Type", request.content_type))
+    head = h11.Request(method="POST", target=request.target, headers=headers)
+    return wire.encode(head, h11.Data(data=request.body), h11.EndOfMessage())
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    address: str
+    wire: Wire
+    answered: bool = False  # the end of the attempt is known; only the framing may be still to come
+    idle_since: datetime | None = field(default=None)
+
+
+class Endpoints:
+    """Owns every connection to an endpoint, from `_connect` to `_close`."""
+
+    def __init__(self, clock: Clock, connect_timeout: timedelta, idle: timedelta, most: int) -> None:
+        self._clock, self._connect_timeout = clock, connect_timeout
+        self._idle_limit, self._most = idle * IDLE_PART, most
+        self._idle: dict[str, list[Connection]] = {}  # by address, most recently used last
+        self._count = 0  # open or coming up
+        self._settling: set[asyncio.Task[None]] = set()
+
+    async def attempt(
+        self,
+        request: Outgoing,
+        address: str,
+        until: datetime,
+        still_wanted: Callable[[], bool],
+        sign: Callable[[Stage], None],
+    ) -> Result:
+        sent = False
+        try:
+            async with asyncio.timeout(self._clock.seconds_to(until)):
+                async with self._lease(address) as connection:
+                    if not still_wanted():
+                        return Result(End.NEVER_SENT)
+                    wire = connection.wire
+                    data = encoded(wire, request, self._clock.seconds_to(until))
+                    sent = True  # from here on a break may come after the last byte
+                    try:
+                        await wire.write(data)
+                    except NotWrittenError:
+                        return Result(End.NO_CONNECTION)
+                    result = await self._answer(wire, request.request_id, sign)
+                    connection.answered = True
+                    return result
+        except CannotConnectError as error:
+            log.info("no connection to %s: %s", address, error)
+            return Result(End.NO_CONNECTION)
+        except TimeoutError:
+            return Result(End.TIMED_OUT if sent else End.NO_CONNECTION)
+        except (ConnectionError, h11.RemoteProtocolError) as error:
+            log.info("%s broke off: %s", address, error)
+            return Result(End.RESET)
+        except FaultyKeyError as error:  # the endpoint has taken the request, whatever it says of it
+            log.warning("%s sent a bad line: %s", address, error)
+            return Result(End.RESET)
+
+    async def _answer(self, wire: Wire, request_id: str, sign: Callable[[Stage], None]) -> Result:
+        while isinstance(event := await wire.event(), h11.InformationalResponse):
+            pass
+        if not isinstance(event, h11.Response):
+            raise ConnectionResetError("closed before an answer")
+        if event.status_code != 200:
+            headers = dict(event.headers)
+            if event.status_code in (503, 504) and headers.get(b"not-started") == b"1":
+                return Result(End.TURNED_AWAY)
+            log.info("an endpoint answered %d", event.status_code)
+            return Result(End.ERROR)
+        rest = b""
+        while isinstance(event := await wire.event(), h11.Data):
+            *lines, rest = (rest + bytes(event.data)).split(b"\n")
+            for line in filter(None, map(bytes.strip, lines)):
+                message = message_of(line)
+                if message.request_id != request_id:
+                    raise FaultyKeyError("id", f"of another request: {message.request_id!r}")
+                if message.stage in LAST:
+                    return Result(LAST[message.stage], message.result.encode())
+                sign(message.stage)
+            if len(rest) > MAX_LINE:
+                raise FaultyKeyError("line", "without an end")
+        raise ConnectionResetError("ended before the last line")
+
+    # ---- connections ----
+
+    @contextlib.asynccontextmanager
+    async def _lease(self, address: str) -> AsyncIterator[Connection]:
+        connection = await self._idle_one(address) or await self._connect(address)
+        try:
+            yield connection
+        finally:
+            await self._give_back(connection)
+
+    async def _idle_one(self, address: str) -> Connection | None:
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if self._fresh(connection):
+                return connection
+            await self._close(connection)
+        return None
+
+    def _fresh(self, connection: Connection) -> bool:
+        assert connection.idle_since
+        return connection.wire.quiet() and self._clock.now() < connection.idle_since + self._idle_limit
+
+    async def _connect(self, address: str) -> Connection:
+        if self._count >= self._most and not await self._make_room():
+            raise CannotConnectError("all connections are in use")
+        host, _, port = address.rpartition(":")
+        self._count += 1
+        try:
+            async with asyncio.timeout(self._connect_timeout.total_seconds()):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except BaseException as error:
+            self._count -= 1
+            if isinstance(error, OSError | ValueError):  # TimeoutError is one
+                raise CannotConnectError(str(error) or type(error).__name__) from error
+            raise
+        return Connection(address, Wire(h11.Connection(h11.CLIENT), reader, writer))
+
+    async def _make_room(self) -> bool:
+        idle = [c for kept in self._idle.values() for c in kept]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda c: c.idle_since or self._clock.now())
+        self._idle[oldest.address].remove(oldest)
+        await self._close(oldest)
+        return True
+
+    async def _give_back(self, connection: Connection) -> None:
+        """The one place where a leased connection goes: kept, settled first, or closed."""
+        if not connection.answered:
+            # Whatever may still come on it belongs to this attempt, which is over.
+            return await self._close(connection)
+        if self._ended(connection):
+            return await self._keep(connection)
+        task = asyncio.create_task(self._settle(connection))
+        self._settling.add(task)
+        return task.add_done_callback(self._settling.discard)
+
+    def _ended(self, connection: Connection) -> bool:
+        http = connection.wire.http
+        with contextlib.suppress(h11.RemoteProtocolError):
+            while isinstance(http.next_event(), h11.Data):
+                pass
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    async def _settle(self, connection: Connection) -> None:
+        try:
+            async with asyncio.timeout(SETTLE_LIMIT.total_seconds()):
+                while not self._ended(connection) and await connection.wire.fill():
+                    pass
+        except (OSError, h11.RemoteProtocolError):
+            pass
+        finally:
+            await (self._keep if self._ended(connection) else self._close)(connection)
+
+    async def _keep(self, connection: Connection) -> None:
+        connection.wire.http.start_next_cycle()
+        connection.answered, connection.idle_since = False, self._clock.now()
+        if not connection.wire.quiet():
+            return await self._close(connection)
+        return self._idle.setdefault(connection.address, []).append(connection)
+
+    async def _close(self, connection: Connection) -> None:
+        self._count -= 1
+        await connection.wire.close()
+
+    async def sweep(self) -> None:
+        """Runs as one task: idle connections that ended or grew old give their descriptors back."""
+        while True:
+            await asyncio.sleep(SWEEP.total_seconds())
+            for address, kept in list(self._idle.items()):
+                stale = [c for c in kept if not self._fresh(c)]
+                self._idle[address] = [c for c in kept if c not in stale]
+                for connection in stale:
+                    await self._close(connection)
+
+    async def close(self) -> None:
+        for task in list(self._settling):
+            task.cancel()
+        await asyncio.gather(*self._settling, return_exceptions=True)
+        for kept in self._idle.values():
+            while kept:
+                await self._close(kept.pop())
--- /dev/null
+++ b/rookwood/net/http1.py
@@ -0,0 +1,85 @@
+"""HTTP/1.1 by h11 over one stream pair. Who makes a `Wire` closes it; nothing else touches the stream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import select
+from typing import cast
+
+import h11
+
+MAX_BODY = 64 * 1024
+CHUNK = 64 * 1024
+
+
+class TooLargeError(Exception):
+    """A body over the limit."""
+
+
+class NotWrittenError(Exception):
+    """The connection broke before the last byte had left."""
+
+
+class Wire:
+    def __init__(
+        self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.http = http
+        self.reader, self.writer = reader, writer
+        # `drain` then waits for the very last byte, which tells "not sent" from "broken after it was sent".
+        writer.transport.set_write_buffer_limits(high=0)
+
+    async def fill(self) -> bool:
+        """Reads once; false at the end of the stream."""
+        data = await self.reader.read(CHUNK)
+        self.http.receive_data(data)
+        return bool(data)
+
+    async def event(self) -> h11.Event | type[h11.PAUSED]:
+        while (event := self.http.next_event()) is h11.NEED_DATA:
+            await self.fill()
+        return cast("h11.Event | type[h11.PAUSED]", event)
+
+    async def body(self) -> bytes:
+        """The rest of the message that has begun. Over the limit it raises at once, unread."""
+        parts, size = list[bytes](), 0
+        while isinstance(event := await self.event(), h11.Data):
+            size += len(event.data)
+            if size > MAX_BODY:
+                raise TooLargeError
+            parts.append(bytes(event.data))
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionResetError("the message was cut short")
+        return b"".join(parts)
+
+    def encode(self, *events: h11.Event) -> bytes:
+        return b"".join(self.http.send(event) or b"" for event in events)
+
+    async def write(self, data: bytes) -> None:
+        if self.writer.transport.is_closing():
+            raise NotWrittenError
+        self.writer.write(data)
+        if self.writer.transport.is_closing():  # the first send failed, so nothing left
+            raise NotWrittenError
+        try:
+            await self.writer.drain()
+        except ConnectionError as error:
+            raise NotWrittenError from error
+
+    def quiet(self) -> bool:
+        """Open, and nothing has come unasked: neither bytes nor the end, read or unread."""
+        transport = self.writer.transport
+        if transport.is_closing() or self.reader.at_eof() or self.http.trailing_data != (b"", False):
+            return False
+        handle = transport.get_extra_info("socket").fileno()
+        probe = select.poll()
+        probe.register(handle, select.POLLIN)
+        # Bytes that asyncio has read already lie in the reader; its own buffer has no public look.
+        return not probe.poll(0) and not getattr(self.reader, "_buffer", b"")
+
+    async def close(self) -> None:
+        """Ends both directions at once, and returns when it is done."""
+        self.writer.transport.abort()
+        with contextlib.suppress(ConnectionError, OSError):
+            await self.writer.wait_closed()
--- /dev/null
+++ b/rookwood/net/request.py
@@ -0,0 +1,89 @@
+"""The life of one request, from the question to the decisions up to its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from rookwood.net.clock import Clock
+from rookwood.net.decisions import Attempt, Decisions, End, FailFast, GiveUp, Job, Ticket
+from rookwood.net.destinations import Destinations
+from rookwood.net.endpoints import Endpoints, Outgoing, Result, Stage
+
+log = logging.getLogger(__name__)
+
+EARLY = timedelta(milliseconds=20)  # the last attempt ends so long before the client gives up
+GUARD = timedelta(milliseconds=8)  # and whatever the decisions do, the answer goes out so long before
+
+
+@dataclass(frozen=True, slots=True)
+class InboundRequest:
+    """A client's request, decoded."""
+
+    job_class: str
+    deadline: datetime  # when the client gives up
+    slots: float
+    memory: float | None
+    key: str | None
+    is_retry: bool
+    outgoing: Outgoing
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    body: bytes = b""
+    retry_after: timedelta | None = None
+
+
+class Requests:
+    def __init__(
+        self, clock: Clock, decisions: Decisions, destinations: Destinations, endpoints: Endpoints
+    ) -> None:
+        self._clock, self._decisions = clock, decisions
+        self._destinations, self._endpoints = destinations, endpoints
+
+    async def serve(self, request: InboundRequest) -> Answer:
+        job = Job(
+            job_class=request.job_class,
+            deadline=request.deadline - EARLY,
+            slots=request.slots,
+            memory=request.memory,
+            key=request.key,
+            is_retry=request.is_retry,
+        )
+        end = End.NEVER_SENT
+        try:
+            async with asyncio.timeout(self._clock.seconds_to(request.deadline - GUARD)):
+                # Leaving the block, also when the client has gone, tells the decisions of the end.
+                with self._decisions.admit(job) as ticket:
+                    while True:
+                        match await ticket.decision():
+                            case FailFast(retry_after):
+                                return Answer(503, b"refused\n", retry_after)
+                            case GiveUp():
+                                return Answer(504 if end is End.TIMED_OUT else 502, b"failed\n")
+                            case Attempt() as attempt:
+                                result = await self._try(request.outgoing, attempt, ticket)
+                                end = result.end
+                                ticket.ended(end)
+                                if end is End.SERVED:
+                                    return Answer(200, result.body)
+        except TimeoutError:
+            log.error("no decision before the deadline of a %s request", request.job_class)
+            return Answer(504, b"failed\n")
+
+    async def _try(self, outgoing: Outgoing, attempt: Attempt, ticket: Ticket) -> Result:
+        def sign(stage: Stage) -> None:
+            (ticket.started if stage is Stage.STARTED else ticket.moving)()
+
+        return await self._endpoints.attempt(
+            outgoing,
+            self._destinations.address(attempt.uid),
+            attempt.until,
+            # Connecting takes a while: by now the endpoint may have been told to drain.
+            still_wanted=lambda: self._destinations.accepts(attempt.uid),
+            sign=sign,
+        )
--- a/rookwood/wirehost.py
+++ b/rookwood/wirehost.py
@@ -15,6 +15,7 @@
 
 from rookwood import interface as api
 from rookwood.policy import Policy
+from rookwood.settings import FaultyKeyError, Tree, settings_of
 
 E = TypeVar("E", bound=Enum)
 
@@ -113,92 +114,13 @@
 }
 
 
-class Profile:
-    """The settings object, read with complaints that name the setting."""
-
-    def __init__(self, line: Line) -> None:
-        self.line = line
-        try:
-            self.data = json.loads(line.text("profile-data"))
-        except ValueError as error:
-            line.bad("profile-data", f"not JSON: {error}")
-
-    def get(self, path: str, kind: type, default: Any = None, data: Any = None) -> Any:
-        value = self.data if data is None else data
-        for part in path.split("."):
-            value = value.get(part) if isinstance(value, dict) else None
-        if value is None and default is not None:
-            return default
-        if kind is float and type(value) is int:
-            value = float(value)
-        if type(value) is not kind:
-            state = "missing" if value is None else f"not of type {kind.__name__}"
-            self.line.bad(f"profile-data.{path}", state)
-        if isinstance(value, int | float) and value < 0:
-            self.line.bad(f"profile-data.{path}", "negative")
-        return value
-
-    def word(self, path: str, choices: type[E], default: Any, data: Any) -> E:
-        value = self.get(path, str, default, data)
-        try:
-            return choices(value)
-        except ValueError:
-            self.line.bad(f"profile-data.{path}", f"unknown value {value!r}")
-
-    def settings(self) -> api.Settings:
-        for part in ("kept-promises", "borne-misses"):  # no decision hangs on them, but they must be sound
-            self.get(f"score-parts.{part}", float, 0.0)
-        kinds = self.get("kinds", list, [])
-        bound = self.get("family-info.class-kind", list, [])
-        stretches = self.get("family-info.class-stretch", list, [])
-        classes = []
-        for index, lane in enumerate(self.get("lanes", list)):
-            kind = bound[index] if index < len(bound) else -1
-            stretch = stretches[index] if index < len(stretches) else 0.0
-            if type(kind) is not int or kind >= len(kinds):
-                self.line.bad("profile-data.family-info.class-kind", "not an index of kinds")
-            if type(stretch) not in (int, float):
-                self.line.bad("profile-data.family-info.class-stretch", "not of type float")
-            classes.append(
-                api.JobClass(
-                    name=self.get("name", str, data=lane),
-                    aim=self.get("aim", int, data=lane),
-                    give_up=self.get("give-up", int, data=lane),
-                    worth=self.get("importance", float, data=lane),
-                    repeat=self.word("repeat", api.Repeat, None, lane),
-                    group=self.word("group", api.Group, "all", lane),
-                    window=self.get("window", int, 0, lane),
-                    stretch=self.get("aim-stretch", float, float(stretch), lane),
-                    kind=str(kinds[kind]) if kind >= 0 else None,
-                    sequential=self.get("sequential", bool, False, lane),
-                )
-            )
-        return api.Settings(
-            classes=tuple(classes),
-            tenants=tuple(
-                api.Tenant(
-                    self.get("name", str, data=tenant),
-                    self.get("allowance-per-s", float, data=tenant),
-                )
-                for tenant in self.get("tenants", list, [])
-            ),
-            dispatchers=self.get("balancers", int),
-            zone=self.get("locality", str, ""),
-            tick=self.get("tick", int),
-            subscribe=self.get("discovery", str) == "subscribe",
-            max_attempts=self.get("bounds.attempts-cap", int),
-            live_weights=self.get("weights", str, "") == "live",
-            worth_by_work=self.get("counted-by", str, "request") == "work",
-            over_share_worth=self.get("over-share-worth", float, 1.0),
-            tells_start=self.get("family-info.tells-start", bool, False),
-            cold_share=self.get("rules.start-capacity", float),
-            warm_up=self.get("rules.warm-up", int),
-            fall_multiple=self.get("rules.fall-multiple", float),
-            fall_window=self.get("rules.overload-for", int),
-            order_settle=self.get("rules.order-settle", int, 0),
-            cancel=self.get("bounds.cancel", bool, False),
-            marks_retry=self.get("clients.marks-retry", bool, False),
-        )
+def settings_in(line: Line) -> api.Settings:
+    try:
+        return settings_of(Tree(json.loads(line.text("profile-data"))))
+    except FaultyKeyError as fault:
+        line.bad(f"profile-data.{fault.key}", fault.why)
+    except json.JSONDecodeError as error:
+        line.bad("profile-data", f"not JSON: {error}")
 
 
 HEALTH = {health.value: health for health in api.Health}
@@ -337,7 +259,7 @@
 
     def parsed(self, tag: str, line: Line, lines: Iterator[str]) -> Any:
         if tag == "HELLO":
-            return (line.whole("seed"), Profile(line).settings())
+            return (line.whole("seed"), settings_in(line))
         if tag == "CRASH_NOW":
             return tag
         if tag == "BACKENDS_CHANGED":
