--- /dev/null
+++ b/rookwood/net/dispatcher.py
@@ -0,0 +1,61 @@
+"""One real dispatcher, put together: who owns what, and in which order it starts and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from rookwood.net.clock import Clock
+from rookwood.net.config import Config
+from rookwood.net.decisions import Decisions
+from rookwood.net.destinations import Destinations
+from rookwood.net.endpoints import Endpoints
+from rookwood.net.inbound import Inbound
+from rookwood.net.request import Requests
+
+log = logging.getLogger(__name__)
+
+RESERVED = 32  # descriptors for the listener, the watch, the log and the loop itself
+
+
+class Dispatcher:
+    def __init__(self, config: Config) -> None:
+        clock, bounds = Clock(), config.bounds
+        # A request in hand takes a descriptor on either side.
+        half = (bounds.sockets - RESERVED) // 2
+        self._config = config
+        self._decisions = Decisions(config.settings, config.seed, clock)
+        self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update)
+        self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
+        self._inbound = Inbound(
+            clock,
+            Requests(clock, self._decisions, self._destinations, self._endpoints).serve,
+            frozenset(c.name for c in config.settings.classes),
+            half,
+            full=lambda: self._decisions.open >= bounds.max_open,
+            retry_after=bounds.max_retry_after if bounds.retry_after else None,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> int:
+        """The kept list first: from the first connection on, requests are decided by it."""
+        config = self._config
+        self._destinations.update(config.known, kept=True)
+        watch = self._destinations.watch(config.discovery.host, config.discovery.port)
+        self._tasks = [asyncio.create_task(watch), asyncio.create_task(self._endpoints.sweep())]
+        port = await self._inbound.listen(config.listen.host, config.listen.port)
+        log.info("%s listens on %s:%d", config.name, config.listen.host, port)
+        return port
+
+    async def leave(self) -> None:
+        """Returns once everything that was taken has its answer."""
+        log.info("%s is leaving", self._config.name)
+        await self._inbound.leave()
+
+    async def close(self) -> None:
+        await self._inbound.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._endpoints.close()
+        self._decisions.close()
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -264,9 +264,9 @@
         """Runs as one task: idle connections that ended or grew old give their descriptors back."""
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
-            for address, kept in list(self._idle.items()):
+            for kept in list(self._idle.values()):
                 stale = [c for c in kept if not self._fresh(c)]
-                self._idle[address] = [c for c in kept if c not in stale]
+                kept[:] = [c for c in kept if c not in stale]  # in place: `_idle_one` may hold this list
                 for connection in stale:
                     await self._close(connection)
 
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, unquote
 
 import h11
 
@@ -27,6 +27,7 @@
 MAX_TIMEOUT = timedelta(hours=1)
 SPARE = 32  # connections beyond the bound that are still told 503
 HANDOVER = timedelta(milliseconds=450)  # after SIGTERM the front still sends here for less than this
+POLL = timedelta(milliseconds=20)
 READY = b"/-/ready"
 
 Serve = Callable[[InboundRequest], Awaitable[Answer]]
@@ -35,9 +36,9 @@
 class UnfitError(Exception):
     """A request that is answered without asking the decisions."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, allow: str | None = None) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.allow = status, allow
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,8 @@
         found = [value for key, value in self._pairs if key == name.lower()]
         if len(found) > 1:
             raise UnfitError(400, f"{name} comes more than once")
+        if found and not found[0].isascii():  # it could not be passed on
+            raise UnfitError(400, f"{name} is not ASCII")
         return found[0] if found else None
 
 
@@ -81,12 +84,12 @@
 
 def request_of(taken: Taken, classes: Collection[str], clock: Clock, age: timedelta) -> InboundRequest:
     """The one place where a client's request is understood."""
-    parts = urlsplit(taken.head.target.decode("latin-1"))
-    job_class = unquote(parts.path.lstrip("/").split("/", 1)[0])
+    path, _, query = taken.head.target.decode("latin-1").partition("?")
+    job_class = unquote(path.lstrip("/").split("/", 1)[0])
     if job_class not in classes:
         raise UnfitError(404, "no such class of jobs")
     if taken.head.method != b"POST":
-        raise UnfitError(405, "jobs come by POST")
+        raise UnfitError(405, "jobs come by POST", allow="POST")
     headers = Headers(taken.head)
     request_id, timeout = headers.get("Request-Id"), headers.get("Request-Timeout")
     if not request_id:
@@ -95,7 +98,7 @@
         raise UnfitError(400, "Request-Timeout is missing")
     left = min(timedelta(seconds=min(figure(timeout, "Request-Timeout"), 1e6)), MAX_TIMEOUT)
     info = figures(headers.get("Request-Info") or "")
-    key = parse_qs(parts.query).get("k")
+    key = parse_qs(query).get("k")
     return InboundRequest(
         job_class=job_class,
         deadline=clock.now() - age + left,
@@ -118,16 +121,16 @@
 REASONS |= {503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
-def encoded(wire: Wire, answer: Answer, close: bool) -> bytes:
+def encoded(wire: Wire, answer: Answer, close: bool, bodiless: bool = False) -> bytes:
     headers = [("Content-Length", str(len(answer.body)))]
     if answer.retry_after is not None:
         headers.append(("Retry-After", f"{answer.retry_after.total_seconds():.3f}"))
-    if answer.status == 405:
-        headers.append(("Allow", "POST"))
+    if answer.allow is not None:
+        headers.append(("Allow", answer.allow))
     if close:
         headers.append(("Connection", "close"))
     head = h11.Response(status_code=answer.status, headers=headers, reason=REASONS[answer.status])
-    return wire.encode(head, h11.Data(data=answer.body), h11.EndOfMessage())
+    return wire.encode(head, h11.Data(data=b"" if bodiless else answer.body), h11.EndOfMessage())
 
 
 class Inbound:
@@ -158,11 +161,11 @@
         """Hands over: clients are moved off as their answers go out, and nobody is cut off."""
         self._leaving = True
         await asyncio.sleep(HANDOVER.total_seconds())
-        for wire in list(self._idle):
-            if wire.quiet():  # what has just come in is still served
-                wire.writer.transport.close()
         while self._open:
-            await asyncio.sleep(0.02)
+            for wire in list(self._idle):
+                if wire.quiet():  # what has just come in is still served
+                    wire.writer.transport.close()
+            await asyncio.sleep(POLL.total_seconds())
 
     async def close(self) -> None:
         if self._server:
@@ -199,7 +202,7 @@
         if not await self._begun(wire):
             return False
         begun = self._clock.now()
-        lingering = False
+        lingering, taken = False, None
         try:
             async with asyncio.timeout(READ_LIMIT.total_seconds()):
                 taken = await self._take(wire)
@@ -209,7 +212,7 @@
             if answer is None:
                 return False
         except UnfitError as error:
-            answer = Answer(error.status, f"{error}\n".encode())
+            answer = Answer(error.status, f"{error}\n".encode(), allow=error.allow)
         except TooLargeError:
             answer, lingering = Answer(413, f"over {MAX_BODY} bytes\n".encode()), True
         except TimeoutError:
@@ -218,7 +221,7 @@
             status = error.error_status_hint if error.error_status_hint in REASONS else 400
             answer, lingering = Answer(status, b"malformed\n"), True
         close = lingering or self._leaving or len(self._open) > self._most
-        data = encoded(wire, answer, close)
+        data = encoded(wire, answer, close, bodiless=taken is not None and taken.head.method == b"HEAD")
         async with asyncio.timeout(WRITE_LIMIT.total_seconds()):
             await wire.write(data)
         if lingering:
@@ -249,8 +252,8 @@
     async def _answered(self, wire: Wire, taken: Taken, age: timedelta) -> Answer | None:
         """None: the client has gone, and nobody is left to answer."""
         if taken.head.target == READY:
-            if taken.head.method not in (b"GET", b"HEAD"):
-                raise UnfitError(404, "no such path")
+            if taken.head.method != b"GET":
+                raise UnfitError(405, "only GET here", allow="GET")
             return Answer(503, b"leaving\n") if self._leaving else Answer(200, b"ready\n")
         request = request_of(taken, self._classes, self._clock, age)
         if self._full() or len(self._open) > self._most:
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -36,6 +36,7 @@
     status: int
     body: bytes = b""
     retry_after: timedelta | None = None
+    allow: str | None = None
 
 
 class Requests:
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,225 @@
+"""A dispatcher on loopback sockets between scripted peers: a discovery, endpoints and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from rookwood.net.config import load
+from rookwood.net.dispatcher import Dispatcher
+
+LIMIT = 10.0  # seconds that any one step may take before the test is called hung
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Script = Callable[["Endpoint", asyncio.StreamWriter, str], Awaitable[bool]]
+
+
+def lane(name: str, repeat: str, **changes: Any) -> dict[str, Any]:
+    times = {"aim": 2_000_000, "give-up": 5_000_000}
+    return {"name": name, "repeat": repeat, "importance": 3, **times, **changes}
+
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 1,
+    "bounds": {"attempts-cap": 4, "cancel": True, "conn-idle": 60_000_000, "connect-timeout": 500_000},
+    "discovery": "automatic",
+    "family-info": {"tells-start": True},
+    "lanes": [lane("page", "safe"), lane("unlock", "unsafe")],
+    "rules": {"fall-multiple": 3.0, "overload-for": 1_000_000, "start-capacity": 0.3, "warm-up": 8_000_000},
+    "tick": 4000,
+}
+
+
+def entry(uid: str, address: str, state: str = "up") -> dict[str, Any]:
+    where = {"az": "a", "model": "m", "pod_group": 1, "capacity_hint": 1.0, "boot_ms": 0}
+    return {"uid": uid, "endpoint": address, "state": state, **where}
+
+
+def environment(folder: Path, listed: list[dict[str, Any]], discovery: str, **changes: Any) -> dict[str, str]:
+    known = {"rev": 1, "all": True, "targets": listed}
+    data: dict[str, Any] = {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f"}
+    data |= {"limits": {"sockets": 256}, "known": known, "settings": SETTINGS} | changes
+    (folder / "config.json").write_text(json.dumps(data))
+    return {"PROXY_CONFIG": str(folder / "config.json")}
+
+
+# ---- what an endpoint may do with a request; each tells whether it goes on with the connection ----
+
+
+def line(request_id: str, state: str, **more: Any) -> bytes:
+    text = json.dumps({"id": request_id, "from": "s-1", "state": state, **more}).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def ends(state: str, **more: Any) -> Script:
+    async def script(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+        last = line(more.pop("id", request_id), state, **more)
+        writer.write(HEAD + line(request_id, "started") + last + b"0\r\n\r\n")
+        return True
+
+    return script
+
+
+def answers(text: bytes) -> Script:
+    async def script(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+        writer.write(text)
+        return True
+
+    return script
+
+
+def status(code: int, *headers: str) -> Script:
+    more = "".join(f"{header}\r\n" for header in headers)
+    return answers(f"HTTP/1.1 {code} X\r\n{more}Content-Length: 0\r\n\r\n".encode())
+
+
+async def breaks(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    writer.write(HEAD + line(request_id, "started"))
+    return False
+
+
+async def silent(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    await endpoint.resume.wait()
+    writer.write(HEAD + line(request_id, "done", result="late") + b"0\r\n\r\n")
+    return True
+
+
+async def serves_and_closes(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    await served(endpoint, writer, request_id)
+    return False
+
+
+async def serves_and_babbles(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    await served(endpoint, writer, request_id)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    return True
+
+
+served = ends("done", result="page")
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Start line, headers and body of a message with a Content-Length."""
+    head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT)).decode()
+    start, *rest = head.rstrip().split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (item.partition(":") for item in rest)}
+    return start, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+class Endpoint:
+    """Plays one script a request, the last one over and over."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts, self.address = list(scripts), ""
+        self.seen: list[str] = []  # the path of each request that came in whole
+        self.headers: list[dict[str, str]] = []
+        self.connections, self.closed = 0, asyncio.Event()
+        self.resume = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                start, headers, _ = await read_message(reader)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                self.seen.append(start.split()[1])
+                self.headers.append(headers)
+                playing = asyncio.ensure_future(script(self, writer, headers["request-id"]))
+                watching = asyncio.ensure_future(reader.read(1)) if script is silent else playing
+                await asyncio.wait((playing, watching), return_when=asyncio.FIRST_COMPLETED)
+                if script is silent and watching.done():
+                    playing.cancel()
+                    break
+                if script is silent:
+                    watching.cancel()
+                    await asyncio.gather(watching, return_exceptions=True)
+                if not await playing:
+                    break
+        self.closed.set()
+        writer.close()
+
+
+class Discovery:
+    """Answers every watch with what `say` puts in; silent until then."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def say(self, rev: int, *entries: dict[str, Any], whole: bool = False) -> None:
+        self.lines.put_nowait(json.dumps({"rev": rev, "all": whole, "targets": entries}).encode() + b"\n")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            start, _, _ = await read_message(reader)
+            self.asked.append(start.split()[1])
+            writer.write(HEAD)
+            left = asyncio.ensure_future(reader.read())
+            while not left.done():
+                text = asyncio.ensure_future(self.lines.get())
+                await asyncio.wait((left, text), return_when=asyncio.FIRST_COMPLETED)
+                if not text.done() or text.result() is None:
+                    text.cancel()
+                    break
+                writer.write(b"%x\r\n%s\r\n" % (len(text.result() or b""), text.result()))
+            left.cancel()
+        writer.close()
+
+
+class Stage:
+    def __init__(self, dispatcher: Dispatcher, port: int, discovery: Discovery) -> None:
+        self.dispatcher, self.port, self.discovery = dispatcher, port, discovery
+        self.ids = itertools.count(1)
+
+    async def connect(self) -> Streams:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    def request(self, path: str = "/page?k=7", timeout: float = 4.0, body: bytes = b"hello") -> bytes:
+        head = f"POST {path} HTTP/1.1\r\nHost: api\r\nRequest-Id: r{next(self.ids)}\r\n"
+        return f"{head}Request-Timeout: {timeout}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+    async def exchange(self, streams: Streams, data: bytes) -> tuple[int, dict[str, str], bytes]:
+        streams[1].write(data)
+        start, headers, body = await read_message(streams[0])
+        return int(start.split()[1]), headers, body
+
+    async def ask(self, *words: Any, **more: Any) -> tuple[int, dict[str, str], bytes]:
+        streams = await self.connect()
+        try:
+            return await self.exchange(streams, self.request(*words, **more))
+        finally:
+            streams[1].close()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(LIMIT):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def listening(peer: Endpoint | Discovery) -> AsyncIterator[str]:
+    server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(server.close)
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def stage(folder: Path, *endpoints: Endpoint, **changes: Any) -> AsyncIterator[Stage]:
+    async with contextlib.AsyncExitStack() as stack:
+        for endpoint in endpoints:
+            endpoint.address = endpoint.address or await stack.enter_async_context(listening(endpoint))
+        discovery = Discovery()
+        where = await stack.enter_async_context(listening(discovery))
+        listed = [entry(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
+        dispatcher = Dispatcher(load(environment(folder, listed, where, **changes)))
+        stack.push_async_callback(dispatcher.close)
+        yield Stage(dispatcher, await dispatcher.start(), discovery)
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,416 @@
+"""What clients, endpoints and discovery may do to a dispatcher, one story for each failure."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Coroutine
+from datetime import datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rookwood import __main__ as program
+from rookwood import interface as api
+from rookwood.net.clock import Clock
+from rookwood.net.decisions import Decisions, End
+from rookwood.net.endpoints import Endpoints, Outgoing
+from tests import stage as st
+from tests.stage import LIMIT, SETTINGS, Endpoint, Script, stage, until
+
+
+def play(story: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(story, 3 * LIMIT))
+
+
+@pytest.mark.parametrize(
+    ("path", "scripts", "status", "attempts"),
+    [
+        ("/page", [st.served], 200, 1),
+        ("/page", [st.breaks, st.served], 200, 2),
+        ("/page", [st.ends("lost"), st.served], 200, 2),
+        ("/page", [st.status(500), st.served], 200, 2),
+        # What may have run and is unsafe is failed, never refused and never sent again.
+        ("/unlock", [st.breaks, st.served], 502, 1),
+        ("/unlock", [st.ends("lost"), st.served], 502, 1),
+        ("/unlock", [st.ends("failed"), st.served], 502, 1),
+        ("/unlock", [st.status(500), st.served], 502, 1),
+        ("/unlock", [st.status(503), st.served], 502, 1),
+        ("/unlock", [st.answers(st.HEAD + b"3\r\n{}\n\r\n0\r\n\r\n"), st.served], 502, 1),
+        ("/unlock", [st.answers(st.HEAD + b"4\r\nodd\n\r\n0\r\n\r\n"), st.served], 502, 1),
+        ("/unlock", [st.answers(st.HEAD + b"0\r\n\r\n"), st.served], 502, 1),
+        ("/unlock", [st.answers(b"HTTP/9 what\r\n\r\n"), st.served], 502, 1),
+        ("/unlock", [st.ends("done", id="another", result="x"), st.served], 502, 1),
+        ("/unlock", [st.ends("done"), st.served], 502, 1),  # done, but without a result
+        # What never ran may go elsewhere.
+        ("/unlock", [st.ends("returned"), st.served], 200, 2),
+        ("/unlock", [st.status(503, "Not-Started: 1"), st.served], 200, 2),
+        ("/unlock", [st.status(504, "Not-Started: 1"), st.served], 200, 2),
+    ],
+)
+def test_what_an_endpoint_answers(
+    tmp_path: Path, path: str, scripts: list[Script], status: int, attempts: int
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(*scripts)
+        async with stage(tmp_path, endpoint) as s:
+            found, _, body = await s.ask(path + "?k=7&x=%20")
+            assert (found, len(endpoint.seen)) == (status, attempts)
+            assert (body == b"page") == (status == 200)
+            assert set(endpoint.seen) == {path + "?k=7&x=%20"}
+            assert {h["request-id"] for h in endpoint.headers} == {"r1"}
+            assert all(float(h["request-timeout"]) < 4 for h in endpoint.headers)
+            assert (await s.ask("/unlock"))[0] == 200  # and the next is not affected
+
+    play(story())
+
+
+def test_refused_connection_is_an_attempt_that_never_ran(tmp_path: Path) -> None:
+    async def story() -> None:
+        dead, alive = Endpoint(st.served), Endpoint(st.served)
+        async with st.listening(dead) as dead.address:
+            pass  # nobody listens there any more
+        async with stage(tmp_path, dead, alive) as s:
+            assert [(await s.ask(f"/unlock?k={n}"))[0] for n in range(6)] == [200] * 6
+
+    play(story())
+
+
+@pytest.mark.parametrize(
+    ("first", "connections"), [(st.served, 1), (st.serves_and_closes, 2), (st.serves_and_babbles, 2)]
+)
+def test_connection_is_kept_only_while_it_is_open_and_quiet(
+    tmp_path: Path, first: Script, connections: int
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(first, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            assert (await s.ask("/unlock"))[0] == 200
+            if first is st.serves_and_closes:
+                await endpoint.closed.wait()
+            assert (await s.ask("/unlock"))[0] == 200
+            assert endpoint.connections == connections
+
+    play(story())
+
+
+def test_connection_that_stood_idle_too_long_is_not_used_again(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        bounds = SETTINGS["bounds"] | {"conn-idle": 1000}
+        async with stage(tmp_path, endpoint, settings=SETTINGS | {"bounds": bounds}) as s:
+            for _ in range(2):
+                assert (await s.ask())[0] == 200
+                await asyncio.sleep(0.002)
+            assert endpoint.connections == 2
+
+    play(story())
+
+
+def test_client_that_goes_away_ends_its_attempt(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            _, writer = await s.connect()
+            writer.write(s.request())
+            await until(lambda: len(endpoint.seen) == 1)
+            writer.close()
+            await asyncio.wait_for(endpoint.closed.wait(), LIMIT)
+            await until(lambda: s.dispatcher._decisions.open == 0)
+            assert (await s.ask())[0] == 200
+            assert endpoint.connections == 2  # the given-up connection was not kept
+
+    play(story())
+
+
+@pytest.mark.parametrize(("path", "status"), [("/page", 503), ("/unlock", 504)])
+def test_silent_endpoint_is_given_up_before_the_client_does(tmp_path: Path, path: str, status: int) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent)
+        async with stage(tmp_path, endpoint) as s:
+            loop = asyncio.get_running_loop()
+            start = loop.time()
+            found, _, _ = await s.ask(path, timeout=0.3)
+            assert found == status
+            assert loop.time() - start >= 0.25  # it did wait
+            await asyncio.wait_for(endpoint.closed.wait(), LIMIT)
+
+    play(story())
+
+
+def test_request_that_no_endpoint_can_take_is_refused(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path) as s:
+            assert (await s.ask(timeout=0.2))[0] == 503
+
+    play(story())
+
+
+def test_decisions_that_stay_silent_are_answered_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            monkeypatch.setattr(s.dispatcher._decisions._policy, "handle", lambda now, event: [])
+            assert (await s.ask(timeout=0.2))[0] == 504
+            assert s.dispatcher._decisions.open == 0
+
+    play(story())
+    assert "no decision before the deadline" in caplog.text
+
+
+def test_defect_in_one_request_fails_that_request_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            policy = s.dispatcher._decisions._policy
+            good = policy.handle
+
+            def bad(now: int, event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.Request) and event.key is None:
+                    raise RuntimeError("a defect")
+                return good(now, event)
+
+            monkeypatch.setattr(policy, "handle", bad)
+            streams = await s.connect()
+            assert (await s.exchange(streams, s.request("/page")))[0] == 500
+            assert (await s.exchange(streams, s.request("/page?k=1")))[0] == 200
+            assert s.dispatcher._decisions.open == 0
+
+    play(story())
+
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: api\r\n\r\n"
+POST = b"POST /page HTTP/1.1\r\nHost: api\r\nContent-Length: 0\r\n"
+TIMED = POST + b"Request-Timeout: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "goes_on"),
+    [
+        (READY, 200, True),
+        (b"nonsense\r\n\r\n", 400, False),
+        (b"POST /page HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400, False),  # no Host
+        (b"GET /page HTTP/1.1\r\nHost: api\r\n\r\n", 405, True),
+        (b"POST /-/ready HTTP/1.1\r\nHost: api\r\nContent-Length: 2\r\n\r\nhi", 405, True),
+        (b"GET /nothing HTTP/1.1\r\nHost: api\r\n\r\n", 404, True),
+        (TIMED + b"\r\n", 400, True),
+        (TIMED + b"Request-Id: \xe9\r\n\r\n", 400, True),
+        (TIMED + b"Request-Id: a\r\nRequest-Id: b\r\n\r\n", 400, True),
+        (TIMED + b"Request-Id: a\r\nRequest-Info: slots\r\n\r\n", 400, True),
+        (POST + b"Request-Id: a\r\n\r\n", 400, True),
+        (POST + b"Request-Id: a\r\nRequest-Timeout: soon\r\n\r\n", 400, True),
+        (POST + b"Request-Id: a\r\nRequest-Timeout: nan\r\n\r\n", 400, True),
+        (b"POST /page HTTP/1.1\r\nHost: api\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413, False),
+    ],
+)  # fmt: skip
+def test_bad_input_is_named_and_the_connection_is_sane(
+    tmp_path: Path, data: bytes, status: int, goes_on: bool
+) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            streams = await s.connect()
+            found, headers, _ = await s.exchange(streams, data)
+            assert (found, headers.get("connection") != "close") == (status, goes_on)
+            if goes_on:
+                assert (await s.exchange(streams, s.request()))[0] == 200
+            else:
+                assert await asyncio.wait_for(streams[0].read(), LIMIT) == b""
+            assert (await s.ask())[0] == 200
+
+    play(story())
+
+
+def test_answer_to_head_has_no_body(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            reader, writer = await s.connect()
+            writer.write(b"HEAD /page HTTP/1.1\r\nHost: api\r\n\r\n" + READY)
+            heads = [(await reader.readuntil(b"\r\n\r\n")).split()[1] for _ in range(2)]
+            assert heads == [b"405", b"200"]
+
+    play(story())
+
+
+def test_more_clients_than_descriptors_are_still_answered(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint, limits={"sockets": 64}) as s:
+            kept = [await s.connect() for _ in range(40)]  # 16 is the bound on this side
+            for streams in kept:
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    assert (await s.exchange(streams, s.request()))[0] in (200, 503)
+            await until(lambda: len(s.dispatcher._inbound._open) <= 16)
+            for streams in kept:
+                streams[1].close()
+            await until(lambda: not s.dispatcher._inbound._open)
+            assert (await s.ask())[0] == 200
+
+    play(story())
+
+
+def test_requests_over_the_bound_are_refused_at_once(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        bounds = SETTINGS["bounds"] | {"max-open": 1, "max-retry-after": 1_500_000}
+        async with stage(tmp_path, endpoint, settings=SETTINGS | {"bounds": bounds}) as s:
+            first = asyncio.ensure_future(s.ask())
+            await until(lambda: len(endpoint.seen) == 1)
+            status, headers, _ = await s.ask()
+            assert (status, headers["retry-after"]) == (503, "1.500")
+            endpoint.resume.set()
+            assert (await first)[::2] == (200, b"late")
+
+    play(story())
+
+
+def test_list_follows_discovery_through_bad_lines_and_broken_watches(tmp_path: Path) -> None:
+    async def story() -> None:
+        old, new = Endpoint(st.served), Endpoint(st.ends("done", result="new"))
+        rules = SETTINGS["rules"] | {"drain-grace": 0}
+        changed = SETTINGS | {"rules": rules}
+        async with stage(tmp_path, old, settings=changed) as s, st.listening(new) as address:
+            assert (await s.ask())[2] == b"page"  # discovery has not said a word yet
+            s.discovery.say(2, st.entry("s-9", address), st.entry("s-0", old.address, "draining"))
+            await until(lambda: s.dispatcher._destinations.revision == 2)
+            assert (await s.ask())[2] == b"new"
+            s.discovery.lines.put_nowait(b"\n")  # a sign of life
+            s.discovery.lines.put_nowait(b'{"rev":3,"all":false,"targets":[{"uid":4}]}\n')
+            await until(lambda: len(s.discovery.asked) == 2)
+            assert s.discovery.asked == [f"/api/targets?follow=1&since={n}" for n in (1, 2)]
+            assert (await s.ask())[2] == b"new"  # the list stays
+            s.discovery.lines.put_nowait(None)
+            await until(lambda: len(s.discovery.asked) == 3)
+            s.discovery.say(4, st.entry("s-0", old.address), whole=True)
+            await until(lambda: s.dispatcher._destinations.revision == 4)
+            assert (await s.ask())[2] == b"page"
+            assert [s.dispatcher._destinations.accepts(uid) for uid in ("s-0", "s-9")] == [True, False]
+
+    play(story())
+
+
+def test_endpoint_told_to_drain_while_connecting_gets_nothing() -> None:
+    async def story() -> None:
+        endpoint, clock = Endpoint(st.served), Clock()
+        async with st.listening(endpoint) as address:
+            pool = Endpoints(clock, timedelta(seconds=1), timedelta(seconds=60), 4)
+            result = await pool.attempt(
+                Outgoing("a", b"/page", "api", None, b""),
+                address,
+                clock.now() + timedelta(seconds=2),
+                still_wanted=lambda: False,
+                sign=lambda stage: None,
+            )
+            await pool.close()
+            assert (result.end, endpoint.seen) == (End.NEVER_SENT, [])
+
+    play(story())
+
+
+def test_timer_that_fires_a_hair_early_still_counts_as_due() -> None:
+    """The module waits for the microsecond it named: told of an earlier one it sets no further timer."""
+
+    class Stopped(Clock):
+        def now(self) -> datetime:
+            return self._start
+
+    async def story() -> None:
+        decisions, told = Decisions(api.Settings(classes=()), 1, Stopped()), list[tuple[int, api.Event]]()
+
+        def handle(now: int, event: api.Event) -> list[api.Action]:
+            told.append((now, event))
+            return [api.SetTimer(5, 1000)] if len(told) == 1 else []
+
+        decisions._policy.handle = handle  # type: ignore[method-assign]
+        decisions.feed(api.Abandoned(1))
+        await until(lambda: len(told) == 2)
+        assert told[1] == (told[0][0] + 1000, api.Timer(5))
+
+    play(story())
+
+
+def test_sigterm_hands_over_and_loses_nothing(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with st.listening(endpoint) as address, st.listening(st.Discovery()) as discovery:
+            listed = [st.entry("s-0", address)]
+            environ = os.environ | st.environment(tmp_path, listed, discovery)
+            words = [sys.executable, "-m", "rookwood"]
+            child = await asyncio.create_subprocess_exec(*words, env=environ, stderr=subprocess.PIPE)
+            try:
+                assert child.stderr
+                while b" listens on " not in (text := await child.stderr.readline()):
+                    assert text, "the program ended at once"
+                s = st.Stage(None, int(text.rsplit(b":", 1)[1]), st.Discovery())  # type: ignore[arg-type]
+                idle = await s.connect()
+                first = asyncio.ensure_future(s.ask())
+                await until(lambda: len(endpoint.seen) == 1)
+                child.send_signal(signal.SIGTERM)
+                while b" leaving" not in await child.stderr.readline():
+                    pass
+                status, headers, _ = await s.ask()  # a connection that came after the signal
+                assert (status, headers["connection"]) == (200, "close")
+                assert (await s.ask("/-/nothing"))[0] == 404
+                assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""  # the idle one is let go
+                assert child.returncode is None
+                endpoint.resume.set()
+                assert (await first)[0] == 200
+                assert await asyncio.wait_for(child.wait(), LIMIT) == 0
+            finally:
+                if child.returncode is None:
+                    child.kill()
+                    await child.wait()
+
+    play(story())
+
+
+def spoilt(path: str, value: object) -> Callable[[dict[str, Any]], None]:
+    def spoil(data: dict[str, Any]) -> None:
+        *parts, last = path.split(".")
+        for part in parts:
+            data = data[int(part)] if isinstance(data, list) else data[part]
+        data[last] = value
+
+    return spoil
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "key"),
+    [
+        ("listen", "nowhere", "listen"),
+        ("discovery", 5, "discovery"),
+        ("seed", "xyz", "seed"),
+        ("limits.sockets", 3, "limits.sockets"),
+        ("known.rev", "x", "known.rev"),
+        ("known.targets", [{"uid": "a"}], "known.targets[0].endpoint"),
+        ("settings.tick", 0, "settings.tick"),
+        ("settings.lanes.0.aim", -1, "settings.lanes[0].aim"),
+        ("settings.lanes.1.repeat", "often", "settings.lanes[1].repeat"),
+        ("settings.lanes.1.name", "page", "settings"),
+        ("settings.bounds.conn-idle", "long", "settings.bounds.conn-idle"),
+    ],
+)
+def test_bad_configuration_is_one_line_that_names_the_key(
+    tmp_path: Path,
+    path: str,
+    value: object,
+    key: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    environ = st.environment(tmp_path, [], "127.0.0.1:1")
+    place = Path(environ["PROXY_CONFIG"])
+    data = json.loads(place.read_text())
+    spoilt(path, value)(data)
+    place.write_text(json.dumps(data))
+    monkeypatch.setattr(os, "environ", environ)
+    assert program.main() == 2
+    text = capsys.readouterr().err
+    assert text.startswith(f"rookwood: {key}: ") and text.count("\n") == 1
