Probe each endpoint once a second, since load reports come here to probes alone

The settings say load-report.how is pull, and the module (policy.py, _outcome) only ever read reports out of outcomes, so it judged workers by its own attempts alone. Checked: without reports w.others stays 0 and slots 4.0 for every kind, while a probe's body on sockets tells 5 slots of one kind. On sockets the probe is a GET /-/load on a kept connection, one at a time an endpoint.

--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -102,6 +102,7 @@
     order_settle: int = 0  # a sequential key rests this long after an attempt that may still run
     cancel: bool = False  # Cancel is permitted
     marks_retry: bool = False  # clients mark their repeats
+    probes: bool = False  # Probe is permitted, and brings load reports
 
     def __post_init__(self) -> None:
         """A setting out of its range is an error at the start, not a wrong decision at night."""
@@ -187,7 +188,16 @@
     load: Mapping[str, float] | None = None  # outstanding, backlog, x0 (free slots); others ignored
 
 
-Event = WorkersChanged | Request | Timer | Note | Abandoned | Outcome
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """What came of one Probe."""
+
+    worker: str
+    ending: Ending
+    load: Mapping[str, float] | None = None  # as in Outcome
+
+
+Event = WorkersChanged | Request | Timer | Note | Abandoned | Outcome | Probed
 
 
 # ---- actions ----
@@ -222,6 +232,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a worker for its load report."""
+
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     token: int
@@ -238,4 +255,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Log
+Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | Log
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -11,6 +11,7 @@
 import hashlib
 import itertools
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
@@ -69,6 +70,13 @@
     """Decision: fail, with no promise about the effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint tells of its load."""
+
+    figures: tuple[tuple[str, float], ...]
+
+
 Decision = Attempt | FailFast | GiveUp
 
 ENDINGS = {
@@ -81,6 +89,7 @@
     End.CALLED_OFF: api.Ending.CANCELLED,
     End.NEVER_SENT: api.Ending.IGNORED,
 }
+LOAD = {"inflight": "outstanding", "queue": "backlog"}  # seen under either name; the rest as it is
 HEALTH = {
     State.UP: api.Health.SERVING,
     State.DRAINING: api.Health.DRAINING,
@@ -180,6 +189,7 @@
         self, settings: api.Settings, seed: int, clock: Clock, retry_after: timedelta | None = None
     ) -> None:
         self.clock, self.retry_after = clock, retry_after
+        self.probe: Callable[[str], None] = lambda uid: None  # who carries probes out
         self._policy = Policy(settings, seed)
         self._numbers = itertools.count(1)
         self._tickets: dict[int, Ticket] = {}
@@ -201,6 +211,10 @@
         workers = tuple(worker_of(endpoint) for endpoint in told.endpoints)
         self.feed(api.WorkersChanged(whole if told.whole or kept else api.Listing.CHANGES, workers))
 
+    def probed(self, uid: str, end: End, load: LoadReport | None) -> None:
+        figures = {LOAD.get(name, name): value for name, value in load.figures} if load else None
+        self.feed(api.Probed(uid, ENDINGS[end], figures))
+
     def admit(self, job: Job) -> Ticket:
         number = next(self._numbers)
         ticket = self._tickets[number] = Ticket(self, number, job)
@@ -239,6 +253,8 @@
                     self._set_timer(token, delay)
                 case api.Log(text):
                     log.info("decisions: %s", text)
+                case api.Probe(uid):
+                    self.probe(uid)
                 case api.Cancel() | api.Subscribe():
                     pass  # an abandoned attempt is ended by its request; the watch is always on
 
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -11,6 +11,7 @@
 from rookwood.net.destinations import Destinations
 from rookwood.net.endpoints import Endpoints
 from rookwood.net.inbound import Inbound
+from rookwood.net.probes import Probes
 from rookwood.net.request import Requests
 
 log = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
         self._decisions = Decisions(config.settings, config.seed, clock)
         self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
+        self._probes = Probes(self._decisions, self._destinations, self._endpoints)
         self._inbound = Inbound(
             clock,
             Requests(clock, self._decisions, self._destinations, self._endpoints).serve,
@@ -57,5 +59,6 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._endpoints.close()
         self._decisions.close()
+        await self._probes.close()
+        await self._endpoints.close()
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import logging
+import math
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -14,13 +15,14 @@
 import h11
 
 from rookwood.net.clock import Clock
-from rookwood.net.decisions import End
-from rookwood.net.http1 import MAX_BODY, NotWrittenError, Wire
+from rookwood.net.decisions import End, LoadReport
+from rookwood.net.http1 import MAX_BODY, NotWrittenError, TooLargeError, Wire
 from rookwood.settings import FaultyKeyError, Tree
 
 log = logging.getLogger(__name__)
 
 SETTLE_LIMIT = timedelta(seconds=1)  # for what follows an answer's last line
+PROBE_LIMIT = timedelta(milliseconds=200)
 SWEEP = timedelta(seconds=1)
 IDLE_PART = 0.75  # of the time after which an endpoint closes: later, a request could cross that
 MAX_LINE = 4 * MAX_BODY
@@ -69,6 +71,12 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    end: End
+    load: LoadReport | None = None
+
+
 class CannotConnectError(Exception):
     """No connection came up, so nothing was sent."""
 
@@ -82,6 +90,22 @@
     return Message(tree.get("id", str), stage, tree.get("result", str, None if stage is Stage.DONE else ""))
 
 
+def load_report_of(body: bytes) -> LoadReport:
+    """Either form that endpoints use: an object, or name=value pairs as in a header."""
+    text = body.decode("utf-8", "replace").strip()
+    try:
+        if text.startswith("{"):
+            pairs = json.loads(text)
+        else:
+            pairs = dict(pair.strip().split("=", 1) for pair in text.split(",") if pair.strip())
+        figures = tuple((str(name), float(value)) for name, value in pairs.items())
+    except (ValueError, TypeError) as error:
+        raise FaultyKeyError("load", f"not a report: {error}") from None
+    if not all(map(math.isfinite, (value for _, value in figures))):
+        raise FaultyKeyError("load", "not a finite number")
+    return LoadReport(figures)
+
+
 def encoded(wire: Wire, request: Outgoing, left: float) -> bytes:
     headers = [
         ("Host", request.host),
@@ -174,6 +198,28 @@
                 raise FaultyKeyError("line", "without an end")
         raise ConnectionResetError("ended before the last line")
 
+    async def probe(self, address: str) -> Probed:
+        head = h11.Request(method="GET", target="/-/load", headers=[("Host", address)])
+        try:
+            async with asyncio.timeout(PROBE_LIMIT.total_seconds()), self._lease(address) as connection:
+                wire = connection.wire
+                await wire.write(wire.encode(head, h11.EndOfMessage()))
+                answer = await wire.event()
+                if not isinstance(answer, h11.Response):
+                    return Probed(End.RESET)
+                body = await wire.body()
+                connection.answered = True
+                if answer.status_code != 200:
+                    return Probed(End.ERROR)
+                return Probed(End.SERVED, load_report_of(body) if body else None)
+        except (CannotConnectError, NotWrittenError):
+            return Probed(End.NO_CONNECTION)
+        except TimeoutError:
+            return Probed(End.TIMED_OUT)
+        except (ConnectionError, h11.RemoteProtocolError, TooLargeError, FaultyKeyError) as error:
+            log.info("a probe of %s failed: %s", address, error)
+            return Probed(End.RESET)
+
     # ---- connections ----
 
     @contextlib.asynccontextmanager
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -11,18 +11,19 @@
 import math
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from rookwood import interface as api
 from rookwood.interface import Ending, Group, Health, Repeat
-from rookwood.state import Attempt, Fleet, Job, Lane, Row, State, Table
+from rookwood.placement import LEAST, pack
+from rookwood.state import Attempt, Job, Lane, Row, State, Table
 
 SERVING, SECOND = Health.SERVING, 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
-HEADROOM, LEAST = 1.15, 0.02  # a bin over the target, so that keys are seldom split; least part of a key
 POINTS, NEAR, WALK = 32, 4, 128  # ring: points of a mean worker, workers tried for a job, points looked at
 BOUND, LEARN = 1.25, 0.02  # most own slots at a worker, over the mean of its size; weight of an answer
 REPORT_LAG, REPORT_AGE, REPORT_BLUR = SECOND / 2, 2 * SECOND, 1.5 * SECOND  # usual, oldest; averaged over
+PROBE = SECOND  # every worker is probed once in so long, where reports come to probes alone
 PATIENCE = 0.5  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
 DISTRUST, LEAST_TRUST = 0.2, 0.02  # a bad sign multiplies trust by this; trust's least
@@ -67,7 +68,8 @@
         self.crowd, self.used, self.seen = 1.0, 0.0, 0.0  # load by reports, own slots out, requests counted
         self.on: dict[type, Callable[..., None]] = {
             api.Request: self._request, api.Outcome: self._outcome, api.WorkersChanged: self._list,
-            api.Note: self._note, api.Timer: lambda e: None, api.Abandoned: self._abandoned}  # fmt: skip
+            api.Note: self._note, api.Timer: lambda e: None, api.Abandoned: self._abandoned,
+            api.Probed: self._probed}  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if now < self.now:
@@ -76,6 +78,8 @@
             self.step_at = now
             self._at(now + STEP // 4 + self.rng.randrange(STEP // 4), self._step)
             self.todo += [api.Subscribe()] * self.set.subscribe
+            if self.set.probes:
+                self._at(now + self.rng.randrange(PROBE), self._probe)
         # A timer that comes late tells of this dispatcher's own pause: silence in it is not the workers'.
         if now > self.now:
             self.stalled = bool(self.timers) and now - self.timers[0] > SILENCE // 2 + 2 * self.set.tick
@@ -369,13 +373,27 @@
         self.mean[name] += LEARN * (min(20.0, math.exp(over)) - self.mean[name])
         self.job_time += LEARN * (service - self.job_time)
 
+    def _probe(self, _: object) -> None:
+        ready = [w for w in self.workers.values() if w.info.health is SERVING]
+        self._at(self.now + PROBE // max(1, len(ready)), self._probe)
+        if ready:
+            w = min(ready, key=lambda w: (w.probe_at, w.info.id))
+            w.probe_at = self.now
+            self.todo.append(api.Probe(w.info.id))
+
+    def _probed(self, p: api.Probed) -> None:
+        if (w := self.workers.get(p.worker)) and p.load and "x0" in p.load:
+            self._report(w, p.load)
+            self._serve_held()
+
     def _report(self, w: State, load: Mapping[str, float]) -> None:
         free, queue, held = load["x0"], load.get("backlog", 0.0), load.get("outstanding")
         running = held - queue if held else sum(self.now - a.sent > REPORT_AGE for a in w.out.values())
+        need = self.used / len(self.owed) if self.owed else 1.0  # slots of a job, as own ones have now
         kind, most = w.info.kind, free + max(0.0, running)
         old = self.slots.get(kind, most)  # reports are noisy: rises fast, falls slowly
         self.slots[kind] = max(1.0, old + (0.2 if most > old else 0.005) * (most - old))
-        self._believe(w, held if held is not None else self.slots[kind] - free + queue)
+        self._believe(w, self.slots[kind] - free + queue * need)
 
     def _believe(self, w: State, total: float) -> None:  # averaged over the age of reports
         part = math.exp((w.report_at - self.now) / REPORT_BLUR) if w.report_at else 0.0
@@ -457,48 +475,3 @@
         fleet = {w.info.id: (c, w.info.kind, self._slots(w)) for w, c in zip(fit, size, strict=True)}
         order = lambda key: (w.info.id for w in self._near(key, len(self.ring)))  # noqa: E731
         self.table = pack(sure, total - sum(sure.values()), fleet, order, self.table)
-
-
-def pack(
-    demand: dict[Row, float], rest: float, fleet: Fleet, order: Callable[[int], Iterable[str]], last: Table
-) -> Table:
-    """Algorithm 1, steps 1 to 5; `order` gives the workers in a key's own order."""
-    size, slots = {w: f[0] for w, f in fleet.items()}, {w: f[2] for w, f in fleet.items()}
-    shares: dict[Row, dict[str, float]] = {}
-    whole, placed = sum(size.values()) or 1.0, sum(demand.values()) or 1.0
-    load = {w: rest * part / whole for w, part in size.items()}
-    biggest = dict.fromkeys(size, 0)
-    for kind in sorted({row[0] for row in demand}, reverse=True):  # unbound rows last, on what is left
-        rows = {r: d for r, d in demand.items() if r[0] == kind}
-        pool = [w for w in size if kind in ("", fleet[w][1]) and size[w] > 0]
-        if not pool:
-            continue
-        target = (sum(rows.values()) + sum(load[w] for w in pool)) / sum(size[w] for w in pool)
-        free, leftovers = list(pool), []
-        for group in sorted({r[1] for r in rows}, reverse=True):
-            mine = sorted((r for r in rows if r[1] == group), key=lambda r: (-rows[r], r))
-            budget, part = sum(rows[r] for r in mine) * (1 + rest / placed) / target, set()
-            while free and budget >= size[free[0]] / 2:  # ROUND, for workers of unequal capacity
-                budget -= size[free[0]]
-                part.add(free.pop(0))
-            for row in mine:
-                left, share = rows[row], shares.setdefault(row, {})
-                # Least change: first who holds the key, then the key's own order, the same everywhere.
-                for w in itertools.chain([w for w, _ in last.get(row, ())], order(row[2])):
-                    if w not in part or w in share or slots[w] < group:
-                        continue
-                    take = min(left, target * size[w] * HEADROOM - load[w])
-                    if take > LEAST * rows[row]:
-                        share[w], left = take, left - take
-                        load[w], biggest[w] = load[w] + take, max(biggest[w], group)
-                    if left <= LEAST * rows[row]:
-                        break
-                else:
-                    leftovers.append((row, left, share))
-        for row, left, share in leftovers:  # largest group first, to the least used of the highest group
-            fit = [w for w in pool if slots[w] >= row[1]] or pool
-            w = min(fit, key=lambda w: (-biggest[w], load[w] / size[w], w))
-            share[w] = share.get(w, 0.0) + left
-            load[w] += left
-    sums = {row: sum(share.values()) for row, share in shares.items()}
-    return {row: [(w, took / sums[row]) for w, took in share.items()] for row, share in shares.items()}
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -51,6 +51,7 @@
     used: float = 0.0  # slots of own attempts out
     others: float = 0.0  # slots that other dispatchers hold, by reports, averaged
     report_at: int = 0
+    probe_at: int = 0
     out: dict[tuple[int, int], Attempt] = field(default_factory=dict)  # own attempts, oldest first
     credit: float = math.inf  # slot-time that may be sent while it is cold
     credit_at: int = 0
--- a/rookwood/wirehost.py
+++ b/rookwood/wirehost.py
@@ -180,8 +180,7 @@
             load=line.load("usage"),
         )
     if tag == "SAMPLED":
-        line.one_of("ending", api.Ending)  # no probe is ever sent
-        return None
+        return api.Probed(line.text("worker"), line.one_of("ending", api.Ending), line.load("usage"))
     line.whole("author")
     return None
 
@@ -197,6 +196,8 @@
             return f"GIVE_UP {request}"
         case api.Cancel(request, attempt):
             return f"ABORT_ATTEMPT {request} {attempt}"
+        case api.Probe(worker):
+            return f"SOUND_OUT {worker}"
         case api.SetTimer(token, delay):
             return f"DEFER {token} {delay}"
         case api.Subscribe():
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -122,12 +122,18 @@
         self.headers: list[dict[str, str]] = []
         self.connections, self.closed = 0, asyncio.Event()
         self.resume = asyncio.Event()
+        self.load, self.probes = b"", 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 start, headers, _ = await read_message(reader)
+                if start.startswith("GET /-/load "):
+                    self.probes += 1
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.load))
+                    writer.write(self.load)
+                    continue
                 script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
                 self.seen.append(start.split()[1])
                 self.headers.append(headers)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from rookwood import interface as api
-from rookwood.policy import hashed, pack
+from rookwood.placement import pack
+from rookwood.policy import hashed
 from rookwood.state import Row, Table
 from tests.world import MS, World, settings, worker
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -296,6 +296,32 @@
     play(story())
 
 
+@pytest.mark.parametrize(
+    ("load", "slots"),
+    [
+        (b"backlog=0,recent_ms=0,outstanding=0,x0=9", 9),
+        (b'{"queue":0,"inflight":0,"x0":9}', 9),
+        (b"", 4),  # no report yet: as if never probed
+        (b"odd", 4),
+        (b"x0=nan", 4),
+        (b"x" * 70_000, 4),
+    ],
+)
+def test_load_comes_by_probes(tmp_path: Path, load: bytes, slots: int) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        endpoint.load = load
+        bounds = SETTINGS["bounds"] | {"probes": True}
+        changed = SETTINGS | {"bounds": bounds, "load-report": {"how": "pull"}}
+        async with stage(tmp_path, endpoint, settings=changed) as s:
+            await until(lambda: endpoint.probes > 1)
+            policy = s.dispatcher._decisions._policy
+            assert policy._slots(policy.workers["s-0"]) == slots
+            assert (await s.ask())[0] == 200
+
+    play(story())
+
+
 def test_endpoint_told_to_drain_while_connecting_gets_nothing() -> None:
     async def story() -> None:
         endpoint, clock = Endpoint(st.served), Clock()
