--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -20,10 +20,11 @@
 
 SERVING, SECOND = Health.SERVING, 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
-POINTS, NEAR, WALK = 32, 4, 128  # ring: points of a mean worker, workers tried for a job, points looked at
+POINTS, NEAR, WALK = 32, 3, 128  # ring: points of a mean worker, workers tried for a job, points looked at
 BOUND, LEARN = 1.25, 0.02  # most own slots at a worker, over the mean of its size; weight of an answer
 REPORT_LAG, REPORT_AGE, REPORT_BLUR = SECOND / 2, 2 * SECOND, 1.5 * SECOND  # usual, oldest; averaged over
 PROBE = SECOND  # every worker is probed once in so long, where reports come to probes alone
+SOON, SPARE = 0.1, 1  # part of a mean job that counts as no wait; workers tried beyond NEAR if that idle
 PATIENCE = 0.5  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
 DISTRUST, LEAST_TRUST = 0.2, 0.02  # a bad sign multiplies trust by this; trust's least
@@ -220,7 +221,14 @@
                     return best
         # Spill in the key's own order, the same everywhere: few workers fetch its data.
         fit = (w for w in self._near(job.req.key) if self._usable(job, w))
-        return next((w for w in itertools.islice(fit, NEAR) if self._room(job, w)), None)
+        # Who starts it nearly at once goes first, and of these the own zone's: a crossing has its price.
+        near = sorted(itertools.islice(fit, NEAR), key=lambda w: self._rank(job, w))
+        # Further away only to the idle: in a jam, a key spread wider costs more fetches than it saves.
+        near += (w for w in itertools.islice(fit, SPARE) if not self._rank(job, w)[0])
+        return next((w for w in near if self._room(job, w)), None)
+
+    def _rank(self, job: Job, w: State) -> tuple[bool, bool]:
+        return self._wait(job, w) > SOON * self.job_time, w.info.zone != self.set.zone
 
     def _near(self, key: int | None, walk: int = WALK) -> Iterator[State]:
         """Workers in the key's order: along a ring on which each stands by its size."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -360,3 +360,43 @@
     for number in [n for n in world.out() if world.asked[n].tries[0].worker == worker(2).id]:
         world.end(number, api.Ending.OK)
     assert sum(bool(world.asked[n].tries) for n in held) > before
+
+
+def test_every_worker_is_probed_about_once_a_second_where_reports_come_to_probes() -> None:
+    """Reports were only looked for in outcomes; where probes bring them, none ever came."""
+    for permitted in (True, False):
+        world = World(settings(probes=permitted))
+        world.list_workers(*(worker(n) for n in range(5)), worker(5, health=api.Health.DRAINING))
+        world.advance(5_000 * MS)
+        probed = [action.worker for _, action in world.trace if isinstance(action, api.Probe)]
+        counts = [probed.count(worker(n).id) for n in range(6)]
+        assert all(4 <= count <= 6 for count in counts[:5]) if permitted else not any(counts)
+        assert not counts[5]
+
+
+def test_load_counts_slots_and_not_requests() -> None:
+    """One job of 4 slots fills a worker of 4, though its report speaks of a single request."""
+    world = World(settings(probes=True))
+    world.list_workers(worker(0), worker(2))
+    for name in (worker(0).id, worker(2).id):
+        world.feed(api.Probed(name, api.Ending.OK, {"x0": 4.0, "backlog": 0.0, "outstanding": 0.0}))
+    world.advance(10_000 * MS)
+    world.feed(api.Probed(worker(0).id, api.Ending.OK, {"x0": 0.0, "backlog": 0.0, "outstanding": 1.0}))
+    numbers = [world.ask("fee", key=key) for key in range(6)]
+    first = [world.asked[number].tries[0].worker for number in numbers if world.asked[number].tries]
+    assert first.count(worker(2).id) > first.count(worker(0).id)
+
+
+def test_own_zone_goes_first_while_it_starts_jobs_at_once() -> None:
+    """A crossing has its price; a wait in the own zone costs more than that."""
+    world = World(settings(probes=True))
+    world.list_workers(worker(0), worker(2, zone="z1"))
+    sent: list[str] = []
+    for key in range(20):
+        number = world.ask("fee", key=key)
+        sent.append(world.asked[number].tries[0].worker)
+        world.end(number, api.Ending.OK)
+    assert set(sent) == {worker(0).id}
+    world.feed(api.Probed(worker(0).id, api.Ending.OK, {"x0": 0.0, "backlog": 20.0, "outstanding": 24.0}))
+    numbers = [world.ask("fee", key=1) for _ in range(3)]  # two are this dispatcher's share of 4 slots
+    assert [world.asked[n].tries[0].worker for n in numbers] == [worker(0).id] * 2 + [worker(2).id]
