Serve late requests by idle workers and tell refused clients when to come back

A refusal now carries advice, in BUSY and as Retry-After (capped by bounds.max-retry-after, left out where bounds.retry-after forbids it).

--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -215,6 +215,7 @@
     """Final answer: a new try does no harm."""
 
     request: int
+    retry_after: int = 0  # advice: how long to keep away; 0: none
 
 
 @dataclass(frozen=True, slots=True)
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -176,9 +176,9 @@
                 self._attempts += 1
                 self._out = (attempt, now)
                 self._decided.put_nowait(attempt)
-            case api.Refuse():
+            case api.Refuse(_, advice):
                 self._settled = True
-                self._decided.put_nowait(FailFast(self._door.retry_after))
+                self._decided.put_nowait(FailFast(self._door.advised(timedelta(microseconds=advice))))
             case api.Fail():
                 self._settled = True
                 self._decided.put_nowait(GiveUp())
@@ -186,9 +186,9 @@
 
 class Decisions:
     def __init__(
-        self, settings: api.Settings, seed: int, clock: Clock, retry_after: timedelta | None = None
+        self, settings: api.Settings, seed: int, clock: Clock, most_retry_after: timedelta = timedelta(0)
     ) -> None:
-        self.clock, self.retry_after = clock, retry_after
+        self.clock, self._most_retry_after = clock, most_retry_after
         self.probe: Callable[[str], None] = lambda uid: None  # who carries probes out
         self._policy = Policy(settings, seed)
         self._numbers = itertools.count(1)
@@ -206,6 +206,10 @@
             timer.cancel()
         self._timers.clear()
 
+    def advised(self, wait: timedelta) -> timedelta | None:
+        """When a refused client is told to come back; None where clients are told nothing."""
+        return min(wait, self._most_retry_after) or None
+
     def update(self, told: DestinationSet, kept: bool = False) -> None:
         whole = api.Listing.KEPT if kept else api.Listing.WHOLE
         workers = tuple(worker_of(endpoint) for endpoint in told.endpoints)
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from datetime import timedelta
 
 from rookwood.net.clock import Clock
 from rookwood.net.config import Config
@@ -25,7 +26,8 @@
         # A request in hand takes a descriptor on either side.
         half = (bounds.sockets - RESERVED) // 2
         self._config = config
-        self._decisions = Decisions(config.settings, config.seed, clock)
+        longest = bounds.max_retry_after if bounds.retry_after else timedelta(0)
+        self._decisions = Decisions(config.settings, config.seed, clock, longest)
         self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
@@ -35,7 +37,7 @@
             frozenset(c.name for c in config.settings.classes),
             half,
             full=lambda: self._decisions.open >= bounds.max_open,
-            retry_after=bounds.max_retry_after if bounds.retry_after else None,
+            retry_after=longest or None,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -29,6 +29,7 @@
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
 DISTRUST, LEAST_TRUST = 0.2, 0.02  # a bad sign multiplies trust by this; trust's least
 COLD_SAFETY = 0.5  # part of the rule-4 budget that is used
+RETRY_AFTER = SECOND  # when a refused client may come back
 RETRY_RATIO, RETRY_BURST = 0.1, 10.0  # retries earned by each request; most that are saved up
 TRIED = 12  # held requests tried at an event, to bound work
 
@@ -169,7 +170,7 @@
     def _end(self, job: Job) -> None:  # refused where a new try does no harm, else failed (rule 2)
         harmless = job.cls.repeat is Repeat.SAFE or not any(a.may_have_run for a in job.attempts)
         harmless = harmless or (job.cls.repeat is Repeat.KEYED and job.cls.group is Group.ALL)
-        self.todo.append(api.Refuse(job.req.id) if harmless else api.Fail(job.req.id))
+        self.todo.append(api.Refuse(job.req.id, RETRY_AFTER) if harmless else api.Fail(job.req.id))
         self._forget(job)
 
     def _forget(self, job: Job) -> None:
@@ -283,7 +284,8 @@
             return False
         # In a jam all are as full as the mean of reports: hold, whatever one worker's stale report says.
         jam = max(0.0, self.crowd - 1) * self.job_time * REPORT_LAG / (self.job_time + REPORT_LAG)
-        return max(jam, self._wait(job, w)) <= PATIENCE * (job.shed_at - self.now)
+        # Late already, it still earns a part of its worth, but only in time that nobody else wants.
+        return max(jam, self._wait(job, w)) <= max(0.0, PATIENCE * (job.shed_at - self.now))
 
     def _wait(self, job: Job, w: State) -> float:
         # Herding: others count for their equal share at most, or all flee a late report and return together.
--- a/rookwood/wirehost.py
+++ b/rookwood/wirehost.py
@@ -190,8 +190,8 @@
     match action:
         case api.Send(request, worker, timeout):
             return f"TRANSMIT {request} {timeout or '-'} {worker}"
-        case api.Refuse(request):
-            return f"BUSY {request} -"
+        case api.Refuse(request, retry_after):
+            return f"BUSY {request} {retry_after or '-'}"
         case api.Fail(request):
             return f"GIVE_UP {request}"
         case api.Cancel(request, attempt):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -400,3 +400,18 @@
     world.feed(api.Probed(worker(0).id, api.Ending.OK, {"x0": 0.0, "backlog": 20.0, "outstanding": 24.0}))
     numbers = [world.ask("fee", key=1) for _ in range(3)]  # two are this dispatcher's share of 4 slots
     assert [world.asked[n].tries[0].worker for n in numbers] == [worker(0).id] * 2 + [worker(2).id]
+
+
+def test_late_request_is_served_by_an_idle_worker_alone() -> None:
+    """A late answer still earns a part of the worth, but must cost no other request its time."""
+    world = World(settings(dispatchers=1))
+    world.list_workers(worker(0))
+    world.end(world.ask("fee", key=1), api.Ending.OK)
+    late = world.ask("fee", key=1, left=1_000 * MS)  # of 5 s
+    assert world.asked[late].tries and not world.asked[late].answered
+    for _ in range(3):
+        world.ask("fee", key=1)
+    refused = world.ask("fee", key=1, left=1_000 * MS)
+    assert world.asked[refused].answered and not world.asked[refused].tries
+    (advice,) = (a.retry_after for _, a in world.trace if isinstance(a, api.Refuse))
+    assert advice > 0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -147,7 +147,8 @@
 def test_request_that_no_endpoint_can_take_is_refused(tmp_path: Path) -> None:
     async def story() -> None:
         async with stage(tmp_path) as s:
-            assert (await s.ask(timeout=0.2))[0] == 503
+            status, headers, _ = await s.ask(timeout=0.2)
+            assert (status, headers["retry-after"]) == (503, "1.000")
 
     play(story())
 
