--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -18,7 +18,8 @@
 
 from rookwood import __main__ as program
 from rookwood import interface as api
-from rookwood.net.clock import Clock
+from rookwood.net import endpoints
+from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.decisions import Decisions, End
 from rookwood.net.endpoints import Endpoints, Outgoing
 from tests import stage as st
@@ -341,6 +342,33 @@
     play(story())
 
 
+def test_sweep_leaves_no_connection_in_two_hands(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new list made by the sweep left the old one in the hands of who was just taking from it."""
+    monkeypatch.setattr(endpoints, "SWEEP", timedelta(0))
+
+    async def story() -> None:
+        endpoint, clock = Endpoint(st.served), Clock()
+        async with st.listening(endpoint) as address:
+            pool = Endpoints(clock, timedelta(seconds=1), timedelta(seconds=60), 4)
+            outgoing = Outgoing("a", b"/page", "api", None, b"")
+            last = clock.now() + timedelta(seconds=LIMIT)
+            words = (outgoing, address, last, lambda: True, lambda stage: None)
+            tries = (pool.attempt(*words) for _ in range(3))
+            assert {result.end for result in await asyncio.gather(*tries)} == {End.SERVED}
+            assert len(pool._idle[address]) == 3
+            sweep = asyncio.create_task(pool.sweep())
+            await asyncio.sleep(0)
+            pool._idle[address][-1].idle_since = EPOCH  # too old: `_idle_one` closes it and goes on
+            first, second = await pool._idle_one(address), await pool._idle_one(address)
+            assert first and second and first is not second
+            sweep.cancel()
+            for connection in (first, second):
+                await pool._close(connection)
+            assert pool._count == 0
+
+    play(story())
+
+
 def test_timer_that_fires_a_hair_early_still_counts_as_due() -> None:
     """The module waits for the microsecond it named: told of an earlier one it sets no further timer."""
 
