Turn bad clients away early, and follow the configuration's new discovery at SIGHUP

Every smuggled request came with Content-Length and Transfer-Encoding (h11 goes by the coding, h11.Request still carries both); bad requests came up to 600 on one connection and were all answered there; endpoints' 400s (ids in use, no trust in them ruled out as cause) cost the endpoints trust; 954 connections that never sent a whole request stayed up to 10 s (READ_LIMIT) or 120 s (IDLE_LIMIT).

--- a/rookwood/net/config.py
+++ b/rookwood/net/config.py
@@ -9,19 +9,10 @@
 from pathlib import Path
 
 from rookwood import interface as api
-from rookwood.net.destinations import DestinationSet, destination_set_of
+from rookwood.net.destinations import Address, DestinationSet, destination_set_of
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What the network side keeps to; the decisions have their own settings."""
@@ -33,6 +24,7 @@
     retry_after: bool  # clients are told when to come back
     max_retry_after: timedelta
     sockets: int  # file descriptors of this process
+    memory: int  # bytes that this process may take
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +56,9 @@
         raise FaultyKeyError("seed", f"not hexadecimal: {text!r}") from None
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Raises `FaultyKeyError`; single variables go before the file."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Raises `FaultyKeyError`. Single variables go before the file, but not when it is read again: it may
+    have changed since the start, and they cannot."""
     place = environ.get("PROXY_CONFIG")
     if not place:
         raise FaultyKeyError("PROXY_CONFIG", "missing")
@@ -78,7 +71,7 @@
     tree = Tree(data)
 
     def own(variable: str, key: str) -> tuple[str, str]:
-        found = environ.get(variable)
+        found = None if again else environ.get(variable)
         return (found, variable) if found else (tree.get(key, str), key)
 
     told = tree.branch("settings")
@@ -90,6 +83,7 @@
         retry_after=told.get("bounds.retry-after", bool, True),
         max_retry_after=span(told, "bounds.max-retry-after", 2_000_000),
         sockets=tree.get("limits.sockets", int, 1024),
+        memory=tree.get("limits.memory_mb", int, 192) << 20,
     )
     if bounds.sockets < 128:
         raise FaultyKeyError("limits.sockets", "under 128")
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -35,6 +35,7 @@
     TIMED_OUT = "timed out"
     CALLED_OFF = "called off"
     NEVER_SENT = "never sent"
+    UNFIT = "unfit"  # the endpoint says that nobody could use the request
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,7 @@
     End.TIMED_OUT: api.Ending.TIMED_OUT,
     End.CALLED_OFF: api.Ending.CANCELLED,
     End.NEVER_SENT: api.Ending.IGNORED,
+    End.UNFIT: api.Ending.CANCELLED,
 }
 LOAD = {"inflight": "outstanding", "queue": "backlog"}  # seen under either name; the rest as it is
 HEALTH = {
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -14,17 +14,27 @@
 import h11
 
 from rookwood.net.clock import EPOCH, Clock
-from rookwood.net.http1 import Wire
+from rookwood.net.http1 import TooLargeError, Wire
 from rookwood.settings import FaultyKeyError, Tree
 
 log = logging.getLogger(__name__)
 
 CONNECT_LIMIT = timedelta(seconds=1)
-SILENCE_LIMIT = timedelta(seconds=5)  # a watch says something every 2 s
+FIRST_WORD_LIMIT = timedelta(seconds=1)  # the agent answers at once, or is down
+SILENCE_LIMIT = timedelta(seconds=3)  # a watch says something every 2 s
 PAUSE = timedelta(milliseconds=200)  # between tries; the agent is on this machine
 MAX_LINE = 4 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
 class State(Enum):
     UP = "up"
     DRAINING = "draining"
@@ -73,10 +83,19 @@
 
 
 class Destinations:
-    """Holds the list as told; `watch` runs as one task and is the only one that talks to discovery."""
-
-    def __init__(self, clock: Clock, grace: timedelta, apply: Callable[[DestinationSet, bool], None]) -> None:
+    """Holds the list as told, and owns the one watch that talks to discovery."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        grace: timedelta,
+        apply: Callable[[DestinationSet, bool], None],
+        discovery: Address,
+    ) -> None:
         self._clock, self._grace, self._apply = clock, grace, apply
+        self._discovery, self._started = discovery, False
+        self._foreign = False  # the list here came from another discovery
+        self._watches: set[asyncio.Task[None]] = set()  # one, and those that are ending
         self._endpoints: dict[str, Endpoint] = {}
         self._stopped: dict[str, datetime] = {}  # draining or gone since
         self.revision = 0
@@ -104,48 +123,86 @@
         stopped = self._stopped.get(uid)
         return uid in self._endpoints and (stopped is None or self._clock.now() < stopped + self._grace / 2)
 
-    async def watch(self, host: str, port: int) -> None:
+    def start(self) -> None:
+        self._started = True
+        self._watch()
+
+    def _watch(self) -> None:
+        task = asyncio.create_task(self.watch())
+        self._watches.add(task)
+        task.add_done_callback(self._watches.discard)
+
+    def move(self, discovery: Address) -> None:
+        """Follows another discovery. What is known stays in force until that one has spoken."""
+        if discovery == self._discovery:
+            return
+        self._discovery, self._foreign = discovery, True
+        for task in self._watches:
+            task.cancel()
+        if self._started:
+            self._watch()
+
+    async def close(self) -> None:
+        tasks = list(self._watches)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def watch(self) -> None:
         while True:
             try:
-                await self._follow(host, port)
+                await self._follow()
                 log.info("the discovery watch ended; asking again")
-            except (OSError, h11.RemoteProtocolError, json.JSONDecodeError, FaultyKeyError) as error:
+            except (OSError, h11.RemoteProtocolError, TooLargeError, FaultyKeyError) as error:
                 log.warning("the discovery watch broke: %s: %s", type(error).__name__, error)
             except Exception:
                 log.exception("a change of the destination set failed")
             await asyncio.sleep(PAUSE.total_seconds())
 
-    async def _follow(self, host: str, port: int) -> None:
+    async def _follow(self) -> None:
         async with asyncio.timeout(CONNECT_LIMIT.total_seconds()):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(self._discovery.host, self._discovery.port)
         wire = Wire(h11.Connection(h11.CLIENT), reader, writer)
         try:
-            ask = h11.Request(
-                method="GET",
-                target=f"/api/targets?follow=1&since={self.revision}",
-                headers=[("Host", f"{host}:{port}"), ("Accept", "application/json")],
-            )
-            await wire.write(wire.encode(ask, h11.EndOfMessage()))
+            if self._foreign:
+                # Its revisions need not continue those known here: what changed since one says nothing.
+                async with asyncio.timeout(FIRST_WORD_LIMIT.total_seconds()):
+                    await self._ask(wire, "/api/targets")
+                    told = destination_set_of(Tree(parsed(await wire.body(MAX_LINE))))
+                if not told.whole:
+                    raise FaultyKeyError("all", "false where the whole list was asked for")
+                self.update(told)
+                self._foreign = False
+                wire.http.start_next_cycle()
+            async with asyncio.timeout(FIRST_WORD_LIMIT.total_seconds()):
+                await self._ask(wire, f"/api/targets?follow=1&since={self.revision}")
             rest = b""
             while True:
                 async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
                     event = await wire.event()
-                if isinstance(event, h11.Response) and event.status_code != 200:
-                    raise ConnectionError(f"discovery answered {event.status_code}")
-                if isinstance(event, h11.Data):
-                    *lines, rest = (rest + bytes(event.data)).split(b"\n")
-                    for line in filter(None, map(bytes.strip, lines)):
-                        self.update(destination_set_of(Tree(parsed(line))))
-                    if len(rest) > MAX_LINE:
-                        raise ConnectionError("discovery sent a line without an end")
-                if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                if not isinstance(event, h11.Data):
                     return
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                for line in filter(None, map(bytes.strip, lines)):
+                    self.update(destination_set_of(Tree(parsed(line))))
+                if len(rest) > MAX_LINE:
+                    raise TooLargeError("discovery sent a line without an end")
         finally:
             await wire.close()
 
+    async def _ask(self, wire: Wire, target: str) -> None:
+        headers = [("Host", str(self._discovery)), ("Accept", "application/json")]
+        await wire.write(
+            wire.encode(h11.Request(method="GET", target=target, headers=headers), h11.EndOfMessage())
+        )
+        while isinstance(event := await wire.event(), h11.InformationalResponse):
+            pass
+        if not isinstance(event, h11.Response) or event.status_code != 200:
+            raise ConnectionError("discovery has no list for us")
+
 
 def parsed(line: bytes) -> Any:
     try:
         return json.loads(line)
-    except UnicodeDecodeError as error:
-        raise json.JSONDecodeError(str(error), "", 0) from None
+    except (ValueError, RecursionError) as error:  # as deep as the sender likes
+        raise FaultyKeyError("line", f"not JSON: {error}") from None
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -20,6 +20,7 @@
 # Descriptors for the listener, the watch, the log and the loop itself, and for inbound connections beyond
 # their bound that are still told so.
 RESERVED = 32 + SPARE
+BODIES = 8  # one part in so many of the memory is for bodies in hand; each is there about twice
 
 
 class Dispatcher:
@@ -30,7 +31,7 @@
         self._config = config
         longest = bounds.max_retry_after if bounds.retry_after else timedelta(0)
         self._decisions = Decisions(config.settings, config.seed, clock, longest)
-        self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update)
+        self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update, config.discovery)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
         self._inbound = Inbound(
@@ -40,6 +41,7 @@
             half,
             full=lambda: self._decisions.open >= bounds.max_open,
             retry_after=longest or None,
+            most_bytes=bounds.memory // BODIES,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -47,12 +49,17 @@
         """The kept list first: from the first connection on, requests are decided by it."""
         config = self._config
         self._destinations.update(config.known, kept=True)
-        watch = self._destinations.watch(config.discovery.host, config.discovery.port)
-        self._tasks = [asyncio.create_task(watch), asyncio.create_task(self._endpoints.sweep())]
+        self._destinations.start()
+        self._tasks = [asyncio.create_task(self._endpoints.sweep())]
         port = await self._inbound.listen(config.listen.host, config.listen.port)
         log.info("%s listens on %s:%d", config.name, config.listen.host, port)
         return port
 
+    def reload(self, config: Config) -> None:
+        """Takes over what may change while requests are in hand; the rest waits for the next start."""
+        log.info("the configuration was read again; discovery is %s", config.discovery)
+        self._destinations.move(config.discovery)
+
     async def leave(self) -> None:
         """Returns once everything that was taken has its answer."""
         log.info("%s is leaving", self._config.name)
@@ -60,6 +67,7 @@
 
     async def close(self) -> None:
         await self._inbound.close()
+        await self._destinations.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -26,6 +26,7 @@
 SWEEP = timedelta(seconds=1)
 IDLE_PART = 0.75  # of the time after which an endpoint closes: later, a request could cross that
 MAX_LINE = 4 * MAX_BODY
+UNFIT = frozenset({400, 404, 405, 411, 413, 414, 431})  # the request's fault, at every endpoint alike
 
 
 class Stage(Enum):
@@ -183,7 +184,7 @@
             if event.status_code in (503, 504) and headers.get(b"not-started") == b"1":
                 return Result(End.TURNED_AWAY)
             log.info("an endpoint answered %d", event.status_code)
-            return Result(End.ERROR)
+            return Result(End.UNFIT if event.status_code in UNFIT else End.ERROR)
         rest = b""
         while isinstance(event := await wire.event(), h11.Data):
             *lines, rest = (rest + bytes(event.data)).split(b"\n")
--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -41,12 +41,12 @@
             await self.fill()
         return cast("h11.Event | type[h11.PAUSED]", event)
 
-    async def body(self) -> bytes:
+    async def body(self, most: int = MAX_BODY) -> bytes:
         """The rest of the message that has begun. Over the limit it raises at once, unread."""
         parts, size = list[bytes](), 0
         while isinstance(event := await self.event(), h11.Data):
             size += len(event.data)
-            if size > MAX_BODY:
+            if size > most:
                 raise TooLargeError
             parts.append(bytes(event.data))
         if not isinstance(event, h11.EndOfMessage):
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import math
+import re
+import socket
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -21,9 +24,15 @@
 log = logging.getLogger(__name__)
 
 IDLE_LIMIT = timedelta(seconds=120)  # between requests
-READ_LIMIT = timedelta(seconds=10)  # for the rest of a request that has begun
+FIRST_LIMIT = timedelta(seconds=2)  # from connecting to the end of the first request: the silent go
+READ_LIMIT = timedelta(seconds=2)  # for the rest of a request that has begun
 WRITE_LIMIT = timedelta(seconds=10)
-LINGER = timedelta(seconds=1)  # so that a client still sending can read why it was turned off
+LINGER = timedelta(milliseconds=500)  # so that a client still sending can read why it was turned off
+LINGER_BYTES = 512 * 1024  # read and dropped meanwhile; who sends more is cut off
+RECEIVE_BUFFER = 32 * 1024  # of the kernel, for each client: asyncio reads all of it in one go
+AHEAD = 16 * 1024  # bytes taken while a request is served; clients send one at a time
+BACKLOG, ACCEPTS = 512, 16  # waiting in the kernel; taken in before those taken are counted
+MAX_ID = 128
 MAX_TIMEOUT = timedelta(hours=1)
 SPARE = 32  # connections beyond the bound that are still told 503
 HANDOVER = timedelta(milliseconds=450)  # after SIGTERM the front still sends here for less than this
@@ -62,23 +71,39 @@
         return found[0] if found else None
 
 
-def figure(text: str, name: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        raise UnfitError(400, f"{name} is not a number") from None
-    if not (math.isfinite(value) and value >= 0):
+NUMBER = re.compile(r"-?[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?")  # `float` takes more: 1_0, nan, infinity
+
+
+def figure(text: str, name: str, most: float = math.inf) -> float:
+    if not NUMBER.fullmatch(text):
+        raise UnfitError(400, f"{name} is not a number")
+    value = float(text)
+    if not (math.isfinite(value) and 0 <= value <= most):
         raise UnfitError(400, f"{name} is out of range")
     return value
 
 
+def length_of(head: h11.Request) -> int:
+    """Bytes that the body may take at most, from the head alone; refuses what is not worth reading."""
+    headers = dict(head.headers)
+    if b"transfer-encoding" in headers:
+        # h11 would go by the coding alone: who goes by the length sees another message in the body.
+        if b"content-length" in headers or head.http_version != b"1.1":
+            raise UnfitError(400, "the body's length is ambiguous")
+        return MAX_BODY
+    declared = int(headers.get(b"content-length", b"0"))
+    if declared > MAX_BODY:
+        raise TooLargeError
+    return declared
+
+
 def figures(text: str) -> dict[str, float]:
     found = {}
     for pair in filter(None, (part.strip() for part in text.split(","))):
         name, equals, value = pair.partition("=")
         if not equals:
             raise UnfitError(400, "Request-Info is not name=value")
-        found[name.strip()] = figure(value, f"Request-Info {name.strip()}")
+        found[name.strip()] = figure(value.strip(), f"Request-Info {name.strip()}")
     return found
 
 
@@ -94,9 +119,11 @@
     request_id, timeout = headers.get("Request-Id"), headers.get("Request-Timeout")
     if not request_id:
         raise UnfitError(400, "Request-Id is missing")
+    if len(request_id) > MAX_ID:
+        raise UnfitError(400, "Request-Id is too long")
     if timeout is None:
         raise UnfitError(400, "Request-Timeout is missing")
-    left = min(timedelta(seconds=min(figure(timeout, "Request-Timeout"), 1e6)), MAX_TIMEOUT)
+    left = timedelta(seconds=figure(timeout, "Request-Timeout", MAX_TIMEOUT.total_seconds()))
     info = figures(headers.get("Request-Info") or "")
     key = parse_qs(query).get("k")
     return InboundRequest(
@@ -117,7 +144,7 @@
 
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout"}
-REASONS |= {413: "Content Too Large", 500: "Internal Server Error", 502: "Bad Gateway"}
+REASONS |= {409: "Conflict", 413: "Content Too Large", 500: "Internal Server Error", 502: "Bad Gateway"}
 REASONS |= {503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
@@ -144,18 +171,34 @@
         most: int,
         full: Callable[[], bool],
         retry_after: timedelta | None,
+        most_bytes: int,
     ) -> None:
         self._clock, self._serve, self._classes = clock, serve, classes
         self._most, self._full, self._retry_after = most, full, retry_after
+        self._bytes_left = most_bytes  # for the bodies of requests in hand
         self._open: set[Wire] = set()
         self._idle: dict[Wire, None] = {}  # waiting for a request, longest first
+        self._new: dict[Wire, datetime] = {}  # owes its first request until then, longest first
+        self._dismissed: dict[Wire, None] = {}  # told to go, but still there
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._leaving = False
 
     async def listen(self, host: str, port: int) -> int:
-        self._server = await asyncio.start_server(self._connection, host, port, backlog=512)
-        return int(self._server.sockets[0].getsockname()[1])
+        listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            listener.bind((host, port))
+            listener.setblocking(False)
+            # asyncio accepts up to `backlog` connections in one go, and only then are they counted here:
+            # hundreds at once would take all descriptors. So few at a time, and the rest wait in the kernel.
+            self._server = await asyncio.start_server(self._connection, sock=listener, backlog=ACCEPTS)
+            listener.listen(BACKLOG)
+        except BaseException:
+            listener.close()
+            raise
+        return int(listener.getsockname()[1])
 
     async def leave(self) -> None:
         """Hands over: clients are moved off as their answers go out, and nobody is cut off."""
@@ -181,50 +224,72 @@
         wire = Wire(h11.Connection(h11.SERVER), reader, writer)
         self._open.add(wire)
         try:
-            if len(self._open) > self._most and self._idle:
-                next(iter(self._idle)).writer.transport.close()  # its own task lets go of it
+            if len(self._open) > self._most:
+                self._make_room()
             if len(self._open) <= self._most + SPARE:
+                self._new[wire] = self._clock.now() + FIRST_LIMIT
                 while await self._exchange(wire):
                     wire.http.start_next_cycle()
         except (OSError, NotWrittenError, h11.ProtocolError) as error:
-            log.info("a client's connection broke: %s: %s", type(error).__name__, error)
+            log.debug("a client's connection broke: %s: %s", type(error).__name__, error)
         except asyncio.CancelledError:
             pass  # only `close` does that
         except Exception:
             log.exception("a client's connection failed")
         finally:
             self._open.discard(wire)
+            self._new.pop(wire, None)
             await wire.close()
             self._tasks.discard(task)
 
+    def _make_room(self) -> None:
+        """Who was turned away or never asked goes first: a crowd of these must not cost a usual client."""
+        quiet = (wire for wire in self._idle if wire not in self._new and wire.quiet())
+        victim = next(itertools.chain(self._dismissed, self._new, quiet), None)
+        if victim:
+            for kept in (self._dismissed, self._new, self._idle):
+                kept.pop(victim, None)
+            victim.writer.transport.close()  # its own task lets go of it
+
     async def _exchange(self, wire: Wire) -> bool:
         """One request and its answer; false when the connection is to end."""
         if not await self._begun(wire):
             return False
         begun = self._clock.now()
-        lingering, taken = False, None
+        taken, size = None, 0
         try:
-            async with asyncio.timeout(READ_LIMIT.total_seconds()):
-                taken = await self._take(wire)
-            if taken is None:
-                return False
+            until = self._new.get(wire, begun + READ_LIMIT)
+            async with asyncio.timeout(self._clock.seconds_to(until)):
+                head = await wire.event()
+                if not isinstance(head, h11.Request):
+                    return False
+                if (room := length_of(head)) > self._bytes_left:
+                    raise UnfitError(503, "full")
+                size = room
+                self._bytes_left -= size
+                taken = await self._take(wire, head)
             answer = await self._answered(wire, taken, self._clock.now() - begun)
             if answer is None:
                 return False
         except UnfitError as error:
             answer = Answer(error.status, f"{error}\n".encode(), allow=error.allow)
         except TooLargeError:
-            answer, lingering = Answer(413, f"over {MAX_BODY} bytes\n".encode()), True
+            answer = Answer(413, f"over {MAX_BODY} bytes\n".encode())
         except TimeoutError:
-            answer, lingering = Answer(408, b"the request did not end\n"), True
+            answer = Answer(408, b"the request did not end\n")
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint if error.error_status_hint in REASONS else 400
-            answer, lingering = Answer(status, b"malformed\n"), True
-        close = lingering or self._leaving or len(self._open) > self._most
+            answer = Answer(status, b"malformed\n")
+        finally:
+            self._bytes_left += size
+        # What cannot be used ends the connection, whatever else waits on it: what follows may be
+        # part of it, and who is told no and asks again at once is to pay for a new connection.
+        unfit = taken is None or 400 <= answer.status < 500
+        close = unfit or self._leaving or len(self._open) > self._most
         data = encoded(wire, answer, close, bodiless=taken is not None and taken.head.method == b"HEAD")
         async with asyncio.timeout(WRITE_LIMIT.total_seconds()):
             await wire.write(data)
-        if lingering:
+        if unfit:
             await self._linger(wire)
         return not close and wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE
 
@@ -232,22 +297,22 @@
         """Waits for the first bytes of a request."""
         if wire.http.trailing_data[0]:
             return True
+        until = self._new.get(wire, self._clock.now() + IDLE_LIMIT)
         self._idle[wire] = None
         try:
-            async with asyncio.timeout(IDLE_LIMIT.total_seconds()):
+            async with asyncio.timeout(self._clock.seconds_to(until)):
                 return await wire.fill()
         except TimeoutError:
             return False
         finally:
             self._idle.pop(wire, None)
 
-    async def _take(self, wire: Wire) -> Taken | None:
-        head = await wire.event()
-        if not isinstance(head, h11.Request):
-            return None
+    async def _take(self, wire: Wire, head: h11.Request) -> Taken:
         if wire.http.they_are_waiting_for_100_continue:
             await wire.write(wire.encode(h11.InformationalResponse(status_code=100, headers=[])))
-        return Taken(head, await wire.body())
+        body = await wire.body()
+        self._new.pop(wire, None)
+        return Taken(head, body)
 
     async def _answered(self, wire: Wire, taken: Taken, age: timedelta) -> Answer | None:
         """None: the client has gone, and nobody is left to answer."""
@@ -277,13 +342,19 @@
         """Ends when the client closes; what it sends ahead is kept for later."""
         with contextlib.suppress(ConnectionError):
             while await wire.fill():
-                if len(wire.http.trailing_data[0]) > 2 * MAX_BODY:  # far too much: stop listening
+                if len(wire.http.trailing_data[0]) > AHEAD:  # far too much: stop listening
                     await asyncio.Event().wait()
 
     async def _linger(self, wire: Wire) -> None:
         """Closing on unread bytes would reset the connection and take the answer along."""
-        with contextlib.suppress(OSError, TimeoutError):
+        self._dismissed[wire] = None
+        try:
             wire.writer.write_eof()
+            left = LINGER_BYTES
             async with asyncio.timeout(LINGER.total_seconds()):
-                while await wire.reader.read(MAX_BODY):
-                    pass
+                while left > 0 and (data := await wire.reader.read(MAX_BODY)):
+                    left -= len(data)
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self._dismissed.pop(wire, None)
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -16,6 +16,7 @@
 
 EARLY = timedelta(milliseconds=20)  # the last attempt ends so long before the client gives up
 GUARD = timedelta(milliseconds=8)  # and whatever the decisions do, the answer goes out so long before
+REMEMBERED = 4096  # ids; many times more than are in hand
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +46,19 @@
     ) -> None:
         self._clock, self._decisions = clock, decisions
         self._destinations, self._endpoints = destinations, endpoints
+        self._ids: dict[str, None] = {}  # of requests in hand or lately here, longest first
 
     async def serve(self, request: InboundRequest) -> Answer:
+        # A client makes a new id for each request: one that comes again could have its job run twice.
+        request_id = request.outgoing.request_id
+        if request_id in self._ids:
+            return Answer(409, b"a request with this id is here already\n")
+        self._ids[request_id] = None
+        if len(self._ids) > REMEMBERED:
+            del self._ids[next(iter(self._ids))]
+        return await self._served(request)
+
+    async def _served(self, request: InboundRequest) -> Answer:
         job = Job(
             job_class=request.job_class,
             deadline=request.deadline - EARLY,
@@ -69,6 +81,8 @@
                             case Attempt() as attempt:
                                 result = await self._try(request.outgoing, attempt, ticket)
                                 end = result.end
+                                if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
+                                    return Answer(400, b"no endpoint can use this request\n")
                                 ticket.ended(end)
                                 if end is End.SERVED:
                                     return Answer(200, result.body)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,124 @@
+"""Days of service: rude clients, a changed configuration, peers in trouble. One story for each failure."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from rookwood.net import inbound
+from tests import stage as st
+from tests.stage import LIMIT, Endpoint, stage, until
+from tests.test_stories import POST, play
+
+
+@pytest.mark.parametrize("data", [b"", b"POST /pa", POST, POST.replace(b"0", b"9") + b"\r\nhalf"])
+def test_newcomer_that_sends_no_whole_request_is_let_go_soon(
+    tmp_path: Path, data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Counted from connecting: what drips in does not buy more time."""
+    monkeypatch.setattr(inbound, "FIRST_LIMIT", timedelta(milliseconds=200))
+
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            usual = await s.connect()
+            assert (await s.exchange(usual, s.request()))[0] == 200
+            reader, writer = await s.connect()
+            writer.write(data)
+            text = await asyncio.wait_for(reader.read(), LIMIT)
+            assert text.startswith(b"HTTP/1.1 408") if data else text == b""
+            assert (await s.exchange(usual, s.request()))[0] == 200  # who has asked once may stay
+
+    play(story())
+
+
+def test_crowd_that_says_nothing_costs_no_usual_client_its_connection(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served), limits={"sockets": 128}) as s:
+            usual = [await s.connect() for _ in range(20)]  # 32 is the bound on this side
+            for streams in usual:
+                assert (await s.exchange(streams, s.request()))[0] == 200
+            crowd = [await s.connect() for _ in range(200)]
+            for streams in usual:
+                assert (await s.exchange(streams, s.request()))[0] == 200
+            assert (await s.ask())[0] == 200
+            for _, writer in (*crowd, *usual):
+                writer.close()
+
+    play(story())
+
+
+def test_id_that_was_here_is_turned_away(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            request = s.request("/unlock")
+            reader, writer = await s.connect()
+            writer.write(request)
+            await until(lambda: len(endpoint.seen) == 1)
+            assert (await s.exchange(await s.connect(), request))[0] == 409
+            endpoint.resume.set()
+            assert b"late" in await asyncio.wait_for(reader.readuntil(b"late"), LIMIT)
+            assert (await s.exchange(await s.connect(), request))[0] == 409  # nor may it run again later
+            assert len(endpoint.seen) == 1
+
+    play(story())
+
+
+def test_request_that_no_endpoint_can_use_costs_none_its_trust(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.status(400), st.served)
+        async with stage(tmp_path, endpoint) as s:
+            assert (await s.ask())[0] == 400
+            policy = s.dispatcher._decisions._policy
+            assert (len(endpoint.seen), policy.workers["s-0"].trust, policy.used) == (1, 1.0, 0.0)
+
+    play(story())
+
+
+def test_sighup_follows_the_discovery_of_the_new_file(tmp_path: Path) -> None:
+    """Another discovery counts its own revisions, so it is asked for the whole list."""
+
+    async def story() -> None:
+        old, new = st.Discovery(), st.Discovery()
+        async with st.listening(old) as first, st.listening(new) as second:
+            environ = os.environ | st.environment(tmp_path, [], first) | {"PROXY_DISCOVERY": first}
+            words = [sys.executable, "-m", "rookwood"]
+            child = await asyncio.create_subprocess_exec(*words, env=environ, stderr=subprocess.PIPE)
+            place = tmp_path / "config.json"
+            data = json.loads(place.read_text())
+            try:
+                assert child.stderr
+                while b" listens on " not in (text := await child.stderr.readline()):
+                    assert text, "the program ended at once"
+                await until(lambda: len(old.asked) == 1)
+                place.write_text(json.dumps(data | {"discovery": second}))
+                child.send_signal(signal.SIGHUP)
+                await until(lambda: len(new.asked) == 1)
+                assert new.asked == ["/api/targets"]
+                new.say(0, whole=True)
+                await until(lambda: len(new.asked) == 2)
+                assert new.asked[1] == "/api/targets?follow=1&since=0"
+                place.write_text(json.dumps(data | {"discovery": 5}))
+                child.send_signal(signal.SIGHUP)
+                while b"not taken over: discovery: " not in (text := await child.stderr.readline()):
+                    assert text, "it ended on SIGHUP"
+                place.write_text(json.dumps(data))
+                child.send_signal(signal.SIGHUP)
+                await until(lambda: len(old.asked) == 2)
+                child.send_signal(signal.SIGTERM)
+                child.send_signal(signal.SIGHUP)
+                assert await asyncio.wait_for(child.wait(), LIMIT) == 0
+            finally:
+                if child.returncode is None:
+                    child.kill()
+                    await child.wait()
+
+    play(story())
