Serve clients on their connections after SIGTERM as long as their requests can end

Checked with a logging copy: n0 is the only dispatcher of its zone. 0.45 s after SIGTERM it closed its idle connections, and for 4.2 s until its restart the zone's clients reached nobody. Endpoints were ruled out (no errors, no refusals in that span), and so was the reload (the list followed within 0.1 s). At fault: inbound.leave, which moved clients off after HANDOVER. Now clients are moved off 1.4 s before the earliest SIGKILL, and what came more than 0.5 s after SIGTERM has its answer 0.25 s before it, since a request that SIGKILL finds would be lost.

--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -20,12 +20,17 @@
 # Descriptors for the listener, the watch, the log and the loop itself, and for inbound connections beyond
 # their bound that are still told so.
 RESERVED = 32 + SPARE
+# After SIGTERM: SIGKILL comes no sooner than the longest deadline, or `COUNTED` where that is less, and KILL.
+COUNTED, KILL = timedelta(seconds=3), timedelta(milliseconds=700)
+CUT = timedelta(milliseconds=250)  # so long before, the last request that came late has its answer
+MOVE = timedelta(milliseconds=1400)  # so long before, clients are moved off: jobs started now would be cut
 BODIES = 8  # one part in so many of the memory is for bodies in hand; each is there about twice
 
 
 class Dispatcher:
     def __init__(self, config: Config) -> None:
         clock, bounds = Clock(), config.bounds
+        self._clock = clock
         # A request in hand takes a descriptor on either side.
         half = (bounds.sockets - RESERVED) // 2
         self._config = config
@@ -34,9 +39,11 @@
         self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update, config.discovery)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
+        parts = (self._decisions, self._destinations, self._endpoints)
+        self._requests = Requests(clock, *parts, longest or None)
         self._inbound = Inbound(
             clock,
-            Requests(clock, self._decisions, self._destinations, self._endpoints).serve,
+            self._requests.serve,
             frozenset(c.name for c in config.settings.classes),
             half,
             full=lambda: self._decisions.open >= bounds.max_open,
@@ -63,7 +70,10 @@
     async def leave(self) -> None:
         """Returns once everything that was taken has its answer."""
         log.info("%s is leaving", self._config.name)
-        await self._inbound.leave()
+        longest = max((c.give_up for c in self._config.settings.classes), default=0)
+        end = min(timedelta(microseconds=longest), COUNTED) + KILL
+        self._requests.leave(self._clock.now() + end - CUT)
+        await self._inbound.leave(end - MOVE)
 
     async def close(self) -> None:
         await self._inbound.close()
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -35,7 +35,6 @@
 MAX_ID = 128
 MAX_TIMEOUT = timedelta(hours=1)
 SPARE = 32  # connections beyond the bound that are still told 503
-HANDOVER = timedelta(milliseconds=450)  # after SIGTERM the front still sends here for less than this
 POLL = timedelta(milliseconds=20)
 READY = b"/-/ready"
 
@@ -182,7 +181,7 @@
         self._dismissed: dict[Wire, None] = {}  # told to go, but still there
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
-        self._leaving = False
+        self._ready, self._leaving = True, False
 
     async def listen(self, host: str, port: int) -> int:
         listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
@@ -200,10 +199,14 @@
             raise
         return int(listener.getsockname()[1])
 
-    async def leave(self) -> None:
-        """Hands over: clients are moved off as their answers go out, and nobody is cut off."""
+    async def leave(self, stay: timedelta) -> None:
+        """Hands over: clients are moved off as their answers go out, and nobody is cut off.
+
+        There may be no other dispatcher for these clients until this one is back: they are served on the
+        connections that they have as long as their requests can still end in time."""
+        self._ready = False
+        await asyncio.sleep(stay.total_seconds())
         self._leaving = True
-        await asyncio.sleep(HANDOVER.total_seconds())
         while self._open:
             for wire in list(self._idle):
                 if wire.quiet():  # what has just come in is still served
@@ -319,7 +322,7 @@
         if taken.head.target == READY:
             if taken.head.method != b"GET":
                 raise UnfitError(405, "only GET here", allow="GET")
-            return Answer(503, b"leaving\n") if self._leaving else Answer(200, b"ready\n")
+            return Answer(200, b"ready\n") if self._ready else Answer(503, b"leaving\n")
         request = request_of(taken, self._classes, self._clock, age)
         if self._full() or len(self._open) > self._most:
             return Answer(503, b"full\n", self._retry_after)
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -16,6 +16,7 @@
 
 EARLY = timedelta(milliseconds=20)  # the last attempt ends so long before the client gives up
 GUARD = timedelta(milliseconds=8)  # and whatever the decisions do, the answer goes out so long before
+EXCUSED = timedelta(milliseconds=500)  # who asks sooner after SIGTERM may still wait for all its time
 REMEMBERED = 4096  # ids; many times more than are in hand
 
 
@@ -42,12 +43,28 @@
 
 class Requests:
     def __init__(
-        self, clock: Clock, decisions: Decisions, destinations: Destinations, endpoints: Endpoints
+        self,
+        clock: Clock,
+        decisions: Decisions,
+        destinations: Destinations,
+        endpoints: Endpoints,
+        retry_after: timedelta | None,
     ) -> None:
-        self._clock, self._decisions = clock, decisions
+        self._clock, self._decisions, self._retry_after = clock, decisions, retry_after
         self._destinations, self._endpoints = destinations, endpoints
+        self._leaving: tuple[datetime, datetime] | None = None  # since when, and the last answer by then
         self._ids: dict[str, None] = {}  # of requests in hand or lately here, longest first
 
+    def leave(self, until: datetime) -> None:
+        self._leaving = (self._clock.now(), until)
+
+    def _last_answer(self, request: InboundRequest) -> datetime:
+        """Before the client gives up and, once the end of this program is known, before that end."""
+        last = request.deadline - GUARD
+        if self._leaving and self._clock.now() > self._leaving[0] + EXCUSED:
+            last = min(last, self._leaving[1])
+        return last
+
     async def serve(self, request: InboundRequest) -> Answer:
         # A client makes a new id for each request: one that comes again could have its job run twice.
         request_id = request.outgoing.request_id
@@ -67,9 +84,9 @@
             key=request.key,
             is_retry=request.is_retry,
         )
-        end = End.NEVER_SENT
+        end, tried, last = End.NEVER_SENT, False, self._last_answer(request)
         try:
-            async with asyncio.timeout(self._clock.seconds_to(request.deadline - GUARD)):
+            async with asyncio.timeout(self._clock.seconds_to(last)):
                 # Leaving the block, also when the client has gone, tells the decisions of the end.
                 with self._decisions.admit(job) as ticket:
                     while True:
@@ -79,6 +96,7 @@
                             case GiveUp():
                                 return Answer(504 if end is End.TIMED_OUT else 502, b"failed\n")
                             case Attempt() as attempt:
+                                tried = True
                                 result = await self._try(request.outgoing, attempt, ticket)
                                 end = result.end
                                 if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
@@ -87,6 +105,8 @@
                                 if end is End.SERVED:
                                     return Answer(200, result.body)
         except TimeoutError:
+            if last < request.deadline - GUARD:  # cut short, since this program is about to end
+                return Answer(504, b"failed\n") if tried else Answer(503, b"leaving\n", self._retry_after)
             log.error("no decision before the deadline of a %s request", request.job_class)
             return Answer(504, b"failed\n")
 
