Let go of who brought no job first when the house is full, and count it out at once

Checked with a logging copy: thousands of connections ask GET /-/ready once and stay; the house hovers at 480 to 481 of 480. Endpoints and CPU were ruled out (no errors there; 0.2 cores in the mean). At fault: inbound._make_room counted a closed connection until its task had ended, so in a flood the house was always one over and _answered refused every job; connections that asked for readiness counted as usual clients.

--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -176,8 +176,10 @@
         self._most, self._full, self._retry_after = most, full, retry_after
         self._bytes_left = most_bytes  # for the bodies of requests in hand
         self._open: set[Wire] = set()
-        self._idle: dict[Wire, None] = {}  # waiting for a request, longest first
+        self._idle: dict[Wire, None] = {}  # brought a job before, waits for the next; longest first
+        self._idlers: dict[Wire, None] = {}  # waits, and has brought no job so far
         self._new: dict[Wire, datetime] = {}  # owes its first request until then, longest first
+        self._usual: set[Wire] = set()  # has brought a job
         self._dismissed: dict[Wire, None] = {}  # told to go, but still there
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -208,7 +210,7 @@
         await asyncio.sleep(stay.total_seconds())
         self._leaving = True
         while self._open:
-            for wire in list(self._idle):
+            for wire in (*self._idlers, *self._idle):
                 if wire.quiet():  # what has just come in is still served
                     wire.writer.transport.close()
             await asyncio.sleep(POLL.total_seconds())
@@ -241,18 +243,21 @@
             log.exception("a client's connection failed")
         finally:
             self._open.discard(wire)
+            self._usual.discard(wire)
             self._new.pop(wire, None)
             await wire.close()
             self._tasks.discard(task)
 
     def _make_room(self) -> None:
-        """Who was turned away or never asked goes first: a crowd of these must not cost a usual client."""
-        quiet = (wire for wire in self._idle if wire not in self._new and wire.quiet())
-        victim = next(itertools.chain(self._dismissed, self._new, quiet), None)
+        """Who was turned away or brought no job goes first: a crowd of these must not cost a usual client."""
+        waiting = (wire for wire in itertools.chain(self._idlers, self._idle) if wire.quiet())
+        victim = next(itertools.chain(self._dismissed, waiting, self._new), None)
         if victim:
-            for kept in (self._dismissed, self._new, self._idle):
+            for kept in (self._dismissed, self._idlers, self._idle, self._new):
                 kept.pop(victim, None)
-            victim.writer.transport.close()  # its own task lets go of it
+            # Its own task lets go of it a little later; counted until then, it would keep the house full.
+            self._open.discard(victim)
+            victim.writer.transport.close()
 
     async def _exchange(self, wire: Wire) -> bool:
         """One request and its answer; false when the connection is to end."""
@@ -301,14 +306,15 @@
         if wire.http.trailing_data[0]:
             return True
         until = self._new.get(wire, self._clock.now() + IDLE_LIMIT)
-        self._idle[wire] = None
+        waiting = self._idle if wire in self._usual else self._idlers
+        waiting[wire] = None
         try:
             async with asyncio.timeout(self._clock.seconds_to(until)):
                 return await wire.fill()
         except TimeoutError:
             return False
         finally:
-            self._idle.pop(wire, None)
+            waiting.pop(wire, None)
 
     async def _take(self, wire: Wire, head: h11.Request) -> Taken:
         if wire.http.they_are_waiting_for_100_continue:
@@ -324,6 +330,7 @@
                 raise UnfitError(405, "only GET here", allow="GET")
             return Answer(200, b"ready\n") if self._ready else Answer(503, b"leaving\n")
         request = request_of(taken, self._classes, self._clock, age)
+        self._usual.add(wire)
         if self._full() or len(self._open) > self._most:
             return Answer(503, b"full\n", self._retry_after)
         serving = asyncio.ensure_future(self._serve(request))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -16,7 +16,7 @@
 from rookwood.net import inbound, request
 from tests import stage as st
 from tests.stage import LIMIT, Endpoint, Script, stage, until
-from tests.test_stories import POST, play
+from tests.test_stories import POST, READY, play
 
 
 @pytest.mark.parametrize("data", [b"", b"POST /pa", POST, POST.replace(b"0", b"9") + b"\r\nhalf"])
@@ -48,7 +48,12 @@
             crowd = [await s.connect() for _ in range(200)]
             for streams in usual:
                 assert (await s.exchange(streams, s.request()))[0] == 200
-            assert (await s.ask())[0] == 200
+            for _ in range(50):  # these ask whether the program is ready, and stay
+                crowd.append(await s.connect())
+                assert (await s.exchange(crowd[-1], READY))[0] == 200
+                assert (await s.ask())[0] == 200
+            for streams in usual:
+                assert (await s.exchange(streams, s.request()))[0] == 200
             for _, writer in (*crowd, *usual):
                 writer.close()
 
