--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -21,10 +21,10 @@
 SERVING, SECOND = Health.SERVING, 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
 POINTS, WALK = 32, 128  # ring: points of a mean worker, points looked at
-NEAR, WIDER = 3, 2  # workers tried for a job, and more while none is held: there is time to fetch its data
+NEAR, WIDER = 3, 1  # workers tried for a job, and more while none is held: there is time to fetch its data
 BOUND, LEARN = 1.25, 0.02  # most own slots at a worker, over the mean of its size; weight of an answer
 REPORT_LAG, REPORT_AGE, REPORT_BLUR = SECOND / 2, 2 * SECOND, 2.5 * SECOND  # usual, oldest; averaged over
-PROBE = SECOND  # every worker is probed once in so long, where reports come to probes alone
+PROBE = SECOND // 2  # every worker is probed once in so long, where reports come to probes alone
 SOON, SPARE = 0.1, 1  # part of a mean job that counts as no wait; workers tried beyond NEAR if that idle
 PATIENCE = 0.17  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -362,7 +362,7 @@
     assert sum(bool(world.asked[n].tries) for n in held) > before
 
 
-def test_every_worker_is_probed_about_once_a_second_where_reports_come_to_probes() -> None:
+def test_every_worker_is_probed_about_twice_a_second_where_reports_come_to_probes() -> None:
     """Reports were only looked for in outcomes; where probes bring them, none ever came."""
     for permitted in (True, False):
         world = World(settings(probes=permitted))
@@ -370,7 +370,7 @@
         world.advance(5_000 * MS)
         probed = [action.worker for _, action in world.trace if isinstance(action, api.Probe)]
         counts = [probed.count(worker(n).id) for n in range(6)]
-        assert all(4 <= count <= 6 for count in counts[:5]) if permitted else not any(counts)
+        assert all(9 <= count <= 11 for count in counts[:5]) if permitted else not any(counts)
         assert not counts[5]
 
 
