--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -61,6 +61,24 @@
     play(story())
 
 
+def test_bodies_in_hand_are_bounded_by_memory(tmp_path: Path) -> None:
+    async def story() -> None:
+        limits = {"sockets": 256, "memory_mb": 1}  # an eighth of it holds two bodies
+        async with stage(tmp_path, Endpoint(st.served), limits=limits) as s:
+            request = s.request(body=b"x" * 65536)
+            held = [await s.connect() for _ in range(2)]
+            for _, writer in held:
+                writer.write(request[:-1])
+            await until(lambda: s.dispatcher._inbound._bytes_left == 0)
+            assert (await s.ask(body=b"x"))[0] == 503
+            for _, writer in held:
+                writer.close()
+            await until(lambda: s.dispatcher._inbound._bytes_left == 2 * 65536)
+            assert (await s.ask(body=b"x"))[0] == 200
+
+    play(story())
+
+
 def test_id_that_was_here_is_turned_away(tmp_path: Path) -> None:
     async def story() -> None:
         endpoint = Endpoint(st.silent, st.served)
