--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -123,6 +123,17 @@
                 raise ValueError(f"settings: {name} is no fraction")
 
 
+# ---- what may be asked at any time ----
+
+
+@dataclass(frozen=True, slots=True)
+class Cluster:
+    """How the decisions see the list."""
+
+    listed: int
+    avoided: int  # of these: jobs do not go there now, or hardly
+
+
 # ---- events ----
 
 
--- a/rookwood/net/config.py
+++ b/rookwood/net/config.py
@@ -32,6 +32,7 @@
     name: str
     listen: Address
     discovery: Address
+    mgmt: Address | None  # where those who run the dispatcher call; None: nowhere
     seed: int
     bounds: Bounds
     settings: api.Settings
@@ -74,6 +75,7 @@
         found = None if again else environ.get(variable)
         return (found, variable) if found else (tree.get(key, str), key)
 
+    calls = environ.get("PROXY_MGMT") or "mgmt" in data
     told = tree.branch("settings")
     bounds = Bounds(
         connect_timeout=span(told, "bounds.connect-timeout", 150_000),
@@ -101,6 +103,7 @@
         name=own("PROXY_NAME", "name")[0],
         listen=address_of(*own("PROXY_LISTEN", "listen")),
         discovery=address_of(*own("PROXY_DISCOVERY", "discovery")),
+        mgmt=address_of(*own("PROXY_MGMT", "mgmt")) if calls else None,
         seed=seed_of(tree.get("seed", str)),
         bounds=bounds,
         settings=settings,
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -208,6 +208,9 @@
     def open(self) -> int:
         return len(self._tickets)
 
+    def cluster(self) -> api.Cluster:
+        return self._policy.cluster()
+
     def close(self) -> None:
         for timer in self._timers.values():
             timer.cancel()
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -11,15 +11,19 @@
 from rookwood.net.decisions import Decisions
 from rookwood.net.destinations import Destinations
 from rookwood.net.endpoints import Endpoints
-from rookwood.net.inbound import SPARE, Inbound
+from rookwood.net.figures import Figures
+from rookwood.net.inbound import SPARE, Inbound, readiness
+from rookwood.net.listener import bound
+from rookwood.net.management import ACCEPTS, CALLERS, Management
+from rookwood.net.phase import Service
 from rookwood.net.probes import Probes
-from rookwood.net.request import Requests
+from rookwood.net.request import Answer, Requests
 
 log = logging.getLogger(__name__)
 
 # Descriptors for the listener, the watch, the log and the loop itself, and for inbound connections beyond
-# their bound that are still told so.
-RESERVED = 32 + SPARE
+# their bound that are still told so. Callers at the second address have theirs apart.
+RESERVED = 32 + SPARE + CALLERS + ACCEPTS
 # After SIGTERM: SIGKILL comes no sooner than the longest deadline, or `COUNTED` where that is less, and KILL.
 COUNTED, KILL = timedelta(seconds=3), timedelta(milliseconds=700)
 CUT = timedelta(milliseconds=250)  # so long before, the last request that came late has its answer
@@ -39,18 +43,33 @@
         self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update, config.discovery)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
-        parts = (self._decisions, self._destinations, self._endpoints)
+        self._service = Service(clock)
+        classes = frozenset(c.name for c in config.settings.classes)
+        self._figures = Figures(classes, lambda: self._decisions.open, self._decisions.cluster)
+        parts = (self._decisions, self._destinations, self._endpoints, self._figures)
         self._requests = Requests(clock, *parts, longest or None)
         self._inbound = Inbound(
             clock,
             self._requests.serve,
-            frozenset(c.name for c in config.settings.classes),
+            classes,
             half,
             full=lambda: self._decisions.open >= bounds.max_open,
             retry_after=longest or None,
             most_bytes=bounds.memory // BODIES,
+            service=self._service,
+            figures=self._figures,
+        )
+        self._management = Management(
+            clock,
+            {
+                (b"GET", b"/ops/readiness"): lambda: readiness(self._service),
+                (b"GET", b"/ops/stats"): lambda: Answer(200, self._figures.text().encode()),
+                (b"POST", b"/ops/drain/start"): self._drain,
+                (b"POST", b"/ops/drain/stop"): self._resume,
+            },
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self.mgmt: int | None = None  # the port of the second address
 
     async def start(self) -> int:
         """The kept list first: from the first connection on, requests are decided by it."""
@@ -58,7 +77,15 @@
         self._destinations.update(config.known, kept=True)
         self._destinations.start()
         self._tasks = [asyncio.create_task(self._endpoints.sweep())]
-        port = await self._inbound.listen(config.listen.host, config.listen.port)
+        if config.mgmt:
+            caller = bound(config.mgmt)
+            self.mgmt = int(caller.getsockname()[1])
+            await self._management.listen(caller)
+            log.info("%s is run from %s:%d", config.name, config.mgmt.host, self.mgmt)
+        listener = bound(config.listen)
+        port = int(listener.getsockname()[1])
+        await self._inbound.listen(listener)
+        self._service.start()
         log.info("%s listens on %s:%d", config.name, config.listen.host, port)
         return port
 
@@ -67,16 +94,26 @@
         log.info("the configuration was read again; discovery is %s", config.discovery)
         self._destinations.move(config.discovery)
 
+    def _drain(self) -> Answer:
+        self._service.drain()
+        return Answer(200, f"{self._service.phase.value}\n".encode())
+
+    def _resume(self) -> Answer:
+        back = self._service.resume()
+        return Answer(200 if back else 409, f"{self._service.phase.value}\n".encode())
+
     async def leave(self) -> None:
         """Returns once everything that was taken has its answer."""
         log.info("%s is leaving", self._config.name)
         longest = max((c.give_up for c in self._config.settings.classes), default=0)
         end = min(timedelta(microseconds=longest), COUNTED) + KILL
         self._requests.leave(self._clock.now() + end - CUT)
-        await self._inbound.leave(end - MOVE)
+        self._service.leave(end - MOVE)
+        await self._inbound.empty()
 
     async def close(self) -> None:
         await self._inbound.close()
+        await self._management.close()
         await self._destinations.close()
         for task in self._tasks:
             task.cancel()
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -183,6 +183,7 @@
         until: datetime,
         still_wanted: Callable[[], bool],
         sign: Callable[[Stage], None],
+        written: Callable[[], None],
         repeatable: bool,
     ) -> Result:
         sent, leased = False, list[Connection]()
@@ -207,6 +208,7 @@
                             await connection.wire.write(data[-1:])
                         except NotWrittenError:
                             return Result(End.NO_CONNECTION)
+                        written()
                         result = await self._answer(connection, request.request_id, sign)
                         connection.answered = True
                         return result
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -11,6 +11,7 @@
 from rookwood.net.decisions import Attempt, Decisions, End, FailFast, GiveUp, Job, Ticket
 from rookwood.net.destinations import Destinations
 from rookwood.net.endpoints import Endpoints, Outgoing, Result, Stage
+from rookwood.net.figures import Figures
 
 log = logging.getLogger(__name__)
 
@@ -48,10 +49,11 @@
         decisions: Decisions,
         destinations: Destinations,
         endpoints: Endpoints,
+        figures: Figures,
         retry_after: timedelta | None,
     ) -> None:
         self._clock, self._decisions, self._retry_after = clock, decisions, retry_after
-        self._destinations, self._endpoints = destinations, endpoints
+        self._destinations, self._endpoints, self._figures = destinations, endpoints, figures
         self._leaving: tuple[datetime, datetime] | None = None  # since when, and the last answer by then
         self._ids: dict[str, None] = {}  # of requests in hand or lately here, longest first
 
@@ -97,7 +99,7 @@
                                 return Answer(504 if end is End.TIMED_OUT else 502, b"failed\n")
                             case Attempt() as attempt:
                                 tried = True
-                                result = await self._try(request.outgoing, attempt, ticket)
+                                result = await self._try(request, attempt, ticket)
                                 end = result.end
                                 if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
                                     return Answer(400, b"no endpoint can use this request\n")
@@ -110,16 +112,17 @@
             log.error("no decision before the deadline of a %s request", request.job_class)
             return Answer(504, b"failed\n")
 
-    async def _try(self, outgoing: Outgoing, attempt: Attempt, ticket: Ticket) -> Result:
+    async def _try(self, request: InboundRequest, attempt: Attempt, ticket: Ticket) -> Result:
         def sign(stage: Stage) -> None:
             (ticket.started if stage is Stage.STARTED else ticket.moving)()
 
         return await self._endpoints.attempt(
-            outgoing,
+            request.outgoing,
             self._destinations.address(attempt.uid),
             attempt.until,
             # Connecting takes a while: by now the endpoint may have been told to drain.
             still_wanted=lambda: self._destinations.accepts(attempt.uid),
             sign=sign,
+            written=lambda: self._figures.sent(request.job_class),
             repeatable=attempt.repeatable,
         )
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -18,7 +18,7 @@
 from rookwood.placement import LEAST, pack
 from rookwood.state import Attempt, Job, Lane, Row, State, Table
 
-SERVING, SECOND = Health.SERVING, 1_000_000
+SECOND = 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
 POINTS, WALK = 32, 128  # ring: points of a mean worker, points looked at
 NEAR, WIDER = 3, 1  # workers tried for a job, and more while none is held: there is time to fetch its data
@@ -101,6 +101,9 @@
         done, self.todo = self.todo, []
         return done
 
+    def cluster(self) -> api.Cluster:
+        return api.Cluster(len(self.workers), sum(w.avoided(self.eject) for w in self.workers.values()))
+
     def _at(self, when: int, what: Callable[..., None], about: object = None) -> None:
         heapq.heappush(self.due, (when, next(self.serial), what, about))
 
@@ -248,7 +251,7 @@
                 yield self.workers[name]
 
     def _usable(self, job: Job, w: State) -> bool:  # rules, job's demands, trust
-        if w.info.health is not SERVING or w.info.id == job.not_on or (self.eject and job.luck > w.trust):
+        if not w.up or w.info.id == job.not_on or (self.eject and job.luck > w.trust):
             return False
         if job.cls.kind not in (None, w.info.kind) or not self._repeatable(job, w.info):
             return False
@@ -400,7 +403,7 @@
         self.job_time += LEARN * (service - self.job_time)
 
     def _probe(self, _: object) -> None:
-        ready = [w for w in self.workers.values() if w.info.health is SERVING]
+        ready = [w for w in self.workers.values() if w.up]
         self._at(self.now + PROBE // max(1, len(ready)), self._probe)
         if ready:
             w = min(ready, key=lambda w: (w.probe_at, w.info.id))
@@ -468,15 +471,14 @@
 
     def _step(self, _: object) -> None:
         """Steps 1 and 6: extrapolated demand in, the new table out. No demand keeps the last table."""
-        span = max(1, self.now - self.step_at) / SECOND
-        self.step_at = self.now
+        span, self.step_at = max(1, self.now - self.step_at) / SECOND, self.now
         self._at(self.now + STEP * 3 // 4 + self.rng.randrange(STEP // 2), self._step)
         slots = sum(self._slots(w) for w in self.workers.values())
         for w in self.workers.values():
             w.slowness = self._slots(w) * self.whole_size / max(self.sizes[w.info.kind] * slots, LEAST)
             w.trust = min(1.0, 2 * w.trust)  # time heals: trials come, at each dispatcher at its own time
         # Where most look bad, the fault is likelier here or in the network, and ejecting is the harm.
-        bad = sum(w.trust < 0.5 for w in self.workers.values())
+        bad = sum(w.bad for w in self.workers.values())
         if self.eject != (2 * bad <= len(self.workers)):
             self.eject = not self.eject
             self.todo.append(api.Log(f"{bad} workers look bad, ejection is {'on' if self.eject else 'off'}"))
@@ -498,8 +500,7 @@
         error = {row: (total / rate / self.seen) ** 0.5 for row, rate in wanted.items()}  # standard error
         sure = {row: rate * (1 - error[row]) for row, rate in wanted.items() if error[row] < 0.5}
         self.seen *= 1 - SMOOTH
-        fit = [w for w in self.workers.values() if sure and w.info.health is SERVING]
-        fit.sort(key=lambda w: w.points)  # the one shared order of hashed ids
+        fit = sorted((w for w in self.workers.values() if sure and w.up), key=lambda w: w.points)  # one order
         size = [self.sizes[w.info.kind] * self._warmth(w) * w.trust for w in fit]
         fleet = {w.info.id: (c, w.info.kind, self._slots(w)) for w, c in zip(fit, size, strict=True)}
         order = lambda key: (w.info.id for w in self._near(key, len(self.ring)))  # noqa: E731
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -59,5 +59,16 @@
     credit: float = math.inf  # slot-time that may be sent while it is cold
     credit_at: int = 0
 
+    @property
+    def bad(self) -> bool:  # most of its usual requests go elsewhere
+        return self.trust < 0.5
+
+    @property
+    def up(self) -> bool:
+        return self.info.health is api.Health.SERVING
+
+    def avoided(self, eject: bool) -> bool:
+        return not self.up or (eject and self.bad)
+
     def free(self, need: float) -> None:
         self.used = max(0.0, self.used - need)
--- /dev/null
+++ b/tests/test_running.py
@@ -0,0 +1,177 @@
+"""Running the dispatcher day by day: the second address, its figures, drains. One story for each failure."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from rookwood.net import management, phase
+from tests import stage as st
+from tests.stage import LIMIT, Endpoint, Stage, Streams, stage, until
+from tests.test_stories import READY, play
+
+MGMT = "127.0.0.1:0"
+
+
+async def call(s: Stage, path: str, method: str = "GET") -> tuple[int, str]:
+    assert s.dispatcher.mgmt
+    reader, writer = await asyncio.open_connection("127.0.0.1", s.dispatcher.mgmt)
+    writer.write(f"{method} /ops/{path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+    text = (await asyncio.wait_for(reader.read(), LIMIT)).decode()
+    writer.close()
+    return int(text.split()[1]), text.partition("\r\n\r\n")[2]
+
+
+async def stats(s: Stage) -> dict[str, str]:
+    status, text = await call(s, "stats")
+    assert status == 200
+    return dict(line.removeprefix("dispatcher.").split(":") for line in text.splitlines())
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "readiness", 200),
+        ("GET", "stats", 200),
+        ("GET", "drain/start", 405),
+        ("POST", "stats", 405),
+        ("GET", "nothing", 404),
+        ("BREW coffee", "readiness", 400),
+    ],
+)
+def test_second_address_answers_each_call(tmp_path: Path, method: str, path: str, status: int) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served), mgmt=MGMT) as s:
+            assert (await call(s, path, method))[0] == status
+
+    play(story())
+
+
+@pytest.mark.parametrize("data", [b"", b"GET /ops/sta", b"POST /ops/drain/start HTTP/1.1\r\nHost: x\r\n"])
+def test_stalled_callers_delay_nobody_and_are_closed(
+    tmp_path: Path, data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """More of them than there is room for, so the oldest go at once; the rest when their time is up."""
+
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served), mgmt=MGMT) as s:
+            assert s.dispatcher.mgmt
+            stalled: list[Streams] = []
+            for _ in range(2 * management.CALLERS):
+                stalled.append(await asyncio.open_connection("127.0.0.1", s.dispatcher.mgmt))
+                stalled[-1][1].write(data)
+            assert (await call(s, "readiness"))[0] == 200
+            assert len(s.dispatcher._management._callers) <= management.CALLERS
+            for reader, writer in stalled:
+                assert await asyncio.wait_for(reader.read(), LIMIT) == b""
+                writer.close()
+            assert (await call(s, "readiness"))[0] == 200  # and nobody was drained by half a call
+
+    play(story())
+
+
+def test_figures_tell_what_became_of_jobs(tmp_path: Path) -> None:
+    async def story() -> None:
+        scripts = [st.served, st.status(500), st.status(500), st.status(503, "Not-Started: 1"), st.served]
+        endpoint = Endpoint(*scripts, st.silent)
+        async with stage(tmp_path, endpoint, mgmt=MGMT) as s:
+            first = await stats(s)
+            assert {v for k, v in first.items() if k.startswith("transactions.")} == {"0|c"}
+            assert len([k for k in first if k.startswith("transactions.")]) == 8
+            gauges = [first[name] for name in ("current", "cluster_size", "cluster_unhealthy")]
+            assert gauges == ["0|g", "1|g", "0|g"]
+            asked = [(await s.ask(path))[0] for path in ("/page", "/unlock", "/nothing", "/unlock")]
+            assert asked == [200, 502, 404, 502]
+            assert (await s.ask("/page"))[0] == 200  # turned away once, so written twice
+            reader, writer = await s.connect()
+            writer.write(s.request("/page"))
+            await until(lambda: len(endpoint.seen) == 6)
+            found = await stats(s)
+            assert found["transactions.page.answered"] == "2|c"
+            assert found["transactions.unlock.errored"] == "2|c"
+            assert (found["transactions.page.sends"], found["transactions.unlock.sends"]) == ("4|c", "2|c")
+            assert found["current"] == "1|g"
+            writer.close()  # who leaves is no longer counted as there
+            await until(lambda: s.dispatcher._decisions.open == 0)
+            assert (await stats(s))["current"] == "0|g"
+
+    play(story())
+
+
+def test_figures_count_refusals_that_the_decisions_never_see(tmp_path: Path) -> None:
+    async def story() -> None:
+        limits = {"sockets": 256, "memory_mb": 1}
+        async with stage(tmp_path, Endpoint(st.served), mgmt=MGMT, limits=limits) as s:
+            s.dispatcher._inbound._bytes_left = 0
+            assert (await s.ask("/page"))[0] == 503
+            assert (await stats(s))["transactions.page.deferred"] == "1|c"
+
+    play(story())
+
+
+def test_cluster_figures_come_from_the_decisions(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoints = [Endpoint(st.served) for _ in range(4)]
+        async with stage(tmp_path, *endpoints, mgmt=MGMT) as s:
+            listed = [st.entry(f"s-{n}", e.address) for n, e in enumerate(endpoints)]
+            s.discovery.say(2, listed[0] | {"state": "draining"}, listed[1] | {"state": "removed"})
+            await until(lambda: s.dispatcher._destinations.revision == 2)
+            s.dispatcher._decisions._policy.workers["s-2"].trust = 0.1
+            found = await stats(s)
+            assert (found["cluster_size"], found["cluster_unhealthy"]) == ("3|g", "2|g")
+
+    play(story())
+
+
+def test_drain_empties_connections_and_its_end_brings_them_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(phase, "NOTICE", timedelta(hours=1))  # the story says when it is over
+    monkeypatch.setattr(phase, "TAKEN", timedelta(hours=1))
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served, st.silent)
+        async with stage(tmp_path, endpoint, mgmt=MGMT) as s:
+            idle, busy = await s.connect(), await s.connect()
+            assert (await s.exchange(idle, READY))[0] == 200
+            assert (await s.exchange(busy, s.request()))[0] == 200
+            assert [await call(s, "drain/start", "POST") for _ in range(2)] == [(200, "draining\n")] * 2
+            assert (await call(s, "readiness"))[0] == 503
+            assert (await s.exchange(await s.connect(), READY))[0] == 503
+            # The front has not heard yet: connections are served as ever, and nothing is lost later on.
+            busy[1].write(s.request())
+            await until(lambda: len(endpoint.seen) == 2)
+            s.dispatcher._service._moves = s.dispatcher._clock.now()
+            assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""
+            s.dispatcher._service._refuses = s.dispatcher._clock.now()
+            status, headers, _ = await s.exchange(await s.connect(), s.request())
+            assert (status, headers["connection"]) == (503, "close")
+            endpoint.resume.set()
+            assert b"200 OK" in (text := await asyncio.wait_for(busy[0].read(), LIMIT))
+            assert b"connection: close" in text.lower()
+            assert [await call(s, "drain/stop", "POST") for _ in range(2)] == [(200, "serving\n")] * 2
+            again = await s.connect()
+            assert (await s.exchange(again, READY))[0] == 200
+            status, headers, _ = await s.exchange(again, s.request())
+            assert (status, "connection" in headers) == (200, False)
+
+    play(story())
+
+
+def test_leaving_is_final_also_for_the_end_of_a_drain(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served), mgmt=MGMT) as s:
+            await call(s, "drain/start", "POST")
+            s.discovery.say(2)  # what else goes on goes on amid a drain
+            await until(lambda: s.dispatcher._destinations.revision == 2)
+            usual = await s.connect()
+            assert (await s.exchange(usual, s.request()))[0] == 200
+            await asyncio.wait_for(s.dispatcher.leave(), LIMIT)  # and it ends, as nobody is left
+            assert await call(s, "drain/stop", "POST") == (409, "leaving\n")
+            assert await call(s, "drain/start", "POST") == (200, "leaving\n")
+            assert (await call(s, "readiness"))[0] == 503
+
+    play(story())
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -356,6 +356,7 @@
                 clock.now() + timedelta(seconds=2),
                 still_wanted=lambda: False,
                 sign=lambda stage: None,
+                written=lambda: None,
                 repeatable=True,
             )
             await pool.close()
@@ -374,7 +375,7 @@
             pool = Endpoints(clock, timedelta(seconds=1), timedelta(seconds=60), 4)
             outgoing = Outgoing("a", b"/page", "api", None, b"")
             last = clock.now() + timedelta(seconds=LIMIT)
-            words = (outgoing, address, last, lambda: True, lambda stage: None, True)
+            words = (outgoing, address, last, lambda: True, lambda stage: None, lambda: None, True)
             tries = (pool.attempt(*words) for _ in range(3))
             assert {result.end for result in await asyncio.gather(*tries)} == {End.SERVED}
             assert len(pool._idle[address]) == 3
