--- a/rookwood/__main__.py
+++ b/rookwood/__main__.py
@@ -17,17 +17,16 @@
 
 
 async def run(config: Config) -> None:
-    stop, loop = asyncio.Event(), asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    loop = asyncio.get_running_loop()
     dispatcher = Dispatcher(config)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, dispatcher.leave)
     loop.add_signal_handler(signal.SIGHUP, reload, dispatcher)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     try:
         await dispatcher.start()
         gc.freeze()  # what was made so far stays: the collector need not walk it
-        await stop.wait()
-        await dispatcher.leave()
+        await dispatcher.left()
     finally:
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         await dispatcher.close()
--- a/rookwood/net/config.py
+++ b/rookwood/net/config.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
+from urllib.parse import quote
 
 from rookwood import interface as api
 from rookwood.net.destinations import Address, DestinationSet, destination_set_of
@@ -33,6 +34,7 @@
     listen: Address
     discovery: Address
     mgmt: Address | None  # where those who run the dispatcher call; None: nowhere
+    handover: Path | None  # where a running process meets the next; None: nowhere
     seed: int
     bounds: Bounds
     settings: api.Settings
@@ -57,6 +59,10 @@
         raise FaultyKeyError("seed", f"not hexadecimal: {text!r}") from None
 
 
+def handover_of(folder: str | None, name: str) -> Path | None:
+    return Path(folder) / f"rookwood-{quote(name, safe='')}.sock" if folder else None
+
+
 def load(environ: Mapping[str, str], again: bool = False) -> Config:
     """Raises `FaultyKeyError`. Single variables go before the file, but not when it is read again: it may
     have changed since the start, and they cannot."""
@@ -104,6 +110,7 @@
         listen=address_of(*own("PROXY_LISTEN", "listen")),
         discovery=address_of(*own("PROXY_DISCOVERY", "discovery")),
         mgmt=address_of(*own("PROXY_MGMT", "mgmt")) if calls else None,
+        handover=handover_of(environ.get("TMPDIR"), own("PROXY_NAME", "name")[0]),
         seed=seed_of(tree.get("seed", str)),
         bounds=bounds,
         settings=settings,
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -99,6 +99,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._stopped: dict[str, datetime] = {}  # draining or gone since
         self.revision = 0
+        self.current = asyncio.Event()  # discovery has spoken since the start: the list is no longer old
 
     def update(self, told: DestinationSet, kept: bool = False) -> None:
         now = self._clock.now()
@@ -185,6 +186,8 @@
                 *lines, rest = (rest + bytes(event.data)).split(b"\n")
                 for line in filter(None, map(bytes.strip, lines)):
                     self.update(destination_set_of(Tree(parsed(line))))
+                if not rest:
+                    self.current.set()
                 if len(rest) > MAX_LINE:
                     raise TooLargeError("discovery sent a line without an end")
         finally:
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from datetime import timedelta
 
@@ -12,6 +13,7 @@
 from rookwood.net.destinations import Destinations
 from rookwood.net.endpoints import Endpoints
 from rookwood.net.figures import Figures
+from rookwood.net.handover import Handover
 from rookwood.net.inbound import SPARE, Inbound, readiness
 from rookwood.net.listener import bound
 from rookwood.net.management import ACCEPTS, CALLERS, Management
@@ -27,6 +29,7 @@
 # After SIGTERM: SIGKILL comes no sooner than the longest deadline, or `COUNTED` where that is less, and KILL.
 COUNTED, KILL = timedelta(seconds=3), timedelta(milliseconds=700)
 CUT = timedelta(milliseconds=250)  # so long before, the last request that came late has its answer
+CURRENT_LIMIT = timedelta(seconds=4)  # a new process has 6 s to be ready; discovery may be down
 MOVE = timedelta(milliseconds=1400)  # so long before, clients are moved off: jobs started now would be cut
 BODIES = 8  # one part in so many of the memory is for bodies in hand; each is there about twice
 
@@ -68,6 +71,8 @@
                 (b"POST", b"/ops/drain/stop"): self._resume,
             },
         )
+        self._handover = Handover(config.handover, self._succeeded, alone=lambda: self._share(1))
+        self._half, self._terminated = half, False
         self._tasks: list[asyncio.Task[None]] = []
         self.mgmt: int | None = None  # the port of the second address
 
@@ -82,10 +87,18 @@
             self.mgmt = int(caller.getsockname()[1])
             await self._management.listen(caller)
             log.info("%s is run from %s:%d", config.name, config.mgmt.host, self.mgmt)
-        listener = bound(config.listen)
+        listener = await self._handover.inherit(config.listen)
+        if listener:
+            # The process before serves meanwhile. A list as old as the file would break the rules on drains.
+            self._share(2)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._destinations.current.wait(), CURRENT_LIMIT.total_seconds())
+        listener = listener or bound(config.listen)
         port = int(listener.getsockname()[1])
         await self._inbound.listen(listener)
         self._service.start()
+        self._handover.taken()
+        await self._handover.offer(listener)
         log.info("%s listens on %s:%d", config.name, config.listen.host, port)
         return port
 
@@ -102,16 +115,37 @@
         back = self._service.resume()
         return Answer(200 if back else 409, f"{self._service.phase.value}\n".encode())
 
-    async def leave(self) -> None:
-        """Returns once everything that was taken has its answer."""
+    def _share(self, processes: int) -> None:
+        """Amid an upgrade two processes take what one may."""
+        self._inbound.most = self._endpoints.most = max(1, self._half // processes)
+
+    def _succeeded(self) -> None:
+        """The next process serves the same listener: whoever is here moves there, and this one ends."""
+        log.info("%s has handed over", self._config.name)
+        self._service.succeeded = True
+        self._inbound.stop()
+        self._share(2)
+        self._service.leave(timedelta(0))
+
+    def leave(self) -> None:
+        """The end is near: SIGTERM has come."""
+        if self._terminated:
+            return
+        self._terminated = True
         log.info("%s is leaving", self._config.name)
         longest = max((c.give_up for c in self._config.settings.classes), default=0)
         end = min(timedelta(microseconds=longest), COUNTED) + KILL
         self._requests.leave(self._clock.now() + end - CUT)
         self._service.leave(end - MOVE)
+
+    async def left(self) -> None:
+        """Returns once this process is to leave and everything that was taken has its answer."""
+        await self._service.until_leaving()
+        await self._service.until_moving()
         await self._inbound.empty()
 
     async def close(self) -> None:
+        await self._handover.close()
         await self._inbound.close()
         await self._management.close()
         await self._destinations.close()
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -170,7 +170,7 @@
 
     def __init__(self, clock: Clock, connect_timeout: timedelta, idle: timedelta, most: int) -> None:
         self._clock, self._connect_timeout = clock, connect_timeout
-        self._idle_limit, self._most = idle * IDLE_PART, most
+        self._idle_limit, self.most = idle * IDLE_PART, most
         self._idle: dict[str, list[Connection]] = {}  # by address, most recently used last
         self._count = 0  # open or coming up
         self._settling: set[asyncio.Task[None]] = set()
@@ -351,7 +351,7 @@
         return connection.wire.quiet() and self._age(connection) < self._idle_limit
 
     async def _connect(self, address: str) -> Connection:
-        if self._count >= self._most and not await self._make_room():
+        if self._count >= self.most and not await self._make_room():
             raise NoRoomError("all connections are in use")
         host, _, port = address.rpartition(":")
         self._count += 1
@@ -423,6 +423,8 @@
         """Runs as one task: idle connections that ended or grew old give their descriptors back."""
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
+            while self._count > self.most and await self._make_room():
+                pass
             for kept in list(self._idle.values()):
                 stale = [c for c in kept if not self._fresh(c)]
                 kept[:] = [c for c in kept if c not in stale]  # in place: `_idle_one` may hold this list
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -32,6 +32,7 @@
 ACCEPTS = 16  # taken in before those taken are counted
 SPARE = 32  # connections beyond the bound that are still told 503
 POLL = timedelta(milliseconds=20)
+SETTLE = timedelta(milliseconds=100)
 YOUNG = timedelta(milliseconds=300)
 READY = b"/-/ready"
 
@@ -59,7 +60,7 @@
         figures: Figures,
     ) -> None:
         self._clock, self._serve, self._classes = clock, serve, classes
-        self._most, self._full, self._retry_after = most, full, retry_after
+        self.most, self._full, self._retry_after = most, full, retry_after
         self._service, self._figures = service, figures
         self._bytes_left = most_bytes  # for the bodies of requests in hand
         self._open: set[Wire] = set()
@@ -88,14 +89,19 @@
                     wire.writer.transport.close()
             await asyncio.sleep(POLL.total_seconds())
 
+    def stop(self) -> None:
+        """Accepts no more; who is here is still served."""
+        if self._server:
+            self._server.close()
+
     async def empty(self) -> None:
         """Returns once every client's connection has ended."""
+        await asyncio.sleep(SETTLE.total_seconds())  # what was just accepted is not counted at once
         while self._open:
             await asyncio.sleep(POLL.total_seconds())
 
     async def close(self) -> None:
-        if self._server:
-            self._server.close()
+        self.stop()
         tasks = [*self._tasks, *([self._mover] if self._mover else [])]
         for task in tasks:
             task.cancel()
@@ -108,9 +114,9 @@
         wire = Wire(h11.Connection(h11.SERVER), reader, writer)
         self._open.add(wire)
         try:
-            if len(self._open) > self._most:
+            if len(self._open) > self.most:
                 self._make_room()
-            if len(self._open) <= self._most + SPARE:
+            if len(self._open) <= self.most + SPARE:
                 self._new[wire] = self._clock.now() + FIRST_LIMIT
                 while await self._exchange(wire):
                     wire.http.start_next_cycle()
@@ -176,7 +182,7 @@
         # What cannot be used ends the connection, whatever else waits on it: what follows may be
         # part of it, and who is told no and asks again at once is to pay for a new connection.
         unfit = taken is None or 400 <= answer.status < 500
-        close = unfit or self._service.moving or len(self._open) > self._most
+        close = unfit or self._service.moving or len(self._open) > self.most
         data = encoded(wire, answer, close, bodiless=taken is not None and taken.head.method == b"HEAD")
         async with asyncio.timeout(WRITE_LIMIT.total_seconds()):
             await wire.write(data)
@@ -211,12 +217,13 @@
         if taken.head.target == READY:
             if taken.head.method != b"GET":
                 raise UnfitError(405, "only GET here", allow="GET")
-            return readiness(self._service)
+            # The next process has this address as well: whoever asks here asks about both.
+            return Answer(200, b"ready\n") if self._service.succeeded else readiness(self._service)
         request = request_of(taken, self._classes, self._clock, age)
         self._usual.add(wire)
         if self._service.refusing:
             return Answer(503, b"draining\n", self._retry_after)
-        if self._full() or len(self._open) > self._most:
+        if self._full() or len(self._open) > self.most:
             return Answer(503, b"full\n", self._retry_after)
         serving = asyncio.ensure_future(self._serve(request))
         gone = asyncio.ensure_future(self._gone(wire))
--- a/rookwood/net/phase.py
+++ b/rookwood/net/phase.py
@@ -25,8 +25,10 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.phase = Phase.STARTING
+        self.succeeded = False  # the next process has taken the clients' address over
         self._moves: datetime | None = None  # from then on clients are moved off
         self._refuses: datetime | None = None  # from then on no new job is taken
+        self._leaving = asyncio.Event()
         self._changed = asyncio.Event()  # someone is to be moved off, at once or later
 
     @property
@@ -41,6 +43,9 @@
     def refusing(self) -> bool:
         return self._refuses is not None and self._clock.now() >= self._refuses
 
+    async def until_leaving(self) -> None:
+        await self._leaving.wait()
+
     async def until_moving(self) -> None:
         while not self.moving:
             if self._moves is None:
@@ -69,4 +74,5 @@
         """Final. Clients are moved off after `stay`, or before where that was settled already."""
         moves = self._clock.now() + stay
         self.phase, self._moves = Phase.LEAVING, min(moves, self._moves or moves)
+        self._leaving.set()
         self._changed.set()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -226,13 +226,16 @@
 
 
 @contextlib.asynccontextmanager
-async def stage(folder: Path, *endpoints: Endpoint, **changes: Any) -> AsyncIterator[Stage]:
+async def stage(
+    folder: Path, *endpoints: Endpoint, tmpdir: Path | None = None, **changes: Any
+) -> AsyncIterator[Stage]:
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
             endpoint.address = endpoint.address or await stack.enter_async_context(listening(endpoint))
         discovery = Discovery()
         where = await stack.enter_async_context(listening(discovery))
         listed = [entry(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
-        dispatcher = Dispatcher(load(environment(folder, listed, where, **changes)))
+        environ = environment(folder, listed, where, **changes)
+        dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})))
         stack.push_async_callback(dispatcher.close)
         yield Stage(dispatcher, await dispatcher.start(), discovery)
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
 from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
-from rookwood.net import management, phase
+from rookwood.net import handover, management, phase
+from rookwood.net.config import load
+from rookwood.net.dispatcher import Dispatcher
 from tests import stage as st
 from tests.stage import LIMIT, Endpoint, Stage, Streams, stage, until
 from tests.test_stories import READY, play
@@ -169,9 +174,92 @@
             await until(lambda: s.dispatcher._destinations.revision == 2)
             usual = await s.connect()
             assert (await s.exchange(usual, s.request()))[0] == 200
-            await asyncio.wait_for(s.dispatcher.leave(), LIMIT)  # and it ends, as nobody is left
+            s.dispatcher.leave()
+            await asyncio.wait_for(s.dispatcher.left(), LIMIT)  # and it ends, as nobody is left
             assert await call(s, "drain/stop", "POST") == (409, "leaving\n")
             assert await call(s, "drain/start", "POST") == (200, "leaving\n")
             assert (await call(s, "readiness"))[0] == 503
 
     play(story())
+
+
+@contextlib.asynccontextmanager
+async def upgrade(folder: Path, *endpoints: Endpoint) -> AsyncIterator[tuple[Stage, Stage, st.Discovery]]:
+    """The old one, the new one that waits for its list, and the discovery that is to give it."""
+    discovery, place = st.Discovery(), {"TMPDIR": str(folder)}
+    async with stage(folder, *endpoints, mgmt=MGMT, tmpdir=folder) as old, st.listening(discovery) as where:
+        listen = f"127.0.0.1:{old.port}"
+        new = Dispatcher(load(st.environment(folder, [], where, listen=listen, mgmt=MGMT) | place))
+        starting = asyncio.create_task(new.start())
+        try:
+            await until(lambda: len(discovery.asked) == 1)
+            yield old, Stage(new, old.port, discovery), discovery
+        finally:
+            starting.cancel()
+            await asyncio.gather(starting, return_exceptions=True)
+            await new.close()
+
+
+def test_upgrade_loses_no_connection_and_the_old_process_ends_what_it_has(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served, st.silent, st.served)
+        async with upgrade(tmp_path, endpoint) as (old, new, discovery):
+            idle, busy = await old.connect(), await old.connect()
+            assert (await old.exchange(idle, old.request()))[0] == 200
+            busy[1].write(old.request())
+            await until(lambda: len(endpoint.seen) == 2)
+            # No yes before the list is current; the old one serves.
+            assert (await call(new, "readiness"))[0] == 503
+            assert (await old.exchange(await old.connect(), READY))[0] == 200
+            listed = st.entry("s-9", endpoint.address)
+            old.dispatcher._inbound._server.close()  # type: ignore[union-attr]  # waits in the queue now:
+            waiting = await old.connect()
+            waiting[1].write(old.request("/unlock"))
+            discovery.say(7, listed, whole=True)
+            await until(lambda: new.dispatcher._service.ready)
+            assert (await asyncio.wait_for(waiting[0].readline(), LIMIT)).startswith(b"HTTP/1.1 200")
+            assert new.dispatcher._figures.text().count(":1|c") == 2  # answered and sent there
+            await until(lambda: old.dispatcher._service.succeeded)
+            assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""
+            assert (await call(old, "readiness"))[0] == 503
+            assert new.dispatcher._inbound.most == old.dispatcher._inbound.most  # half for each
+            endpoint.resume.set()
+            assert b"late" in await asyncio.wait_for(busy[0].read(), LIMIT)
+            await asyncio.wait_for(old.dispatcher.left(), LIMIT)
+            await old.dispatcher.close()
+            await until(lambda: new.dispatcher._inbound.most == new.dispatcher._half)
+            assert (await new.ask())[0] == 200
+
+    play(story())
+
+
+@pytest.mark.parametrize("left", ["nothing", "a file", "a dead socket", "a process that hangs"])
+def test_what_a_process_left_behind_stops_no_start(
+    tmp_path: Path, left: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(handover, "ANSWER_LIMIT", timedelta(milliseconds=100))
+    place = tmp_path / "rookwood-n0.sock"
+
+    async def story() -> None:
+        with socket.socket(socket.AF_UNIX) as peer:
+            if left == "a file":
+                place.write_text("")
+            elif left != "nothing":
+                peer.bind(str(place))
+            if left == "a process that hangs":
+                peer.listen()
+            async with stage(tmp_path, Endpoint(st.served), tmpdir=tmp_path) as s:
+                assert (await s.ask())[0] == 200
+                assert place.is_socket()  # its own: the next can take over from it
+        assert not place.exists()
+
+    play(story())
+
+
+def test_process_at_another_address_is_no_upgrade(tmp_path: Path) -> None:
+    async def story() -> None:
+        other = stage(tmp_path, tmpdir=tmp_path, listen="127.0.0.2:0")
+        async with stage(tmp_path, tmpdir=tmp_path) as first, other as second:
+            assert second.dispatcher._service.ready and not first.dispatcher._service.succeeded
+
+    play(story())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -168,7 +168,7 @@
 ) -> None:
     async def story() -> None:
         async with stage(tmp_path, Endpoint(st.served)) as s:
-            monkeypatch.setattr(s.dispatcher._endpoints, "_most", 0)
+            monkeypatch.setattr(s.dispatcher._endpoints, "most", 0)
             status, headers, _ = await s.ask("/unlock")
             assert (status, "retry-after" in headers) == (503, True)
             assert s.dispatcher._decisions._policy.workers["s-0"].trust == 1.0
