--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import logging
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from rookwood.net.clock import Clock
 from rookwood.net.config import Config
@@ -28,6 +28,7 @@
 COUNTED, KILL = timedelta(seconds=3), timedelta(milliseconds=700)
 CUT = timedelta(milliseconds=250)  # so long before, the last request that came late has its answer
 CURRENT_LIMIT = timedelta(seconds=4)  # a new process has 6 s to be ready; discovery may be down
+HANDOVER_LIMIT = timedelta(seconds=4.5)  # so long the jobs of the process before are waited for
 MOVE = timedelta(milliseconds=1400)  # so long before, clients are moved off: jobs started now would be cut
 BODIES = 8  # one part in so many of the memory is for bodies in hand; each is there about twice
 
@@ -62,15 +63,17 @@
         self._management = Management(
             clock,
             {
-                (b"GET", b"/ops/readiness"): lambda: readiness(self._service),
+                (b"GET", b"/ops/readiness"): self._readiness,
                 (b"GET", b"/ops/stats"): lambda: Answer(200, self._figures.text().encode()),
                 (b"POST", b"/ops/drain/start"): self._drain,
                 (b"POST", b"/ops/drain/stop"): self._resume,
             },
             room,
         )
-        self._handover = Handover(config.handover, self._succeeded, alone=lambda: self._share(1))
+        self._handover = Handover(config.handover, self._succeeded, self._succeeds)
         self._terminated = False
+        self._begun = clock.now()
+        self._upgrading: datetime | None = None  # there is a process before; it is waited for until then
         self._tasks: list[asyncio.Task[None]] = []
         self.mgmt: int | None = None  # the port of the second address
 
@@ -88,6 +91,7 @@
         listener = await self._handover.inherit(config.listen)
         if listener:
             # The process before serves meanwhile. A list as old as the file would break the rules on drains.
+            self._upgrading = self._begun + HANDOVER_LIMIT
             self._share(2)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._destinations.current.wait(), CURRENT_LIMIT.total_seconds())
@@ -105,6 +109,17 @@
         log.info("the configuration was read again; discovery is %s", config.discovery)
         self._destinations.move(config.discovery)
 
+    def _succeeds(self) -> None:
+        """The process before has ended."""
+        self._upgrading = None
+        self._share(1)
+
+    def _readiness(self) -> Answer:
+        """Amid an upgrade a yes is the sign to end the process before: its jobs should have ended by then."""
+        if self._upgrading and self._clock.now() < self._upgrading and self._service.ready:
+            return Answer(503, b"taking over\n")
+        return readiness(self._service)
+
     def _drain(self) -> Answer:
         self._service.drain()
         return Answer(200, f"{self._service.phase.value}\n".encode())
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from rookwood.net import handover, phase
+from rookwood.net import dispatcher, handover, phase
 from rookwood.net.config import load
 from rookwood.net.dispatcher import Dispatcher
 from rookwood.net.room import BASE, CALL_ACCEPTS, room_of
@@ -224,16 +224,40 @@
             assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""
             assert (await call(old, "readiness"))[0] == 503
             assert new.dispatcher._inbound.most == old.dispatcher._inbound.most  # half for each
+            # Its jobs still run, and a yes would be the sign to end it.
+            assert await call(new, "readiness") == (503, "taking over\n")
+            assert (await new.exchange(await new.connect(), READY))[0] == 200
             endpoint.resume.set()
             assert b"late" in await asyncio.wait_for(busy[0].read(), LIMIT)
             await asyncio.wait_for(old.dispatcher.left(), LIMIT)
             await old.dispatcher.close()
             await until(lambda: new.dispatcher._inbound.most > old.dispatcher._inbound.most)
+            assert (await call(new, "readiness"))[0] == 200
             assert (await new.ask())[0] == 200
 
     play(story())
 
 
+def test_upgrade_does_not_wait_for_the_old_process_for_ever(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery is down as well: the list stays as old as the file, and the yes comes all the same."""
+    monkeypatch.setattr(dispatcher, "CURRENT_LIMIT", timedelta(milliseconds=50))
+    monkeypatch.setattr(dispatcher, "HANDOVER_LIMIT", timedelta(milliseconds=100))
+
+    async def story() -> None:
+        endpoint = Endpoint(st.silent)
+        async with upgrade(tmp_path, endpoint) as (old, new, _):
+            busy = await old.connect()
+            busy[1].write(old.request())
+            async with asyncio.timeout(LIMIT):
+                while (await call(new, "readiness"))[0] != 200:
+                    await asyncio.sleep(0.02)
+            busy[1].close()
+
+    play(story())
+
+
 @pytest.mark.parametrize("left", ["nothing", "a file", "a dead socket", "a process that hangs"])
 def test_what_a_process_left_behind_stops_no_start(
     tmp_path: Path, left: str, monkeypatch: pytest.MonkeyPatch
