Keep jobs away from a worker that starts them and fails them at once

Ruled out: sockets (the answers came whole and said 'failed'). Cause: policy._note gave back with every start (trust+1)/2 what policy._outcome took with 0.5, so trust settled at a third; and the worker is always idle.

--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -299,8 +299,8 @@
     def _wait(self, job: Job, w: State) -> float:
         # Herding: others count for their equal share at most, or all flee a late report and return together.
         # Where a share is under a job, a report counts the less the more jobs end while it is on its way.
-        slots = self._slots(w)
-        others, share = w.others, slots / self.set.dispatchers
+        slots, others = self._slots(w), w.others
+        share = slots / self.set.dispatchers
         if share >= 1:
             others = min(others, slots - share)
         else:
@@ -344,7 +344,7 @@
             self._alive(w)
 
     def _alive(self, w: State) -> None:
-        w.last_sign, w.trust = self.now, (w.trust + 1) / 2
+        w.last_sign, w.trust = self.now, w.trust if w.failing else (w.trust + 1) / 2
 
     def _outcome(self, o: api.Outcome) -> None:
         key = (o.request, o.attempt)
@@ -363,6 +363,7 @@
                     w.free(job.need)
             if o.load and "x0" in o.load:
                 self._report(w, o.load)
+            w.failed = 0 if o.ending is Ending.OK else w.failed + (o.ending is Ending.FAILED)
             if o.ending is Ending.OK:
                 self._alive(w)
                 if not self.stalled:  # found late, an answer tells this dispatcher's pause for service time
@@ -372,7 +373,7 @@
             elif o.ending not in (Ending.CANCELLED, Ending.IGNORED):
                 long = attempt.ran(self.now) > SILENCE + HURRIED * job.service * max(1.0, w.slowness)
                 if long or o.ending is not Ending.TIMED_OUT:  # else the client had no time for it
-                    self._doubt(w, 0.5 if o.ending is Ending.FAILED else DISTRUST)
+                    self._doubt(w, 0.5 if o.ending is Ending.FAILED and not w.failing else DISTRUST)
         if job.cls.sequential and job.req.key is not None:
             if o.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
                 self.rest_until[job.req.key] = self.now + self.set.order_settle
@@ -405,8 +406,7 @@
     def _probe(self, _: object) -> None:
         ready = [w for w in self.workers.values() if w.up]
         self._at(self.now + PROBE // max(1, len(ready)), self._probe)
-        if ready:
-            w = min(ready, key=lambda w: (w.probe_at, w.info.id))
+        for w in sorted(ready, key=lambda w: (w.probe_at, w.info.id))[:1]:
             w.probe_at = self.now
             self.todo.append(api.Probe(w.info.id))
 
@@ -476,7 +476,7 @@
         slots = sum(self._slots(w) for w in self.workers.values())
         for w in self.workers.values():
             w.slowness = self._slots(w) * self.whole_size / max(self.sizes[w.info.kind] * slots, LEAST)
-            w.trust = min(1.0, 2 * w.trust)  # time heals: trials come, at each dispatcher at its own time
+            w.trust = min(1.0, (1.25 if w.failing else 2) * w.trust)  # time heals: each has its own trials
         # Where most look bad, the fault is likelier here or in the network, and ejecting is the harm.
         bad = sum(w.bad for w in self.workers.values())
         if self.eject != (2 * bad <= len(self.workers)):
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -50,6 +50,7 @@
     points: list[tuple[int, str]]  # on the ring
     last_sign: int  # when it last showed life
     slowness: float = 1.0  # time that a job takes, by size and slots, over the fleet's mean
+    failed: int = 0  # failures since its last result
     trust: float = 1.0  # part of its usual requests that it gets
     used: float = 0.0  # slots of own attempts out
     others: float = 0.0  # slots that other dispatchers hold, by reports, averaged
@@ -63,6 +64,10 @@
     def bad(self) -> bool:  # most of its usual requests go elsewhere
         return self.trust < 0.5
 
+    @property
+    def failing(self) -> bool:  # more than a stray one: a start is no good sign then
+        return self.failed > 1
+
     @property
     def up(self) -> bool:
         return self.info.health is api.Health.SERVING
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -73,3 +73,27 @@
     for _ in range(20):
         world.ask("fee", key=1)
     assert len(world.out()) == 8  # one for each slot
+
+
+@pytest.mark.parametrize("started", [False, True])
+def test_worker_that_fails_at_once_is_avoided_though_its_jobs_start(started: bool) -> None:
+    """Always idle, it drew job after job: each start brought back the trust that its failure cost."""
+    world = World(settings(dispatchers=1))
+    world.list_workers(worker(0), worker(2))
+    bad, failed = worker(0).id, 0
+    for n in range(60):
+        number = world.ask("fee", key=n)
+        if world.asked[number].tries[-1].worker == bad:
+            failed += 1
+            if started:
+                world.start(number)
+            world.end(number, api.Ending.FAILED)
+        else:
+            world.end(number, api.Ending.OK)
+        world.advance(100 * MS)
+    assert failed <= 5
+    world.advance(10_000 * MS)
+    for n in range(60):  # it is well again, and has its trials
+        world.end(world.ask("fee", key=n), api.Ending.OK)
+        world.advance(200 * MS)
+    assert world.policy.workers[bad].trust > 0.5 and not world.policy.workers[bad].failing
