Pass on in an upgrade what the decisions have learned

Seen: after each upgrade the new process sent jobs to workers known to fail (9, 8, 9 and 3 errors in the windows of 5 s). Tried first: memory along with the offer of the listener; a slow list made it seconds old.

--- /dev/null
+++ b/rookwood/memory.py
@@ -0,0 +1,53 @@
+"""What the decisions have learned, for the process that follows: plain values, from `remember` to `recall`.
+
+Requests in hand and timers stay behind: they end with the old process. Nothing here is needed to start.
+"""
+
+from typing import Any
+
+from rookwood.policy import Policy
+
+FORM = 1  # a process of another release may not know this one
+PLAIN = ("job_time", "slots", "crowd", "seen", "retries", "eject")
+BY_CLASS = ("answers", "typical", "mean")
+ROWS = ("whole", "firsts", "demand", "table")  # their keys are tuples
+
+
+def remember(policy: Policy) -> dict[str, Any]:
+    workers = {
+        w.info.id: {
+            "started_at": w.info.started_at,
+            "seen": [w.trust, w.failed, w.slowness, w.last_sign, w.report_at, w.probe_at],
+            # Jobs still out at the old process are another's for the new one.
+            "others": w.others + w.used,
+            # The budget of a cold worker goes on: two processes in a row must not spend it twice.
+            "credit": [w.credit, w.credit_at] if w.credit_at else None,
+        }
+        for w in policy.workers.values()
+    }
+    plain = {name: getattr(policy, name) for name in PLAIN + BY_CLASS}
+    rows = {name: [[list(key), value] for key, value in getattr(policy, name).items()] for name in ROWS}
+    return {"form": FORM, "workers": workers, "plain": plain, "rows": rows}
+
+
+def recall(policy: Policy, memory: dict[str, Any], now: int) -> None:
+    """For a policy that has its list and no request yet. Raises on what it cannot use."""
+    if memory["form"] != FORM:
+        raise ValueError(f"of form {memory['form']!r}")
+    plain = {name: memory["plain"][name] for name in PLAIN}
+    for name in BY_CLASS:  # the settings may name others now
+        fresh, found = getattr(policy, name), memory["plain"][name]
+        plain[name] = {job_class: found.get(job_class, value) for job_class, value in fresh.items()}
+    rows = {name: {tuple(key): value for key, value in memory["rows"][name]} for name in ROWS}
+    rows["demand"] = {key: (level, trend) for key, (level, trend) in rows["demand"].items()}
+    rows["table"] = {key: [(uid, phi) for uid, phi in row] for key, row in rows["table"].items()}
+    known = [(w, found) for w in policy.workers.values() if (found := memory["workers"].get(w.info.id))]
+    same = [(w, found) for w, found in known if found["started_at"] == w.info.started_at]
+    for w, found in same:
+        w.trust, w.failed, w.slowness, *times = found["seen"]
+        w.last_sign, w.report_at, w.probe_at = (min(now, time) for time in times)
+        w.others = found["others"]
+        if found["credit"]:
+            w.credit, w.credit_at = found["credit"][0], min(now, found["credit"][1])
+    for name, value in {**plain, **rows}.items():
+        setattr(policy, name, value)
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -10,6 +10,7 @@
 import asyncio
 import hashlib
 import itertools
+import json
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
 from enum import Enum
 
 from rookwood import interface as api
+from rookwood.memory import recall, remember
 from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.destinations import DestinationSet, Endpoint, State
 from rookwood.policy import Policy
@@ -208,6 +210,21 @@
     def open(self) -> int:
         return len(self._tickets)
 
+    def remember(self) -> bytes:
+        """What was learned here, for the process that follows."""
+        try:
+            return json.dumps(remember(self._policy)).encode()
+        except Exception:  # an upgrade goes on without it
+            log.exception("nothing is remembered")
+            return b"{}"
+
+    def recall(self, text: bytes) -> None:
+        """Without it, too, the decisions work; so whatever is wrong with it must not stop a start."""
+        try:
+            recall(self._policy, json.loads(text), self._last)
+        except Exception as error:
+            log.warning("nothing is recalled: %s: %s", type(error).__name__, error)
+
     def cluster(self) -> api.Cluster:
         return self._policy.cluster()
 
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -70,7 +70,9 @@
             },
             room,
         )
-        self._handover = Handover(config.handover, self._succeeded, self._succeeds)
+        self._handover = Handover(
+            config.handover, self._decisions.remember, self._succeeded, alone=self._succeeds
+        )
         self._terminated = False
         self._begun = clock.now()
         self._upgrading: datetime | None = None  # there is a process before; it is waited for until then
@@ -95,6 +97,7 @@
             self._share(2)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._destinations.current.wait(), CURRENT_LIMIT.total_seconds())
+            self._decisions.recall(await self._handover.memory())
         listener = listener or bound(config.listen)
         port = int(listener.getsockname()[1])
         await self._inbound.listen(listener)
--- a/rookwood/net/handover.py
+++ b/rookwood/net/handover.py
@@ -20,7 +20,8 @@
 log = logging.getLogger(__name__)
 
 ANSWER_LIMIT = timedelta(seconds=1)  # who runs here but hangs must not hold up who comes to help
-OFFER, TAKEN = b"L", b"T"  # here is the listener; it is served now
+MAX_MEMORY, CHUNK = 4 * 1024 * 1024, 64 * 1024
+OFFER, MEMORY, TAKEN = b"L", b"M", b"T"  # here is the listener; what was learned? it is served now
 
 
 def own(peer: socket.socket) -> bool:
@@ -41,8 +42,14 @@
 class Handover:
     """Owns the Unix sockets: one towards the process before this one, one that offers to the next."""
 
-    def __init__(self, place: Path | None, succeeded: Callable[[], None], alone: Callable[[], None]) -> None:
-        self._place, self._succeeded, self._alone = place, succeeded, alone
+    def __init__(
+        self,
+        place: Path | None,
+        remember: Callable[[], bytes],
+        succeeded: Callable[[], None],
+        alone: Callable[[], None],
+    ) -> None:
+        self._place, self._remember, self._succeeded, self._alone = place, remember, succeeded, alone
         self._before: socket.socket | None = None
         self._watch: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
@@ -55,6 +62,7 @@
             return None
         before = socket.socket(socket.AF_UNIX)
         before.setblocking(False)
+        handles: list[int] = []
         try:
             async with asyncio.timeout(ANSWER_LIMIT.total_seconds()):
                 await asyncio.get_running_loop().sock_connect(before, str(self._place))
@@ -64,6 +72,8 @@
                 raise ConnectionError("no listener was offered")
         except OSError as error:  # TimeoutError is one
             before.close()
+            for handle in handles:
+                os.close(handle)
             if not isinstance(error, FileNotFoundError):
                 log.info("no process hands its listener over: %s", error or "no answer")
             return None
@@ -77,6 +87,20 @@
         self._before = before
         return listener
 
+    async def memory(self) -> bytes:
+        """What the process before has learned up to now; nothing if it does not say."""
+        text = b""
+        with contextlib.suppress(OSError):  # TimeoutError is one
+            if self._before:
+                self._before.send(MEMORY)
+                async with asyncio.timeout(ANSWER_LIMIT.total_seconds()):
+                    while not text.endswith(b"\n") and len(text) < MAX_MEMORY:
+                        data = await asyncio.get_running_loop().sock_recv(self._before, CHUNK)
+                        if not data:
+                            break
+                        text += data
+        return text
+
     def taken(self) -> None:
         """This process serves the listener: the one before may stop."""
         if self._before:
@@ -103,9 +127,11 @@
                     if not own(peer):
                         return
                     socket.send_fds(peer, [OFFER], [listener.fileno()])
-                if await reader.read(1) == TAKEN:
-                    self._succeeded()
-                    await reader.read()  # the connection's end tells it of this process's
+                while word := await reader.read(1):
+                    if word == MEMORY:
+                        writer.write(self._remember() + b"\n")
+                    elif word == TAKEN:
+                        self._succeeded()  # the connection's end will tell it of this process's
             except (OSError, ValueError, asyncio.CancelledError) as error:
                 log.info("a handover ended: %s: %s", type(error).__name__, error)
             finally:
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -212,7 +212,7 @@
             # No yes before the list is current; the old one serves.
             assert (await call(new, "readiness"))[0] == 503
             assert (await old.exchange(await old.connect(), READY))[0] == 200
-            listed = st.entry("s-9", endpoint.address)
+            listed = st.entry("s-0", endpoint.address)
             old.dispatcher._inbound._server.close()  # type: ignore[union-attr]  # waits in the queue now:
             waiting = await old.connect()
             waiting[1].write(old.request("/unlock"))
@@ -221,6 +221,7 @@
             assert (await asyncio.wait_for(waiting[0].readline(), LIMIT)).startswith(b"HTTP/1.1 200")
             assert new.dispatcher._figures.text().count(":1|c") == 2  # answered and sent there
             await until(lambda: old.dispatcher._service.succeeded)
+            assert new.dispatcher._decisions._policy.firsts["page", None] > 0.9  # what was learned before
             assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""
             assert (await call(old, "readiness"))[0] == 503
             assert new.dispatcher._inbound.most == old.dispatcher._inbound.most  # half for each
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from rookwood import interface as api
+from rookwood.memory import recall, remember
+from rookwood.net.clock import Clock
+from rookwood.net.decisions import Decisions
 from tests.world import MS, World, settings, worker
 
 
@@ -97,3 +102,38 @@
         world.end(world.ask("fee", key=n), api.Ending.OK)
         world.advance(200 * MS)
     assert world.policy.workers[bad].trust > 0.5 and not world.policy.workers[bad].failing
+
+
+def test_process_that_follows_knows_what_was_learned() -> None:
+    """Above all whom to avoid, and what of a cold worker's budget is spent."""
+    old, new = World(settings(dispatchers=1)), World(settings(dispatchers=1))
+    old.list_workers(worker(0), worker(2), worker(4, started_at=old.now), worker(6))
+    for key in range(80):
+        number = old.ask("fee", key=key % 5)
+        bad = old.asked[number].tries and old.asked[number].tries[-1].worker == worker(0).id
+        old.end(number, api.Ending.FAILED if bad else api.Ending.OK) if old.asked[number].tries else None
+        old.advance(50 * MS)
+    waiting = old.ask("fee", key=1)
+    assert old.asked[waiting].tries
+    text = json.dumps(remember(old.policy))
+    new.list_workers(worker(0), worker(2), worker(4, started_at=old.now), worker(8))
+    new.advance(old.now - new.now)
+    recall(new.policy, json.loads(text), new.now)
+    mine, theirs = old.policy.workers, new.policy.workers
+    same = [worker(n).id for n in (0, 2)]
+    assert [(theirs[uid].trust, theirs[uid].failed) for uid in same] == [
+        (mine[uid].trust, mine[uid].failed) for uid in same
+    ]
+    assert sum(theirs[uid].others for uid in same) == sum(mine[uid].others + mine[uid].used for uid in same)
+    assert theirs[worker(8).id].trust == 1.0
+    assert (new.policy.table, new.policy.demand) == (old.policy.table, old.policy.demand)
+    assert new.policy.typical == old.policy.typical and old.policy.table
+    number = new.ask("fee", key=2)
+    assert new.asked[number].tries[-1].worker != worker(0).id
+
+
+@pytest.mark.parametrize("text", ["{}", '{"form": 99}', "[]", "", '{"form": 1, "plain": {}}'])
+def test_unsound_memory_stops_no_start(text: str) -> None:
+    decisions = Decisions(settings(dispatchers=1), 1, Clock())
+    decisions.recall(text.encode())
+    assert decisions.cluster() == api.Cluster(0, 0)
