--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -17,7 +17,7 @@
 from rookwood.net.inbound import Inbound, readiness
 from rookwood.net.listener import bound
 from rookwood.net.management import Management
-from rookwood.net.phase import Service
+from rookwood.net.phase import Phase, Service
 from rookwood.net.probes import Probes
 from rookwood.net.request import Answer, Requests
 from rookwood.net.room import room_of
@@ -98,7 +98,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._destinations.current.wait(), CURRENT_LIMIT.total_seconds())
             self._decisions.recall(await self._handover.memory())
-        listener = listener or bound(config.listen)
+            if self._service.phase is Phase.LEAVING:  # told to end before it took over: the other one stays
+                listener.close()
+                return 0
+        listener = listener or bound(config.listen, shared=True)
         port = int(listener.getsockname()[1])
         await self._inbound.listen(listener)
         self._service.start()
@@ -140,7 +143,7 @@
         log.info("%s has handed over", self._config.name)
         self._service.succeeded = True
         self._inbound.stop()
-        self._share(2)
+        self._endpoints.most = room_of(self._config.bounds.sockets // 2).half
         self._service.leave(timedelta(0))
 
     def leave(self) -> None:
--- a/rookwood/net/handover.py
+++ b/rookwood/net/handover.py
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 ANSWER_LIMIT = timedelta(seconds=1)  # who runs here but hangs must not hold up who comes to help
+HEIR_LIMIT = timedelta(seconds=30)  # to take over, for who has asked
 MAX_MEMORY, CHUNK = 4 * 1024 * 1024, 64 * 1024
 OFFER, MEMORY, TAKEN = b"L", b"M", b"T"  # here is the listener; what was learned? it is served now
 
@@ -127,11 +128,13 @@
                     if not own(peer):
                         return
                     socket.send_fds(peer, [OFFER], [listener.fileno()])
-                while word := await reader.read(1):
-                    if word == MEMORY:
-                        writer.write(self._remember() + b"\n")
-                    elif word == TAKEN:
-                        self._succeeded()  # the connection's end will tell it of this process's
+                async with asyncio.timeout(HEIR_LIMIT.total_seconds()) as limit:
+                    while word := await reader.read(1):
+                        if word == MEMORY:
+                            writer.write(self._remember() + b"\n")
+                        elif word == TAKEN:
+                            limit.reschedule(None)  # the connection's end will tell it of this process's
+                            self._succeeded()
             except (OSError, ValueError, asyncio.CancelledError) as error:
                 log.info("a handover ended: %s: %s", type(error).__name__, error)
             finally:
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -26,7 +26,7 @@
 IDLE_LIMIT = timedelta(seconds=120)  # between requests
 # From connecting to the end of the first request. Some write it for 2 s; others are owed an end within 3 s.
 FIRST_LIMIT = timedelta(seconds=2.6)
-READ_LIMIT = timedelta(seconds=4)  # for the rest of a later request that has begun, however it trickles in
+READ_LIMIT = timedelta(seconds=3)  # for the rest of a later request that has begun, however it trickles in
 WRITE_LIMIT = timedelta(seconds=10)
 LINGER = timedelta(milliseconds=500)  # so that a client still sending can read why it was turned off
 LINGER_BYTES = 512 * 1024  # read and dropped meanwhile; who sends more is cut off
--- a/rookwood/net/listener.py
+++ b/rookwood/net/listener.py
@@ -14,12 +14,12 @@
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-def bound(address: Address) -> socket.socket:
+def bound(address: Address, shared: bool = False) -> socket.socket:
     listener = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Where no running process hands its listener over, a new one can still start beside it.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        if shared:  # where no running process hands its listener over, a new one can still start beside it
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         listener.bind((address.host, address.port))
         listener.setblocking(False)
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -259,6 +259,31 @@
     play(story())
 
 
+def test_process_told_to_end_before_it_took_over_leaves_the_old_one_in_place(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with upgrade(tmp_path, Endpoint(st.served)) as (old, new, discovery):
+            new.dispatcher.leave()
+            discovery.say(7, whole=True)
+            await until(lambda: new.dispatcher._destinations.revision == 7)
+            await asyncio.sleep(0.1)
+            assert old.dispatcher._service.ready and not old.dispatcher._service.succeeded
+            assert (await old.ask())[0] == 200
+
+    play(story())
+
+
+def test_second_address_in_use_is_an_error_not_shared(tmp_path: Path) -> None:
+    """Calls would go to either process, as the kernel likes."""
+
+    async def story() -> None:
+        async with stage(tmp_path, mgmt=MGMT) as first:
+            with pytest.raises(OSError):
+                async with stage(tmp_path, mgmt=f"127.0.0.1:{first.dispatcher.mgmt}"):
+                    pass
+
+    play(story())
+
+
 @pytest.mark.parametrize("left", ["nothing", "a file", "a dead socket", "a process that hangs"])
 def test_what_a_process_left_behind_stops_no_start(
     tmp_path: Path, left: str, monkeypatch: pytest.MonkeyPatch
