--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -224,7 +224,7 @@
             assert new.dispatcher._decisions._policy.firsts["page", None] > 0.9  # what was learned before
             assert await asyncio.wait_for(idle[0].read(), LIMIT) == b""
             assert (await call(old, "readiness"))[0] == 503
-            assert new.dispatcher._inbound.most == old.dispatcher._inbound.most  # half for each
+            assert new.dispatcher._endpoints.most == old.dispatcher._endpoints.most  # half for each
             # Its jobs still run, and a yes would be the sign to end it.
             assert await call(new, "readiness") == (503, "taking over\n")
             assert (await new.exchange(await new.connect(), READY))[0] == 200
@@ -232,7 +232,7 @@
             assert b"late" in await asyncio.wait_for(busy[0].read(), LIMIT)
             await asyncio.wait_for(old.dispatcher.left(), LIMIT)
             await old.dispatcher.close()
-            await until(lambda: new.dispatcher._inbound.most > old.dispatcher._inbound.most)
+            await until(lambda: new.dispatcher._endpoints.most > old.dispatcher._endpoints.most)
             assert (await call(new, "readiness"))[0] == 200
             assert (await new.ask())[0] == 200
 
