Open the request's life for a front beside HTTP: a held request can be passed on

Need: a gateway takes requests that are held here to another site and serves other sites' requests here, through the same decisions. There was no way to take a held request back from the decisions, nor for a front to know whether a request may have run.

Change: `Ticket.pass_on` takes a held request back, `Course` tells whether it may have run and asks the front before the last byte, `Abroad`/`Crossing` carry a request elsewhere, `Front` is started and ended by the dispatcher. `Destinations.elsewhere` lets others stop an endpoint sooner than discovery does. `rookwood/logs.py` is the one logger set-up; the operator's file is read only where ROOKWOOD_CONF names one.

--- a/rookwood/__main__.py
+++ b/rookwood/__main__.py
@@ -1,4 +1,4 @@
-"""One real dispatcher: ``python -m rookwood``."""
+"""One real dispatcher: ``python -m rookwood``. What the operator's file does not ask for is not imported."""
 
 from __future__ import annotations
 
@@ -8,17 +8,24 @@
 import os
 import signal
 import sys
+from collections.abc import Callable, Mapping
+from pathlib import Path
 
+from rookwood.logs import set_up
 from rookwood.net.config import Config, load
-from rookwood.net.dispatcher import Dispatcher
+from rookwood.net.dispatcher import Core, Dispatcher, Front
 from rookwood.settings import FaultyKeyError
 
 log = logging.getLogger(__name__)
 
 
-async def run(config: Config) -> None:
+OPERATOR = "ROOKWOOD_CONF"  # names the operator's file; without it, everything in that is off
+FrontOf = Callable[[Core], Front]
+
+
+async def run(config: Config, front: FrontOf | None) -> None:
     loop = asyncio.get_running_loop()
-    dispatcher = Dispatcher(config)
+    dispatcher = Dispatcher(config, front)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, dispatcher.leave)
     loop.add_signal_handler(signal.SIGHUP, reload, dispatcher)
@@ -42,17 +49,41 @@
         log.exception("the new configuration is not taken over")
 
 
+def operated(environ: Mapping[str, str]) -> FrontOf | None:
+    """Sets the log up, and reads the operator's file if there is one. Raises `FaultyKeyError`."""
+    place = environ.get(OPERATOR)
+    if not place:
+        set_up()
+        return None
+    try:
+        from rookwood.conf import ConfError, load
+    except ImportError as error:
+        raise FaultyKeyError(OPERATOR, f"needs the extra packages of rookwood[gateway]: {error}") from None
+    try:
+        settings = load(Path(place))
+    except ConfError as error:
+        raise FaultyKeyError(OPERATOR, f"{len(error.faults)} fault(s)\n{error}") from None
+    operator = settings.operator
+    fields = {"site": operator.site} if operator.site else {}
+    set_up(operator.log_format, operator.log_level, **fields)
+    if not operator.gateway:
+        return None
+    from rookwood.gateway.gate import front_of
+
+    return front_of(operator, Path(place))
+
+
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     # Its default is to end the program. While nobody handles it, at the start and at the end, it waits.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
+        front = operated(os.environ)
         config = load(os.environ)
     except FaultyKeyError as fault:
         print(f"rookwood: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(run(config))
+        asyncio.run(run(config, front))
     except OSError as error:
         print(f"rookwood: listen: {error}", file=sys.stderr)
         return 1
--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -134,6 +134,16 @@
     avoided: int  # of these: jobs do not go there now, or hardly
 
 
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """How full the workers are, by what is known here; for a front that may pass requests on."""
+
+    slots: float  # of the workers that take jobs, by warmth and trust
+    busy: float  # slots taken there, and waited for in their queues: own attempts and others'
+    held: float  # slots that requests held here would take
+    service: Mapping[str, float]  # seconds that a job of a class runs, on the mean
+
+
 # ---- events ----
 
 
--- a/rookwood/memory.py
+++ b/rookwood/memory.py
@@ -3,8 +3,10 @@
 Requests in hand and timers stay behind: they end with the old process. Nothing here is needed to start.
 """
 
+import math
 from typing import Any
 
+from rookwood import interface as api
 from rookwood.policy import Policy
 
 FORM = 1  # a process of another release may not know this one
@@ -51,3 +53,10 @@
             w.credit, w.credit_at = found["credit"][0], min(now, found["credit"][1])
     for name, value in {**plain, **rows}.items():
         setattr(policy, name, value)
+
+
+def pressure(policy: Policy) -> api.Pressure:  # not learned but seen: how full the workers are
+    up, jobs = [w for w in policy.workers.values() if w.up], policy.jobs.values()
+    slots = sum(policy._slots(w) * policy._warmth(w) * (w.trust if policy.eject else 1) for w in up)
+    usual = {n: c.aim * math.exp(policy.typical[n]) * policy.mean[n] / 2e6 for n, c in policy.classes.items()}
+    return api.Pressure(slots, sum(w.used + w.others for w in up), sum(j.need * j.held for j in jobs), usual)
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from rookwood import interface as api
-from rookwood.memory import recall, remember
+from rookwood.memory import pressure, recall, remember
 from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.destinations import DestinationSet, Endpoint, State
 from rookwood.policy import Policy
@@ -75,6 +75,11 @@
     """Decision: fail, with no promise about the effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """No decision any more: a front has taken the request back, to serve it in another way."""
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """What an endpoint tells of its load."""
@@ -82,7 +87,7 @@
     figures: tuple[tuple[str, float], ...]
 
 
-Decision = Attempt | FailFast | GiveUp
+Decision = Attempt | FailFast | GiveUp | Elsewhere
 
 ENDINGS = {
     End.SERVED: api.Ending.OK,
@@ -104,6 +109,9 @@
 }
 
 
+NEVER_RAN = frozenset(end for end, ending in ENDINGS.items() if ending in api.NEVER_RAN)
+
+
 def micros(span: timedelta) -> int:
     return span // timedelta(microseconds=1)
 
@@ -152,6 +160,20 @@
     async def decision(self) -> Decision:
         return await self._decided.get()
 
+    @property
+    def waiting(self) -> bool:
+        """Held: neither decided nor out at an endpoint."""
+        return not (self._settled or self._out)
+
+    def pass_on(self) -> bool:
+        """Takes the request back while it is held; the next decision says so. False: it is too late."""
+        if not self.waiting:
+            return False
+        self._settled = True
+        self._door.feed(api.Abandoned(self._number))
+        self._decided.put_nowait(Elsewhere())
+        return True
+
     def started(self) -> None:
         self._sign(started=True)
 
@@ -217,6 +239,9 @@
     def recall(self, memory: dict[str, Any]) -> None:
         recall(self._policy, memory, self._last)
 
+    def pressure(self) -> api.Pressure:
+        return pressure(self._policy)
+
     def cluster(self) -> api.Cluster:
         return self._policy.cluster()
 
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -5,8 +5,8 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from enum import Enum
 from typing import Any
@@ -98,6 +98,8 @@
         self._watches: set[asyncio.Task[None]] = set()  # one, and those that are ending
         self._endpoints: dict[str, Endpoint] = {}
         self._stopped: dict[str, datetime] = {}  # draining or gone since
+        # Others know of endpoints here as well, perhaps sooner: since when, by their word.
+        self.elsewhere: Callable[[str], datetime | None] = lambda uid: None
         self.revision = 0
         self.current = asyncio.Event()  # discovery has spoken since the start: the list is no longer old
 
@@ -114,14 +116,27 @@
             for uid in self._endpoints.keys() - named.keys():
                 self._stopped.setdefault(uid, now)
         self.revision = told.revision
-        self._apply(told, kept)
+        heeded = tuple(self._heeded(endpoint) for endpoint in told.endpoints)
+        self._apply(DestinationSet(told.revision, told.whole, heeded), kept)
+
+    def _heeded(self, endpoint: Endpoint) -> Endpoint:
+        if endpoint.state is State.UP and self.elsewhere(endpoint.uid):
+            return replace(endpoint, state=State.DRAINING)
+        return endpoint
+
+    def again(self, uids: Collection[str]) -> None:
+        """What others say of these has changed."""
+        named = tuple(self._heeded(self._endpoints[uid]) for uid in sorted(uids) if uid in self._endpoints)
+        if named:
+            self._apply(DestinationSet(self.revision, False, named), False)
 
     def address(self, uid: str) -> str:
         return self._endpoints[uid].address
 
     def accepts(self, uid: str) -> bool:
         """Half the grace is kept back: what is written now arrives a little later."""
-        stopped = self._stopped.get(uid)
+        told = [since for since in (self._stopped.get(uid), self.elsewhere(uid)) if since]
+        stopped = min(told, default=None)
         return uid in self._endpoints and (stopped is None or self._clock.now() < stopped + self._grace / 2)
 
     def start(self) -> None:
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -6,12 +6,16 @@
 import contextlib
 import json
 import logging
+from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
+from typing import Protocol
 
+from rookwood import interface as api
 from rookwood.net.clock import Clock
-from rookwood.net.config import Config
+from rookwood.net.config import Bounds, Config
 from rookwood.net.decisions import Decisions
-from rookwood.net.destinations import Destinations
+from rookwood.net.destinations import Destinations, DestinationSet
 from rookwood.net.endpoints import Endpoints
 from rookwood.net.figures import Figures
 from rookwood.net.handover import Handover
@@ -34,15 +38,52 @@
 BODIES = 8  # one part in so many of the memory is for bodies in hand; each is there about twice
 
 
+@dataclass(frozen=True, slots=True)
+class Core:
+    """What another front works with."""
+
+    name: str
+    clock: Clock
+    classes: dict[str, api.JobClass]
+    dispatchers: int
+    bounds: Bounds
+    decisions: Decisions
+    destinations: Destinations
+    requests: Requests
+    figures: Figures
+    service: Service
+
+
+class Front(Protocol):
+    """A further way for requests to come in or go out, beside `Inbound`."""
+
+    def told(self, told: DestinationSet, kept: bool) -> DestinationSet:
+        """Discovery has spoken; returns what of it the decisions are to know."""
+
+    async def start(self) -> None: ...
+
+    def reload(self) -> None: ...
+
+    def succeeded(self) -> None:
+        """The next process has taken over."""
+
+    def leave(self) -> None: ...
+
+    async def empty(self) -> None:
+        """Returns once nothing of others is in hand here."""
+
+    async def close(self) -> None: ...
+
+
 class Dispatcher:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, front: Callable[[Core], Front] | None = None) -> None:
         clock, bounds = Clock(), config.bounds
         self._clock = clock
         room = room_of(bounds.sockets)
         self._config = config
         longest = bounds.max_retry_after if bounds.retry_after else timedelta(0)
         self._decisions = Decisions(config.settings, config.seed, clock, longest)
-        self._destinations = Destinations(clock, bounds.drain_grace, self._decisions.update, config.discovery)
+        self._destinations = Destinations(clock, bounds.drain_grace, self._told, config.discovery)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, room.half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
         self._service = Service(clock)
@@ -74,6 +115,12 @@
         self._handover = Handover(
             config.handover, self._remember, self._succeeded, alone=self._succeeds
         )
+        by_name = {c.name: c for c in config.settings.classes}
+        core = Core(
+            *(config.name, clock, by_name, config.settings.dispatchers, bounds),
+            *(self._decisions, self._destinations, self._requests, self._figures, self._service),
+        )
+        self._front = front(core) if front else None
         self._terminated = False
         self._begun = clock.now()
         self._upgrading: datetime | None = None  # there is a process before; it is waited for until then
@@ -108,13 +155,20 @@
         self._service.start()
         self._handover.taken()
         await self._handover.offer(listener)
+        if self._front:
+            await self._front.start()
         log.info("%s listens on %s:%d", config.name, config.listen.host, port)
         return port
 
+    def _told(self, told: DestinationSet, kept: bool) -> None:
+        self._decisions.update(self._front.told(told, kept) if self._front else told, kept)
+
     def reload(self, config: Config) -> None:
         """Takes over what may change while requests are in hand; the rest waits for the next start."""
         log.info("the configuration was read again; discovery is %s", config.discovery)
         self._destinations.move(config.discovery)
+        if self._front:
+            self._front.reload()
 
     def _succeeds(self) -> None:
         """The process before has ended."""
@@ -161,6 +215,8 @@
         log.info("%s has handed over", self._config.name)
         self._service.succeeded = True
         self._inbound.stop()
+        if self._front:
+            self._front.succeeded()
         self._endpoints.most = room_of(self._config.bounds.sockets // 2).half
         self._service.leave(timedelta(0))
 
@@ -174,16 +230,22 @@
         end = min(timedelta(microseconds=longest), COUNTED) + KILL
         self._requests.leave(self._clock.now() + end - CUT)
         self._service.leave(end - MOVE)
+        if self._front:
+            self._front.leave()
 
     async def left(self) -> None:
         """Returns once this process is to leave and everything that was taken has its answer."""
         await self._service.until_leaving()
         await self._service.until_moving()
         await self._inbound.empty()
+        if self._front:
+            await self._front.empty()
 
     async def close(self) -> None:
         await self._handover.close()
         await self._inbound.close()
+        if self._front:
+            await self._front.close()
         await self._management.close()
         await self._destinations.close()
         for task in self._tasks:
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -185,7 +185,9 @@
         sign: Callable[[Stage], None],
         written: Callable[[], None],
         repeatable: bool,
+        leaving: Callable[[], bool] = lambda: True,
     ) -> Result:
+        """`leaving` is asked right before the last byte goes out, `written` told after it."""
         sent, leased = False, list[Connection]()
         try:
             async with asyncio.timeout(self._clock.seconds_to(until)):
@@ -203,6 +205,8 @@
                                 return Result(End.NO_CONNECTION)
                             await self._broke(connection)
                             continue
+                        if not leaving():
+                            return Result(End.NEVER_SENT)
                         sent = True  # from here on a break may come after the last byte
                         try:
                             await connection.wire.write(data[-1:])
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -6,9 +6,21 @@
 import logging
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from enum import Enum
+from typing import Protocol
 
 from rookwood.net.clock import Clock
-from rookwood.net.decisions import Attempt, Decisions, End, FailFast, GiveUp, Job, Ticket
+from rookwood.net.decisions import (
+    NEVER_RAN,
+    Attempt,
+    Decisions,
+    Elsewhere,
+    End,
+    FailFast,
+    GiveUp,
+    Job,
+    Ticket,
+)
 from rookwood.net.destinations import Destinations
 from rookwood.net.endpoints import Endpoints, Outgoing, Result, Stage
 from rookwood.net.figures import Figures
@@ -42,6 +54,61 @@
     allow: str | None = None
 
 
+class Course:
+    """Whether a request may have run so far, for those who must know. A front may refuse the last byte."""
+
+    def __init__(self) -> None:
+        self.ran = False  # an attempt has ended that may have run
+        self.out = False  # the last byte of one may have left
+        self.tried = False  # an attempt has begun
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.ran or self.out
+
+    def held(self, ticket: Ticket) -> None:
+        """The decisions hold it; a front may take it back by `Ticket.pass_on`."""
+
+    def leaving(self) -> bool:
+        self.out = True
+        return True
+
+    def ended(self, end: End) -> None:
+        self.ran, self.out = self.ran or end not in NEVER_RAN, False
+
+
+class Fate(Enum):
+    """What came of a request elsewhere."""
+
+    SERVED = "served"
+    HOME = "home"  # it may run here: nothing has run that must not run again, and nothing runs now
+    FAILED = "failed"
+    NEVER_LEFT = "never left"
+
+
+@dataclass(frozen=True, slots=True)
+class Carried:
+    fate: Fate
+    body: bytes = b""
+
+
+class Crossing(Protocol):
+    """One request's way to endpoints that are not in the list here."""
+
+    def waits(self, ticket: Ticket) -> None:
+        """It is held; whoever can place it elsewhere takes it by `Ticket.pass_on`."""
+
+    async def carried(self) -> Carried:
+        """After it was taken: how it ended there."""
+
+    def close(self, late: bool) -> Fate | None:
+        """The one place of release; `late` if the time is up. What is known then; None: it never crossed."""
+
+
+class Abroad(Protocol):
+    def crossing(self, request: InboundRequest) -> Crossing: ...
+
+
 class Requests:
     def __init__(
         self,
@@ -54,6 +121,7 @@
     ) -> None:
         self._clock, self._decisions, self._retry_after = clock, decisions, retry_after
         self._destinations, self._endpoints, self._figures = destinations, endpoints, figures
+        self.abroad: Abroad | None = None  # where else requests may go
         self._leaving: tuple[datetime, datetime] | None = None  # since when, and the last answer by then
         self._ids: dict[str, None] = {}  # of requests in hand or lately here, longest first
 
@@ -74,7 +142,8 @@
             last = min(last, self._leaving[1])
         return last
 
-    async def serve(self, request: InboundRequest) -> Answer:
+    async def serve(self, request: InboundRequest, course: Course | None = None) -> Answer:
+        """With a `course` the request is another front's guest, and goes nowhere but to endpoints here."""
         # A client makes a new id for each request: one that comes again could have its job run twice.
         request_id = request.outgoing.request_id
         if request_id in self._ids:
@@ -82,9 +151,10 @@
         self._ids[request_id] = None
         if len(self._ids) > REMEMBERED:
             del self._ids[next(iter(self._ids))]
-        return await self._served(request)
+        crossing = self.abroad.crossing(request) if self.abroad and course is None else None
+        return await self._served(request, course or Course(), crossing)
 
-    async def _served(self, request: InboundRequest) -> Answer:
+    async def _served(self, request: InboundRequest, course: Course, crossing: Crossing | None) -> Answer:
         job = Job(
             job_class=request.job_class,
             deadline=request.deadline - EARLY,
@@ -93,33 +163,68 @@
             key=request.key,
             is_retry=request.is_retry,
         )
-        end, tried, last = End.NEVER_SENT, False, self._last_answer(request)
+        last, late = self._last_answer(request), False
         try:
             async with asyncio.timeout(self._clock.seconds_to(last)):
-                # Leaving the block, also when the client has gone, tells the decisions of the end.
-                with self._decisions.admit(job) as ticket:
-                    while True:
-                        match await ticket.decision():
-                            case FailFast(retry_after):
-                                return Answer(503, b"refused\n", retry_after)
-                            case GiveUp():
-                                return Answer(504 if end is End.TIMED_OUT else 502, b"failed\n")
-                            case Attempt() as attempt:
-                                tried = True
-                                result = await self._try(request, attempt, ticket)
-                                end = result.end
-                                if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
-                                    return Answer(400, b"no endpoint can use this request\n")
-                                ticket.ended(end)
-                                if end is End.SERVED:
-                                    return Answer(200, result.body)
+                while (answer := await self._at_home(request, job, course, crossing)) is None:
+                    if crossing is None:
+                        return Answer(503, b"held too long\n", self._retry_after)
+                    carried = await crossing.carried()
+                    if carried.fate is Fate.SERVED:
+                        return Answer(200, carried.body)
+                    if carried.fate is not Fate.HOME:
+                        return Answer(502, b"failed\n")
+                    crossing.close(late=False)
+                    crossing = None  # it crosses at most once
+                return answer
         except TimeoutError:
+            late = True
+            fate = crossing.close(late) if crossing else None
+            tried = course.may_have_run or course.tried or fate is Fate.FAILED
             if last < request.deadline - GUARD:  # cut short, since this program is about to end
                 return Answer(504, b"failed\n") if tried else Answer(503, b"leaving\n", self._retry_after)
-            log.error("no decision before the deadline of a %s request", request.job_class)
+            if fate is Fate.NEVER_LEFT:
+                return Answer(503, b"refused\n", self._retry_after)
+            if fate is None:
+                log.error("no decision before the deadline of a %s request", request.job_class)
             return Answer(504, b"failed\n")
-
-    async def _try(self, request: InboundRequest, attempt: Attempt, ticket: Ticket) -> Result:
+        finally:
+            if crossing and not late:
+                crossing.close(late=False)
+
+    async def _at_home(
+        self, request: InboundRequest, job: Job, course: Course, crossing: Crossing | None
+    ) -> Answer | None:
+        """By endpoints of the list here. None: while it was held it was taken elsewhere."""
+        end = End.NEVER_SENT
+        # Leaving the block, also when the client has gone, tells the decisions of the end.
+        with self._decisions.admit(job) as ticket:
+            while True:
+                if ticket.waiting:
+                    course.held(ticket)
+                    if crossing and not course.may_have_run:
+                        crossing.waits(ticket)
+                match await ticket.decision():
+                    case Elsewhere():
+                        return None
+                    case FailFast(retry_after):
+                        return Answer(503, b"refused\n", retry_after)
+                    case GiveUp():
+                        return Answer(504 if end is End.TIMED_OUT else 502, b"failed\n")
+                    case Attempt() as attempt:
+                        course.tried = True
+                        result = await self._try(request, attempt, ticket, course)
+                        end = result.end
+                        course.ended(end)
+                        if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
+                            return Answer(400, b"no endpoint can use this request\n")
+                        ticket.ended(end)
+                        if end is End.SERVED:
+                            return Answer(200, result.body)
+
+    async def _try(
+        self, request: InboundRequest, attempt: Attempt, ticket: Ticket, course: Course
+    ) -> Result:
         def sign(stage: Stage) -> None:
             (ticket.started if stage is Stage.STARTED else ticket.moving)()
 
@@ -130,6 +235,7 @@
             # Connecting takes a while: by now the endpoint may have been told to drain.
             still_wanted=lambda: self._destinations.accepts(attempt.uid),
             sign=sign,
+            leaving=course.leaving,
             written=lambda: self._figures.sent(request.job_class),
             repeatable=attempt.repeatable,
         )
