--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: build test lint run clean
+.PHONY: demo test build lint run model experiment clean
+
+demo: build  ## two sites on this machine, a burst of jobs, live
+	$(BIN)/rookwood demo
+
+test: build  ## lint, types and tests
+	PATH="$(CURDIR)/$(BIN):$$PATH" tests/run
 
 build: $(VENV)/developer
 
@@ -11,9 +17,6 @@
 	$(BIN)/pip -q install -e '.[test]'
 	touch $(VENV)/built $@
 
-test: build
-	PATH="$(CURDIR)/$(BIN):$$PATH" tests/run
-
 lint: build
 	$(BIN)/ruff check .
 	$(BIN)/mypy
@@ -22,5 +25,11 @@
 run: build
 	$(BIN)/python -m rookwood
 
+model: build  ## explore the handoff between sites exhaustively
+	$(BIN)/rookwood experiment handoff
+
+experiment: build  ## the same traffic without the gateway, with it, and pooled
+	$(BIN)/rookwood experiment gateway
+
 clean:
 	rm -rf $(VENV) build *.egg-info .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/rookwood/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: `rookwood serve`, `check`, `show`, `demo`, `experiment`, `version`."""
--- /dev/null
+++ b/rookwood/cli/main.py
@@ -0,0 +1,151 @@
+"""Commands and exit codes: 0 done, 1 failed while running, 2 wrong use or a faulty file, 3 a broken rule."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib.metadata import version as version_of
+from pathlib import Path
+
+import click
+
+FAILED, FAULTY, BROKEN = 1, 2, 3
+CODES = "Exit codes: 0 done; 1 failed while running; 2 wrong use or a faulty file; 3 a rule was broken."
+
+
+@click.group(epilog=CODES, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+def main() -> None:
+    """rookwood, a dispatcher that pushes jobs to unequal endpoints, and a gateway between sites.
+
+    Shell completion: eval "$(_ROOKWOOD_COMPLETE=bash_source rookwood)" (or zsh_source, fish_source).
+    """
+
+
+@main.command(epilog=CODES)
+@click.option(
+    "--config", type=click.Path(dir_okay=False), help="The platform's JSON file [default: $PROXY_CONFIG]."
+)
+@click.option(
+    "--conf", type=click.Path(dir_okay=False), help="The operator's file [default: $ROOKWOOD_CONF]."
+)
+def serve(config: str | None, conf: str | None) -> None:
+    """Run one dispatcher in the foreground, as `python -m rookwood` does."""
+    from rookwood import __main__ as program
+
+    if config:
+        os.environ["PROXY_CONFIG"] = config
+    if conf:
+        os.environ[program.OPERATOR] = conf
+    sys.exit(program.main())
+
+
+@main.command(epilog=CODES)
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+def check(file: Path) -> None:
+    """Check the operator's FILE, and tell every fault in it at once."""
+    from rookwood.conf import ConfError, load
+
+    try:
+        settings = load(file)
+    except ConfError as error:
+        click.echo(str(error), err=True)
+        sys.exit(FAULTY)
+    if settings.operator.gateway:
+        from rookwood.gateway.secure import CertificateError, secured, utc_now
+
+        try:
+            secured(settings.operator.gateway, utc_now())
+        except CertificateError as error:
+            click.echo(f"{file}: {error}", err=True)
+            sys.exit(FAULTY)
+    click.echo(f"{file}: sound")
+
+
+@main.command(epilog=CODES)
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+def show(file: Path) -> None:
+    """Show the settings that FILE puts in force, and where each came from."""
+    from rookwood.conf import ConfError, load
+
+    try:
+        settings = load(file)
+    except ConfError as error:
+        click.echo(str(error), err=True)
+        sys.exit(FAULTY)
+    rows = list(settings.rows())
+    widths = [max(len(row[n]) for row in rows) for n in (0, 1)]
+    for path, value, origin in rows:
+        click.echo(f"{path:<{widths[0]}}  {value:<{widths[1]}}  {origin}")
+
+
+@main.command()
+def version() -> None:
+    """Show the version of this program."""
+    click.echo(f"rookwood {version_of('rookwood')}")
+
+
+@main.command(epilog=CODES)
+@click.option("--seconds", default=20.0, show_default=True, help="How long traffic comes.")
+@click.option("--seed", default=1, show_default=True, help="For random choices.")
+def demo(seconds: float, seed: int) -> None:
+    """Two sites on this machine, a burst of mixed jobs at one, and live what goes where."""
+    from rookwood.lab.demo import demonstrate
+
+    sys.exit(demonstrate(seconds, seed))
+
+
+@main.group(epilog=CODES)
+def experiment() -> None:
+    """Measure something; --json FILE keeps the figures with settings and version."""
+
+
+@experiment.command("gateway", epilog=CODES)
+@click.option("--seed", default=1, show_default=True, help="For random choices.")
+@click.option(
+    "--seconds", default=20.0, show_default=True, help="How long traffic comes, in each of the three plays."
+)
+@click.option("--loss", default=5.0, show_default=True, help="Messages lost between the sites, in percent.")
+@click.option("--delay-ms", default=2.0, show_default=True, help="Added delay between the sites, each way.")
+@click.option(
+    "--rate", default=0.0, help="Jobs a second [default: --load times what the busy site's boxes carry]."
+)
+@click.option(
+    "--load", default=1.2, show_default=True, help="Jobs at the busy site over what its boxes carry."
+)
+@click.option("--skew", default=0.78, show_default=True, help="Share of the jobs that come to the busy site.")
+@click.option("--cuts/--no-cuts", default=False, help="Cut and heal the links meanwhile.")
+@click.option("--plays", default="off,on,pooled", show_default=True, help="Which of off, on and pooled.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def gateway(
+    seed: int,
+    seconds: float,
+    loss: float,
+    delay_ms: float,
+    rate: float,
+    load: float,
+    skew: float,
+    cuts: bool,
+    plays: str,
+    json_file: Path | None,
+) -> None:
+    """Play the same traffic at two sites without the gateway, with it, and with all boxes as one site."""
+    from rookwood.lab.experiment import Plan, run_gateway
+
+    chosen = tuple(plays.split(","))
+    if not set(chosen) <= {"off", "on", "pooled"}:
+        raise click.BadParameter("is not a list of off, on and pooled", param_hint="--plays")
+    plan = Plan(seed, seconds, loss / 100, delay_ms / 1000, rate, load, skew, cuts, chosen)
+    sys.exit(run_gateway(plan, json_file))
+
+
+@experiment.command("handoff", epilog=CODES)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def handoff(json_file: Path | None) -> None:
+    """Explore the handoff between sites exhaustively, and check that broken variants of it are caught."""
+    from rookwood.lab.modelcheck import run
+
+    sys.exit(run(json_file))
