--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -149,3 +149,14 @@
     from rookwood.lab.modelcheck import run
 
     sys.exit(run(json_file))
+
+
+@experiment.command("rest", epilog=CODES)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def rest(json_file: Path | None) -> None:
+    """Measure what the plain dispatcher takes at rest, and whether it imports what it does not use."""
+    from rookwood.lab.rest import run
+
+    sys.exit(run(json_file))
--- a/rookwood/gateway/guests.py
+++ b/rookwood/gateway/guests.py
@@ -6,12 +6,13 @@
 import contextlib
 import ssl
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
 import structlog
 
+from rookwood import interface as api
 from rookwood.conf import Gateway as Settings
 from rookwood.gateway.advice import Far
 from rookwood.gateway.frames import (
@@ -40,9 +41,9 @@
 
 log = structlog.stdlib.get_logger(__name__)
 
-PATIENCE = timedelta(
-    milliseconds=150
-)  # so long a guest is held here; then it goes back, where it may still be served
+PATIENCE = (
+    0.3  # of its class's aim: so long a guest is held here; then it goes back, where it may be served yet
+)
 MOST_CHANNELS = 64
 TOMBSTONES = 32  # times the jobs that may be in hand: more than that are not remembered, so not taken either
 RESEND, LONGEST_RESEND = timedelta(milliseconds=40), timedelta(seconds=1)
@@ -92,15 +93,16 @@
 class GuestCourse(Course):
     """Asks the machine before the last byte leaves, and tells it what came of the attempt."""
 
-    def __init__(self, guests: Guests, visitor: Visitor, guest: Guest) -> None:
+    def __init__(self, guests: Guests, visitor: Visitor, guest: Guest, patience: float) -> None:
         super().__init__()
+        self._patience = patience  # seconds
         self._guests, self._visitor, self._guest = guests, visitor, guest
         self._impatience: asyncio.TimerHandle | None = None
 
     def held(self, ticket: Ticket) -> None:
         if self._impatience is None:
             loop = asyncio.get_running_loop()
-            self._impatience = loop.call_later(PATIENCE.total_seconds(), ticket.pass_on)
+            self._impatience = loop.call_later(self._patience, ticket.pass_on)
 
     def leaving(self) -> bool:
         return self._guests.may_leave(self._visitor, self._guest) and super().leaving()
@@ -125,7 +127,7 @@
         allowed: Collection[tuple[str, str]],
         clock: Clock,
         requests: Requests,
-        classes: Collection[str],
+        classes: Mapping[str, api.JobClass],
         unsafe: Collection[str],
         far: Far,
         stopped: Callable[[set[str]], None],
@@ -336,7 +338,8 @@
                 guest.body = b""
 
     async def _serve(self, visitor: Visitor, guest: Guest, offer: Offer) -> None:
-        course = GuestCourse(self, visitor, guest)
+        patience = PATIENCE * self._classes[offer.job_class].aim / 1e6
+        course = GuestCourse(self, visitor, guest, patience)
         event = AwayEvent.ENDED
         try:
             request = InboundRequest(
--- a/rookwood/gateway/home.py
+++ b/rookwood/gateway/home.py
@@ -159,11 +159,11 @@
         if channel.name is not None and channel.name != named.name:
             raise LinkError(f"its certificate names {channel.name!r}, not {named.name!r}")
         channel.send(Hello(VERSION, me.site, me.name, me.life, micros(self._clock.now() - EPOCH)))
-        async with asyncio.timeout(HELLO_LIMIT.total_seconds()):
-            # What overtook the hello on its way is passed over: it will be said again.
-            while not isinstance(hello := await channel.receive(HELLO_LIMIT), Hello):
-                if isinstance(hello, Refusal):
-                    raise LinkError(f"the peer refuses: {hello.why}")
+        until = self._clock.now() + HELLO_LIMIT
+        # What overtook the hello on its way is passed over: it will be said again.
+        while not isinstance(hello := await channel.receive(until - self._clock.now()), Hello):
+            if isinstance(hello, Refusal):
+                raise LinkError(f"the peer refuses: {hello.why}")
         if hello.version != VERSION:
             raise LinkError(f"the peer speaks version {hello.version}, here it is {VERSION}")
         if (hello.site, hello.name) != (self.peer.site, named.name):
--- a/rookwood/gateway/lending.py
+++ b/rookwood/gateway/lending.py
@@ -37,11 +37,10 @@
 
     def update(self, now: datetime, told: api.Pressure, guests: float) -> float:
         """Slots that this dispatcher lends now in all; `guests` are taken by them already."""
-        others = max(0.0, told.busy - guests)
-        spare = told.slots * (1 - self.reserve) - others - told.held * self.dispatchers
-        most = self.lend * told.slots / self.dispatchers
-        # What is spare belongs to all dispatchers of the site alike; what guests have here is this one's.
-        goal = max(0.0, min(most, guests + (spare - guests) / self.dispatchers))
+        spare = told.slots * (1 - self.reserve) - told.busy - told.held * self.dispatchers
+        # All that is spare is offered by each dispatcher of the site: a part of it would often hold no large
+        # job. Where two lend the same slots at once, guests find no room, and go back after a short wait.
+        goal = max(0.0, min(self.lend * told.slots, guests + spare))
         age = now - self._at if self._at else RISE
         self._at = now
         if goal < self.lent:
--- a/rookwood/gateway/link.py
+++ b/rookwood/gateway/link.py
@@ -52,7 +52,7 @@
                 async with asyncio.timeout(limit.total_seconds()):
                     data = await self._reader.read(CHUNK)
             except TimeoutError:
-                raise LinkError(f"nothing was heard for {limit.total_seconds():g} s") from None
+                raise LinkError(f"nothing was heard for {limit.total_seconds():.1f} s") from None
             if not data:
                 raise LinkError("the peer has closed")
             try:
--- a/rookwood/gateway/routing.py
+++ b/rookwood/gateway/routing.py
@@ -111,8 +111,7 @@
         else:
             new = (told.busy + told.held) / told.slots
         new = min(new, 10.0)
-        age = now - self._at if self._at else SMOOTH
-        part = 1 - math.exp(-(age / SMOOTH))
+        part = 1 - math.exp(-((now - self._at) / SMOOTH)) if self._at else 1.0
         self.pressure, self._at = self.pressure + part * (new - self.pressure), now
         if self.pressure >= self.prices.enter:
             self.crossing = True
--- a/rookwood/lab/demo.py
+++ b/rookwood/lab/demo.py
@@ -17,7 +17,7 @@
 from rookwood.lab.world import SITES, World, carries, traffic
 
 LOAD, SKEW = 1.0, 0.78
-BAR = 24
+BAR = 12
 
 
 def bar(part: float) -> Text:
@@ -35,7 +35,7 @@
             if box.site == site:
                 state = "" if box.state == "up" else f"[magenta]{box.state}[/]"
                 table.add_row(
-                    box.uid, bar(box.busy / box.slots), f"{box.waiting:3} wait {box.served:4} done", state
+                    box.uid, bar(box.busy / box.slots), f"{box.waiting:2} wait {box.served:3} done", state
                 )
         panels.append(Panel(table, title=site, title_align="left"))
     score, crossed = world.score, len(world.ledger.crossed)
--- a/rookwood/lab/world.py
+++ b/rookwood/lab/world.py
@@ -365,7 +365,7 @@
     def drain(self, box: Box, news_after: float) -> None:
         """The other site hears of it now, the box's own site later."""
         loop = asyncio.get_running_loop()
-        box.told_near, box.state = loop.time(), "draining"
+        box.told_near, box.state = loop.time() if self.mode == "on" else None, "draining"
         for site in SITES:
             if site != box.site and self._listed(box, site):
                 self._say(site, box)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from rookwood.net.config import load
-from rookwood.net.dispatcher import Dispatcher
+from rookwood.net.dispatcher import Core, Dispatcher, Front
 
 LIMIT = 10.0  # seconds that any one step may take before the test is called hung
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -227,7 +227,11 @@
 
 @contextlib.asynccontextmanager
 async def stage(
-    folder: Path, *endpoints: Endpoint, tmpdir: Path | None = None, **changes: Any
+    folder: Path,
+    *endpoints: Endpoint,
+    tmpdir: Path | None = None,
+    front: Callable[[Core], Front] | None = None,
+    **changes: Any,
 ) -> AsyncIterator[Stage]:
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
@@ -236,6 +240,6 @@
         where = await stack.enter_async_context(listening(discovery))
         listed = [entry(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
         environ = environment(folder, listed, where, **changes)
-        dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})))
+        dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})), front)
         stack.push_async_callback(dispatcher.close)
         yield Stage(dispatcher, await dispatcher.start(), discovery)
