--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -466,7 +466,7 @@
                 self.ring += w.points
         if gone or new:
             self.ring.sort()
-            self.whole_size = sum(self.sizes[w.info.kind] for w in self.workers.values())
+            self.whole_size = sum(self.sizes[w.info.kind] for w in self.workers.values()) or LEAST
         self._serve_held()
 
     def _step(self, _: object) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -415,3 +415,15 @@
     assert world.asked[refused].answered and not world.asked[refused].tries
     (advice,) = (a.retry_after for _, a in world.trace if isinstance(a, api.Refuse))
     assert advice > 0
+
+
+def test_workers_listed_without_a_size_are_learned_from_all_the_same() -> None:
+    """All sizes 0 made each slowness 0, and learning from an answer a division by it (found at random)."""
+    world = World(settings())
+    world.list_workers(worker(0, size=0.0), worker(1, size=0.0))
+    for _ in range(3):
+        world.ask("read")
+        world.advance(5_000 * MS)  # over a placement step
+        for number in world.out():
+            world.end(number, api.Ending.OK)
+    assert all(w.slowness > 0 for w in world.policy.workers.values())
