Play restarts, upgrades, reloads and cut links in the gateway's experiment, on dispatcher processes

Need: drains, upgrades, SIGTERM, SIGHUP and deaths of either gateway amid jobs in both directions had only been played within one process. And the cost of a crossing was mixed with the wait at home before it.

Change: `--restarts N` kills, upgrades, reloads and ends dispatchers in turn, `--cuts` cuts the links; the relay notes how long after its offer a job's result passes, so `crossing_ms` is the crossing alone. A leaving gateway waits until its guests' results are acknowledged.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -114,6 +114,7 @@
 )
 @click.option("--skew", default=0.78, show_default=True, help="Share of the jobs that come to the busy site.")
 @click.option("--cuts/--no-cuts", default=False, help="Cut and heal the links meanwhile.")
+@click.option("--restarts", default=0, show_default=True, help="Dispatchers killed, upgraded and so on.")
 @click.option("--plays", default="off,on,pooled", show_default=True, help="Which of off, on and pooled.")
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
@@ -127,6 +128,7 @@
     load: float,
     skew: float,
     cuts: bool,
+    restarts: int,
     plays: str,
     json_file: Path | None,
 ) -> None:
@@ -136,7 +138,7 @@
     chosen = tuple(plays.split(","))
     if not set(chosen) <= {"off", "on", "pooled"}:
         raise click.BadParameter("is not a list of off, on and pooled", param_hint="--plays")
-    plan = Plan(seed, seconds, loss / 100, delay_ms / 1000, rate, load, skew, cuts, chosen)
+    plan = Plan(seed, seconds, loss / 100, delay_ms / 1000, rate, load, skew, cuts, restarts, chosen)
     sys.exit(run_gateway(plan, json_file))
 
 
--- a/rookwood/gateway/gate.py
+++ b/rookwood/gateway/gate.py
@@ -197,7 +197,7 @@
 
     async def empty(self) -> None:
         limit = self._core.clock.now() + GUESTS_LIMIT
-        while self._guests.current and self._core.clock.now() < limit:
+        while self._guests.owed and self._core.clock.now() < limit:
             await asyncio.sleep(TICK.total_seconds())
 
     async def close(self) -> None:
--- a/rookwood/gateway/guests.py
+++ b/rookwood/gateway/guests.py
@@ -150,6 +150,14 @@
     def current(self) -> int:
         return sum(len(visitor.live) for visitor in self._visitors.values())
 
+    @property
+    def owed(self) -> bool:
+        """A result is still to be heard by its home, or to come."""
+        guests = (
+            guest for visitor in self._visitors.values() for guest in visitor.jobs.values() if visitor.channel
+        )
+        return any(not guest.state.acked and guest.state.outcome is not Outcome.NEVER for guest in guests)
+
     @property
     def homes(self) -> int:
         return sum(visitor.channel is not None for visitor in self._visitors.values())
--- a/rookwood/gateway/home.py
+++ b/rookwood/gateway/home.py
@@ -103,7 +103,6 @@
         self.peer = Peer(site, named.name)
         self.counts: Counter[str] = Counter()
         self.rtt = timedelta(0)
-        self.times: list[timedelta] = []  # of crossings since the figures were last read
         self.state = "down"
         self._life: int | None = None
         self._granted: dict[int, Granted] = {}  # by life; all but the newest only while jobs are out there
@@ -272,9 +271,7 @@
     def _settle(self, job: Out, verdict: Verdict, body: bytes) -> None:
         self.peer.gave_back(job.request.slots)
         self.counts[{Verdict.SERVED: "brought", Verdict.HOME: "returned"}.get(verdict, "failed")] += 1
-        if verdict is Verdict.SERVED:
-            self.times.append(self._clock.now() - job.since)
-        elif verdict is Verdict.FAILED or (
+        if verdict is Verdict.FAILED or (
             verdict is Verdict.HOME and not job.state.heard and job.state.written
         ):
             self.peer.failed()
--- a/rookwood/lab/experiment.py
+++ b/rookwood/lab/experiment.py
@@ -17,6 +17,7 @@
 from rookwood.lab.results import keep
 from rookwood.lab.world import SITES, World, carries, traffic
 
+TROUBLES_LIMIT = 30.0  # seconds after the last answer
 SETTLE = 1.5  # seconds: links come up, first probes are answered
 MOST_MICROS = 60_000_000
 
@@ -31,6 +32,7 @@
     load: float
     skew: float
     cuts: bool
+    restarts: int  # of dispatchers: killed, upgraded, asked to end, or told to read their files again
     plays: tuple[str, ...]
 
     @property
@@ -54,6 +56,23 @@
     world.back(box)
 
 
+async def restarts(world: World, plan: Plan) -> None:
+    """Dispatchers of both sites die amid their own jobs and their guests, and come back with nothing."""
+    rng = random.Random(plan.seed + 1)
+    for n in range(plan.restarts):
+        await asyncio.sleep(0.8 * plan.seconds / plan.restarts * rng.uniform(0.4, 0.9))
+        node = world.nodes[(n + plan.seed) % len(world.nodes)]
+        match ("kill", "upgrade", "reload", "end")[n % 4]:
+            case "kill":
+                await world.restart(node, gently=False, down=rng.uniform(0.2, 1.4))
+            case "upgrade":
+                await world.upgrade(node)
+            case "reload":
+                world.reload(node)
+            case "end":
+                await world.restart(node, gently=True, down=rng.uniform(0.2, 1.4))
+
+
 async def play(plan: Plan, mode: str, tick: Callable[[World, float], None] | None = None) -> dict[str, Any]:
     world = World(plan.seed, mode, plan.loss, plan.delay)
     arrivals = traffic(plan.seed, plan.seconds, plan.jobs_a_second, plan.skew)
@@ -61,10 +80,9 @@
     try:
         await world.start()
         await asyncio.sleep(SETTLE)
-        task = asyncio.create_task(troubles(world, plan))
+        tasks = [asyncio.create_task(troubles(world, plan)), asyncio.create_task(restarts(world, plan))]
         await world.play(arrivals, (lambda at: tick(world, at)) if tick else None)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.wait_for(asyncio.gather(*tasks), TROUBLES_LIMIT)
         told = await world.figures()
         return figures_of(world, told, len(arrivals))
     finally:
@@ -73,13 +91,21 @@
 
 def figures_of(world: World, told: dict[str, dict[str, float]], jobs: int) -> dict[str, Any]:
     score, ledger = world.score, world.ledger
-    histograms = {crossed: HdrHistogram(1, MOST_MICROS, 3) for crossed in (True, False)}
-    for crossed, seconds in score.overhead:
-        histograms[crossed].record_value(max(1, int(seconds * 1e6)))
+    away = [s - ledger.box_time[r] for r, s in world.weather.carried.items() if r in ledger.box_time]
+    spans = {
+        "crossing_ms": away,  # from the offer to its outcome on the link, less the box's time
+        "crossed_ms": [
+            s for crossed, s in score.overhead if crossed
+        ],  # as the client sees it, waiting included
+        "home_ms": [s for crossed, s in score.overhead if not crossed],
+    }
 
-    def ms(crossed: bool, percentile: float) -> float | None:
-        histogram = histograms[crossed]
-        return histogram.get_value_at_percentile(percentile) / 1000 if histogram.total_count else None
+    def percentiles(seconds: list[float]) -> dict[str, float | None]:
+        histogram = HdrHistogram(1, MOST_MICROS, 3)
+        for span in seconds:
+            histogram.record_value(max(1, int(span * 1e6)))
+        of = histogram.get_value_at_percentile
+        return {f"p{p}": of(p) / 1000 if seconds else None for p in (50, 99)}
 
     def total(suffix: str) -> float:
         return sum(value for one in told.values() for name, value in one.items() if name.endswith(suffix))
@@ -95,12 +121,12 @@
         "lost": score.count("lost"),
         "unanswered": score.count("unanswered"),
         "failed": score.count("failed"),
+        "broken": score.count("broken"),
         "refused": score.count("refused"),
         "retries": score.retries,
         "crossings": len(ledger.crossed),
         "late_drain_sends": ledger.late_sends,
-        "crossing_ms": {"p50": ms(True, 50), "p99": ms(True, 99)},
-        "home_ms": {"p50": ms(False, 50), "p99": ms(False, 99)},
+        **{name: percentiles(seconds) for name, seconds in spans.items()},
         "gateway": {name: total(f".{name}") for name in ("lent", "brought", "returned", "promised")}
         | {
             "failed": sum(
@@ -131,11 +157,11 @@
     figures: dict[str, Any] = {f"service_{mode}": results[mode]["service"] for mode in plan.plays}
     for name in ("double_runs", "lost", "unanswered"):
         figures[name] = sum(result[name] for result in results.values())
-    for name in ("crossings", "late_drain_sends", "crossing_ms", "home_ms", "classes"):
+    for name in ("crossings", "late_drain_sends", "crossing_ms", "crossed_ms", "home_ms", "classes"):
         figures[name] = on[name]
     table = Table("", *plan.plays, title=f"Gateway, seed {plan.seed}, {plan.jobs_a_second:.1f} jobs a second")
     for name in (
-        *("service", "jobs", "refused", "failed", "lost", "unanswered", "retries"),
+        *("service", "jobs", "refused", "failed", "broken", "lost", "unanswered", "retries"),
         *("double_runs", "crossings", "late_drain_sends"),
     ):
         table.add_row(name, *(str(results[mode][name]) for mode in plan.plays))
@@ -144,7 +170,7 @@
             f"service of {name}",
             *(str(results[m]["classes"].get(name, {}).get("service")) for m in plan.plays),
         )
-    for name in ("crossing_ms", "home_ms"):
+    for name in ("crossing_ms", "crossed_ms", "home_ms"):
         table.add_row(
             f"{name} p50 / p99",
             *(f"{results[m][name]['p50']} / {results[m][name]['p99']}" for m in plan.plays),
--- a/rookwood/lab/net.py
+++ b/rookwood/lab/net.py
@@ -9,10 +9,10 @@
 import contextlib
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
-from rookwood.gateway.frames import PREFIX
+from rookwood.gateway.frames import PREFIX, Ended, FrameError, Offer, decoded
 
 
 @dataclass(slots=True)
@@ -26,6 +26,10 @@
     cut: bool = False  # everything is swallowed, and nobody is told
     dropped: int = 0
     passed: int = 0
+    offered: dict[tuple[int, int], tuple[str, float]] = field(default_factory=dict)  # when a job first was
+    carried: dict[str, float] = field(
+        default_factory=dict
+    )  # by request id: seconds to its result, on the link
 
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]]
@@ -90,10 +94,21 @@
                     weather.dropped += 1
                     continue
                 weather.passed += 1
+                self._note(frame[PREFIX.size :])
                 for _ in range(2 if self._random.random() < weather.double else 1):
                     late = weather.delay + weather.jitter * self._random.random()
                     loop.call_later(late, self._deliver, writer, frame)
 
+    def _note(self, data: bytes) -> None:
+        """What crossing costs is seen here: how long after its offer a job's result passes."""
+        weather, now = self._weather, asyncio.get_running_loop().time()
+        with contextlib.suppress(FrameError):
+            match decoded(data):
+                case Offer(job, request_id=request_id):
+                    weather.offered.setdefault((id(self), job), (request_id, now))
+                case Ended(job, "served") if found := weather.offered.pop((id(self), job), None):
+                    weather.carried[found[0]] = now - found[1] + 2 * weather.delay
+
     @staticmethod
     def _deliver(writer: asyncio.StreamWriter, frame: bytes) -> None:
         if not writer.is_closing():
--- a/rookwood/lab/world.py
+++ b/rookwood/lab/world.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import tempfile
@@ -25,6 +26,8 @@
 from rookwood.lab.net import Relay, Weather
 
 READY_LIMIT = 15.0  # seconds
+GENTLE = 3.7  # from SIGTERM to SIGKILL, as the platform counts
+UPGRADE_LIMIT = 21.0  # the longest deadline and a little more
 SITES = ("zagreb", "rijeka")
 
 
@@ -115,6 +118,9 @@
         return self.earned / self.asked if self.asked else 0.0
 
 
+LISTEN, MGMT, LINK = 3000, 9901, 7443  # ports of every node
+
+
 @dataclass(slots=True, eq=False)
 class Node:
     """One dispatcher process."""
@@ -125,10 +131,15 @@
     config: Path
     conf: Path | None
     process: subprocess.Popen[bytes] | None = None
+    mgmt: int = MGMT
+    old: subprocess.Popen[bytes] | None = None  # amid an upgrade: the process before
+    dead_until: float = 0.0  # by the event loop's clock
 
     def start(self, log: Path) -> None:
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "ROOKWOOD_", "TMPDIR"))}
         environ["PROXY_CONFIG"] = str(self.config)
+        environ["PROXY_MGMT"] = f"{self.host}:{self.mgmt}"
+        environ["TMPDIR"] = str(self.config.parent)
         if self.conf:
             environ["ROOKWOOD_CONF"] = str(self.conf)
         with log.open("ab") as out:
@@ -141,17 +152,15 @@
             )
 
     def stop(self) -> None:
-        if self.process and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-
-
-LISTEN, MGMT, LINK = 3000, 9901, 7443  # ports of every node
+        for process in (self.process, self.old):
+            if process and process.poll() is None:
+                process.kill()
+                process.wait()
 
 
-async def asked(host: str, path: str, method: str = "GET") -> tuple[int, str]:
+async def asked(host: str, port: int, path: str, method: str = "GET") -> tuple[int, str]:
     """One call of a second address."""
-    reader, writer = await asyncio.open_connection(host, MGMT)
+    reader, writer = await asyncio.open_connection(host, port)
     try:
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n".encode())
         text = (await asyncio.wait_for(reader.read(), 2.0)).decode()
@@ -160,6 +169,10 @@
         writer.close()
 
 
+class NotReadError(ConnectionError):
+    """A kept connection was closed as the request went out on it: it goes out once more, on a new one."""
+
+
 class World:
     """Owns everything of one play, from `start` to `close`."""
 
@@ -240,7 +253,6 @@
         told: dict[str, Any] = {
             "name": node.name,
             "listen": f"{node.host}:{LISTEN}",
-            "mgmt": f"{node.host}:{MGMT}",
             "discovery": self.discovery[node.site].server.address,
             "seed": f"{self._seed * 1000 + len(self.relays):x}",
             "limits": {"sockets": 1024, "memory_mb": 192},
@@ -267,7 +279,7 @@
 
     async def _ready(self, node: Node) -> bool:
         with contextlib.suppress(OSError, TimeoutError, IndexError, ValueError):
-            return (await asked(node.host, "/ops/readiness"))[0] == 200
+            return (await asked(node.host, node.mgmt, "/ops/readiness"))[0] == 200
         return False
 
     async def close(self) -> None:
@@ -311,12 +323,18 @@
             node = self._random.choice(nodes)
             try:
                 async with asyncio.timeout(kind.give_up):
-                    status, headers = await self._ask(node, arrival, request_id, kind.give_up)
+                    try:
+                        status, headers = await self._ask(node, arrival, request_id, kind.give_up)
+                    except NotReadError:
+                        if loop.time() < node.dead_until:
+                            raise
+                        status, headers = await self._ask(node, arrival, request_id, kind.give_up, anew=True)
             except TimeoutError:
                 how = "unanswered"
                 break
             except (OSError, asyncio.IncompleteReadError):
-                how = "lost"
+                # By the death of a dispatcher or, where it lives, by its fault.
+                how = "broken" if loop.time() < node.dead_until else "lost"
                 break
             if status == 200:
                 late = loop.time() > in_time
@@ -335,7 +353,7 @@
         self.score.ended(arrival, how, {"in time": 1.0, "late": LATE_WORTH}.get(how, 0.0))
 
     async def _ask(
-        self, node: Node, arrival: Arrival, request_id: str, timeout: float
+        self, node: Node, arrival: Arrival, request_id: str, timeout: float, anew: bool = False
     ) -> tuple[int, dict[str, str]]:
         body = json.dumps({"work": round(arrival.work, 4), "slots": arrival.slots}).encode()
         head = (
@@ -344,10 +362,16 @@
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         kept = self._idle.setdefault(node.host, [])
-        reader, writer = kept.pop() if kept else await asyncio.open_connection(node.host, LISTEN)
+        old = bool(kept) and not anew
+        reader, writer = kept.pop() if old else await asyncio.open_connection(node.host, LISTEN)
         try:
             writer.write(head.encode() + body)
-            text = (await reader.readuntil(b"\r\n\r\n")).decode()
+            try:
+                text = (await reader.readuntil(b"\r\n\r\n")).decode()
+            except (asyncio.IncompleteReadError, ConnectionError) as error:
+                if old and not getattr(error, "partial", b""):
+                    raise NotReadError from None
+                raise
             start, *lines = text.rstrip().split("\r\n")
             headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
             await reader.readexactly(int(headers.get("content-length", 0)))
@@ -383,11 +407,45 @@
     def _listed(self, box: Box, site: str) -> bool:
         return self.mode != "off" or box.site == site
 
+    async def restart(self, node: Node, gently: bool, down: float) -> None:
+        """Kills a dispatcher, after a SIGTERM if gently, and starts it again."""
+        loop, process = asyncio.get_running_loop(), node.process
+        assert process
+        node.dead_until = float("inf")
+        if gently:
+            process.terminate()
+            await asyncio.sleep(GENTLE)
+        process.kill()
+        await asyncio.to_thread(process.wait)
+        await asyncio.sleep(down)
+        node.start(self.log)
+        async with asyncio.timeout(READY_LIMIT):
+            while not await self._ready(node):
+                await asyncio.sleep(0.05)
+        node.dead_until = loop.time() + 0.5  # who connected before may hear of it only now
+
+    async def upgrade(self, node: Node) -> None:
+        """Starts the next process beside the running one, as an operator does; that one is told to end."""
+        node.old, node.mgmt = node.process, node.mgmt + 1
+        node.start(self.log)
+        async with asyncio.timeout(READY_LIMIT):
+            while not await self._ready(node):
+                await asyncio.sleep(0.05)
+        if node.old:
+            node.old.terminate()
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                await asyncio.to_thread(node.old.wait, UPGRADE_LIMIT)
+            node.old.kill()
+
+    def reload(self, node: Node) -> None:
+        if node.process:
+            node.process.send_signal(signal.SIGHUP)
+
     async def figures(self) -> dict[str, dict[str, float]]:
         found: dict[str, dict[str, float]] = {}
         for node in self.nodes:
             with contextlib.suppress(OSError, TimeoutError):
-                _, text = await asked(node.host, "/ops/stats")
+                _, text = await asked(node.host, node.mgmt, "/ops/stats")
                 found[node.name] = dict(figure_lines(text))
         return found
 
