--- a/rookwood/lab/redis.py
+++ b/rookwood/lab/redis.py
@@ -1,7 +1,7 @@
 """A stand-in Redis on asyncio: RESP2 and RESP3, the commands that the ledger uses, Lua scripts, and faults.
 
-Enough for an unmodified redis-py client, and no more. Scripts run in Lua 5.1 (lupa), the version that Redis has,
-against the same commands. `Faults` makes it slow, silent, wrong, empty or older than it was.
+Enough for an unmodified redis-py client, and no more. Scripts run in Lua 5.1 (lupa), the version that Redis
+has, against the same commands. `Faults` makes it slow, silent or wrong, `restart` empty or older than it was.
 Source: redis.io/docs/latest/develop/reference/protocol-spec, RESP3 specification.
 """
 
@@ -115,8 +115,9 @@
         self._sessions: set[Session] = set()
         self._scripts: dict[str, Any] = {}
         self._thawed = asyncio.Event()
-        self._lua = lua51.LuaRuntime(encoding=None, unpack_returned_tuples=True)  # type: ignore[call-arg]
-        self._lua.globals()[b"redis"] = self._lua.table_from({b"call": self._from_lua, b"error_reply": _raise})
+        self._lua = lua51.LuaRuntime(encoding=None, unpack_returned_tuples=True)
+        library = {b"call": self._from_lua, b"error_reply": _raise}
+        self._lua.globals()[b"redis"] = self._lua.table_from(library)
 
     # ---- faults ----
 
@@ -126,7 +127,7 @@
             session.writer.transport.abort()
 
     def restart(self, empty: bool = False, lost_writes: int = 0) -> None:
-        """Another process: a new run id, connections gone; with nothing, or without the last so many writes."""
+        """Another process: a new run id, connections gone; empty, or without the last so many writes."""
         if empty:
             self._data, self._ends = {}, {}
             self._undo.clear()
@@ -273,7 +274,15 @@
         return Simple(b"OK")
 
     def _do_info(self, *_: bytes) -> Reply:
-        return f"# Server\r\nredis_version:7.2.0\r\nrun_id:{self.run_id}\r\n# Replication\r\nrole:master\r\n".encode()
+        lines = (
+            "# Server",
+            "redis_version:7.2.0",
+            f"run_id:{self.run_id}",
+            "# Replication",
+            "role:master",
+            "",
+        )
+        return "\r\n".join(lines).encode()
 
     def _do_time(self) -> Reply:
         now = int(self._now() * 1_000_000)
@@ -292,7 +301,10 @@
         return Simple(b"OK")
 
     def _do_incr(self, key: bytes) -> Reply:
-        value = int(self._get(key, bytes) or 0) + 1
+        return self._do_incrby(key, b"1")
+
+    def _do_incrby(self, key: bytes, by: bytes) -> Reply:
+        value = int(self._get(key, bytes) or 0) + int(by)
         self._do_set(key, b"%d" % value)
         return value
 
