Claim keyed unlocks in a shared store before they run, so that a retry elsewhere spends nothing twice

Need: a retry of an unlock that lands on another dispatcher met one that knew nothing of the first try.

Change: `ledger/guard` wraps a keyed unsafe request's life: claimed within a part of its time, renewed while it is out, settled before the answer; a store that has gone back in time is noticed, its history begun anew and this dispatcher's claims written again. `ledger/health` is the breaker, `ledger/front` and the `store` section plug it in; a dispatcher may have several fronts. Answers 409, 422, 502 and 503 as in docs/operators/store.md, `Idempotency-Replayed` on what is replayed. `rookwood experiment ledger` plays keyed unlocks on four dispatcher processes while the store misbehaves and dispatchers are killed.

--- a/rookwood/__main__.py
+++ b/rookwood/__main__.py
@@ -23,9 +23,9 @@
 FrontOf = Callable[[Core], Front]
 
 
-async def run(config: Config, front: FrontOf | None) -> None:
+async def run(config: Config, fronts: list[FrontOf]) -> None:
     loop = asyncio.get_running_loop()
-    dispatcher = Dispatcher(config, front)
+    dispatcher = Dispatcher(config, *fronts)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, dispatcher.leave)
     loop.add_signal_handler(signal.SIGHUP, reload, dispatcher)
@@ -49,12 +49,12 @@
         log.exception("the new configuration is not taken over")
 
 
-def operated(environ: Mapping[str, str]) -> FrontOf | None:
+def operated(environ: Mapping[str, str]) -> list[FrontOf]:
     """Sets the log up, and reads the operator's file if there is one. Raises `FaultyKeyError`."""
     place = environ.get(OPERATOR)
     if not place:
         set_up()
-        return None
+        return []
     try:
         from rookwood.conf import ConfError, load
     except ImportError as error:
@@ -66,24 +66,29 @@
     operator = settings.operator
     fields = {"site": operator.site} if operator.site else {}
     set_up(operator.log_format, operator.log_level, **fields)
-    if not operator.gateway:
-        return None
-    from rookwood.gateway.gate import front_of
+    fronts: list[FrontOf] = []
+    if operator.store:
+        from rookwood.ledger import front as ledger
 
-    return front_of(operator, Path(place))
+        fronts.append(ledger.front_of(operator))
+    if operator.gateway:
+        from rookwood.gateway import gate
+
+        fronts.append(gate.front_of(operator, Path(place)))
+    return fronts
 
 
 def main() -> int:
     # Its default is to end the program. While nobody handles it, at the start and at the end, it waits.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        front = operated(os.environ)
+        fronts = operated(os.environ)
         config = load(os.environ)
     except FaultyKeyError as fault:
         print(f"rookwood: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(run(config, front))
+        asyncio.run(run(config, fronts))
     except OSError as error:
         print(f"rookwood: listen: {error}", file=sys.stderr)
         return 1
--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -162,3 +162,26 @@
     from rookwood.lab.rest import run
 
     sys.exit(run(json_file))
+
+
+@experiment.command("ledger", epilog=CODES)
+@click.option("--seed", default=1, show_default=True, help="For random choices.")
+@click.option("--unlocks", default=10_000, show_default=True, help="How many.")
+@click.option("--rate", default=200.0, show_default=True, help="Unlocks a second.")
+@click.option(
+    "--faults", default="freeze,slow,kill,empty,older,errors", show_default=True, help="Of the store."
+)
+@click.option(
+    "--kills", default=6, show_default=True, help="Dispatchers killed with SIGKILL and started again."
+)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def ledger(seed: int, unlocks: int, rate: float, faults: str, kills: int, json_file: Path | None) -> None:
+    """Unlocks with keys over four dispatchers, while the store misbehaves and dispatchers are killed."""
+    from rookwood.lab.unlocks import FAULTS, Plan, run_ledger
+
+    chosen = tuple(filter(None, faults.split(",")))
+    if not set(chosen) <= set(FAULTS):
+        raise click.BadParameter(f"is not a list of {', '.join(FAULTS)}", param_hint="--faults")
+    sys.exit(run_ledger(Plan(seed, unlocks, rate, chosen, kills), json_file))
--- a/rookwood/conf/__init__.py
+++ b/rookwood/conf/__init__.py
@@ -1,6 +1,6 @@
 """The operator's file: read line by line, checked in one place, given defaults in one place."""
 
 from rookwood.conf.read import ConfError, Fault, Origin, Settings, load
-from rookwood.conf.schema import Gateway, Operator, Peer, Site
+from rookwood.conf.schema import Gateway, Operator, Peer, Site, Store
 
-__all__ = ["ConfError", "Fault", "Gateway", "Operator", "Origin", "Peer", "Settings", "Site", "load"]
+__all__ = ["ConfError", "Fault", "Gateway", "Operator", "Origin", "Peer", "Settings", "Site", "Store", "load"]
--- a/rookwood/conf/read.py
+++ b/rookwood/conf/read.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from rookwood.conf.grammar import Line, LineError, Word, line_of
-from rookwood.conf.schema import SECTIONS, TOP, Directive, Gateway, Operator, Peer, Section, Site
+from rookwood.conf.schema import SECTIONS, TOP, Directive, Gateway, Operator, Peer, Section, Site, Store
 
 MAX_DEPTH = 8  # of includes
 MAX_LINES = 20_000  # of all files together
@@ -60,9 +60,11 @@
     def rows(self) -> Iterator[tuple[str, str, str]]:
         """Path, value and origin of every setting, for `rookwood show`."""
         operator = self.operator
-        yield from self._rows("", operator, skip=("gateway", "sites"))
+        yield from self._rows("", operator, skip=("gateway", "sites", "store"))
         if operator.gateway:
             yield from self._rows("gateway.", operator.gateway)
+        if operator.store:
+            yield from self._rows("store.", operator.store)
         for site in operator.sites:
             yield from self._rows(f"site.{site.name}.", site, skip=("name",))
 
@@ -236,13 +238,22 @@
             for b in self.blocks
             if b.kind == "site"
         )
+        store = next((Store(**_fields(b)) for b in self.blocks if b.kind == "store"), None)
         top = _fields(self.top)
-        return Operator(gateway=gateway, sites=sites, **top)
+        return Operator(gateway=gateway, store=store, sites=sites, **top)
 
     def check(self, operator: Operator) -> None:
         """What no single directive can tell."""
-        gateway = operator.gateway
+        gateway, store = operator.gateway, operator.store
         place = {b.path: b.origin for b in self.blocks}
+        if store and sum(map(bool, (store.redis, store.file, store.memory))) != 1:
+            self.fault(place["store"], "store", "needs one of 'redis', 'file' and 'memory'")
+        if store and store.password_file and not store.password_file.is_file():
+            at = self.origins["store.password-file"]
+            self.fault(at, "password-file", f"{store.password_file} is no file", "a path that can be read")
+        if store and store.timeout * 4 > store.lease:
+            at = self.origins.get("store.timeout", place["store"])
+            self.fault(at, "timeout", "is over a quarter of 'lease': two slow answers would end it")
         if operator.sites and not gateway:
             self.fault(self.blocks[0].origin, "site", "there is no section 'gateway'", "gateway {")
         if gateway is None:
--- a/rookwood/conf/schema.py
+++ b/rookwood/conf/schema.py
@@ -56,6 +56,24 @@
     reconnect: timedelta = timedelta(milliseconds=200)
 
 
+class Store(Struct, frozen=True):
+    """Where keyed unsafe jobs are claimed. One of `redis`, `file` and `memory`."""
+
+    redis: tuple[str, int] | None = None
+    file: Path | None = None
+    memory: bool = False
+    user: str = ""
+    password_file: Path | None = None
+    authority: Path | None = None  # with it, TLS
+    prefix: str = "rookwood"
+    timeout: timedelta = timedelta(milliseconds=250)
+    replicas: int = 0  # that must have a claim before it counts
+    tier: int = 0  # dispatchers that share the store; 0: those of the platform's settings
+    lease: timedelta = timedelta(seconds=2)
+    keep: timedelta = timedelta(minutes=10)
+    retry_window: timedelta = timedelta(seconds=30)
+
+
 class Operator(Struct, frozen=True):
     """The whole file."""
 
@@ -63,6 +81,7 @@
     log_format: str = "plain"
     log_level: str = "info"
     gateway: Gateway | None = None
+    store: Store | None = None
     sites: tuple[Site, ...] = field(default_factory=tuple)
 
 
@@ -124,6 +143,24 @@
     many=True,
     build=Site,
 )
+STORE = Section(
+    {
+        "redis": _one(units.address, "host:port"),
+        "file": _one(units.path, "a path"),
+        "memory": _one(units.switch, "yes or no"),
+        "user": _one(units.name, "a name"),
+        "password-file": _one(units.path, "a path"),
+        "authority": _one(units.path, "a path of a PEM file"),
+        "prefix": _one(units.name, "a name"),
+        "timeout": _one(units.duration, SPAN),
+        "replicas": _one(units.count, "a whole number from 1"),
+        "tier": _one(units.count, "a whole number from 1"),
+        "lease": _one(units.duration, SPAN),
+        "keep": _one(units.duration, SPAN),
+        "retry-window": _one(units.duration, SPAN),
+    },
+    build=Store,
+)
 TOP = Section(
     {
         "site": _one(units.name, "the name of the own site"),
@@ -131,4 +168,4 @@
         "log-level": _one(units.one_of("debug", "info", "warning", "error"), "debug, info, warning or error"),
     }
 )
-SECTIONS = {"gateway": GATEWAY, "site": SITE}
+SECTIONS = {"gateway": GATEWAY, "site": SITE, "store": STORE}
--- a/rookwood/gateway/gate.py
+++ b/rookwood/gateway/gate.py
@@ -106,7 +106,7 @@
         )
         core.destinations.elsewhere = self._far.since
         core.requests.abroad = self
-        core.figures.more = self._figures
+        core.figures.more.append(self._figures)
         self._pressure: api.Pressure | None = None
         self._woken = False
         self._listener: socket.socket | None = None
--- a/rookwood/lab/world.py
+++ b/rookwood/lab/world.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -185,9 +186,13 @@
         dispatchers: int = 2,
         boxes: int = BOXES,
         gateway: str = "",
+        store: str = "",
+        give_up: float = math.inf,
     ) -> None:
         self.mode, self._seed, self._each, self._boxes_each = mode, seed, dispatchers, boxes
         self._more = gateway  # further lines of the gateway section
+        self._store = store  # lines of the store section
+        self._give_up = give_up  # seconds, for classes that have longer
         self.ledger, self.score = Ledger(), Score()
         self.weather = Weather(loss, delay, jitter=delay / 2, double=loss / 2)
         self.boxes = [
@@ -243,13 +248,13 @@
         for site in SITES:
             for n in range(self._each):
                 name = f"{site[0]}{n}"
-                conf = folder / f"{name}.conf" if self.mode == "on" else None
+                conf = folder / f"{name}.conf" if self.mode == "on" or self._store else None
                 host = f"127.{self._net[0]}.{self._net[1]}.{len(self.nodes) + 1}"
                 self.nodes.append(Node(name, site, host, folder / f"{name}.json", conf))
 
     async def _configure(self, node: Node) -> None:
         count = 2 * self._each if self.mode == "pooled" else self._each
-        settings = settings_of(count, "pool" if self.mode == "pooled" else node.site)
+        settings = settings_of(count, "pool" if self.mode == "pooled" else node.site, self._give_up)
         told: dict[str, Any] = {
             "name": node.name,
             "listen": f"{node.host}:{LISTEN}",
@@ -262,6 +267,9 @@
         node.config.write_text(json.dumps(told))
         if not node.conf:
             return
+        if self._store:
+            node.conf.write_text(f"log-format json\nstore {{\n{self._store}\n}}\n")
+            return
         lines = [f"site {node.site}", "log-format json", "gateway {", f"    listen {node.host}:{LINK}"]
         lines += [f"    name {node.name}", "    plaintext yes", self._more, "}"]
         for site in SITES:
@@ -465,7 +473,7 @@
         yield name, float(value.partition("|")[0])
 
 
-def settings_of(dispatchers: int, zone: str) -> dict[str, Any]:
+def settings_of(dispatchers: int, zone: str, give_up: float = math.inf) -> dict[str, Any]:
     micro = 1_000_000
     return {
         "balancers": dispatchers,
@@ -489,7 +497,7 @@
                 "repeat": "safe" if c.safe else "unsafe",
                 "importance": c.worth,
                 "aim": int(c.aim * micro),
-                "give-up": int(c.give_up * micro),
+                "give-up": int(min(give_up, c.give_up) * micro),
                 "aim-stretch": STRETCH,
             }
             for c in CLASSES
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -76,7 +76,7 @@
 
 
 class Dispatcher:
-    def __init__(self, config: Config, front: Callable[[Core], Front] | None = None) -> None:
+    def __init__(self, config: Config, *fronts: Callable[[Core], Front]) -> None:
         clock, bounds = Clock(), config.bounds
         self._clock = clock
         room = room_of(bounds.sockets)
@@ -120,7 +120,7 @@
             *(config.name, clock, by_name, config.settings.dispatchers, bounds),
             *(self._decisions, self._destinations, self._requests, self._figures, self._service),
         )
-        self._front = front(core) if front else None
+        self._fronts = [front(core) for front in fronts]
         self._terminated = False
         self._begun = clock.now()
         self._upgrading: datetime | None = None  # there is a process before; it is waited for until then
@@ -155,20 +155,22 @@
         self._service.start()
         self._handover.taken()
         await self._handover.offer(listener)
-        if self._front:
-            await self._front.start()
+        for front in self._fronts:
+            await front.start()
         log.info("%s listens on %s:%d", config.name, config.listen.host, port)
         return port
 
     def _told(self, told: DestinationSet, kept: bool) -> None:
-        self._decisions.update(self._front.told(told, kept) if self._front else told, kept)
+        for front in self._fronts:
+            told = front.told(told, kept)
+        self._decisions.update(told, kept)
 
     def reload(self, config: Config) -> None:
         """Takes over what may change while requests are in hand; the rest waits for the next start."""
         log.info("the configuration was read again; discovery is %s", config.discovery)
         self._destinations.move(config.discovery)
-        if self._front:
-            self._front.reload()
+        for front in self._fronts:
+            front.reload()
 
     def _succeeds(self) -> None:
         """The process before has ended."""
@@ -215,8 +217,8 @@
         log.info("%s has handed over", self._config.name)
         self._service.succeeded = True
         self._inbound.stop()
-        if self._front:
-            self._front.succeeded()
+        for front in self._fronts:
+            front.succeeded()
         self._endpoints.most = room_of(self._config.bounds.sockets // 2).half
         self._service.leave(timedelta(0))
 
@@ -230,22 +232,22 @@
         end = min(timedelta(microseconds=longest), COUNTED) + KILL
         self._requests.leave(self._clock.now() + end - CUT)
         self._service.leave(end - MOVE)
-        if self._front:
-            self._front.leave()
+        for front in self._fronts:
+            front.leave()
 
     async def left(self) -> None:
         """Returns once this process is to leave and everything that was taken has its answer."""
         await self._service.until_leaving()
         await self._service.until_moving()
         await self._inbound.empty()
-        if self._front:
-            await self._front.empty()
+        for front in self._fronts:
+            await front.empty()
 
     async def close(self) -> None:
         await self._handover.close()
         await self._inbound.close()
-        if self._front:
-            await self._front.close()
+        for front in self._fronts:
+            await front.close()
         await self._management.close()
         await self._destinations.close()
         for task in self._tasks:
--- a/rookwood/net/figures.py
+++ b/rookwood/net/figures.py
@@ -23,7 +23,7 @@
         self, classes: Collection[str], current: Callable[[], int], cluster: Callable[[], api.Cluster]
     ) -> None:
         self._current, self._cluster = current, cluster
-        self.more: Callable[[], Iterable[str]] = tuple  # lines of other fronts
+        self.more: list[Callable[[], Iterable[str]]] = []  # lines of other fronts
         # Those who read need every class from the start: a figure that is missing is no 0.
         outcomes = (ANSWERED, DEFERRED, ERRORED, SENDS)
         self._counts = {job_class: dict.fromkeys(outcomes, 0) for job_class in sorted(classes)}
@@ -48,4 +48,5 @@
         yield f"current:{self._current()}|g"
         yield f"cluster_size:{cluster.listed}|g"
         yield f"cluster_unhealthy:{cluster.avoided}|g"
-        yield from self.more()
+        for lines in self.more:
+            yield from lines()
--- a/rookwood/net/messages.py
+++ b/rookwood/net/messages.py
@@ -40,6 +40,10 @@
     def __init__(self, head: h11.Request) -> None:
         self._pairs = [(name.decode(), value.decode("latin-1")) for name, value in head.headers]
 
+    def first(self, name: str) -> str | None:
+        """As it came, for whoever understands it later."""
+        return next((value for key, value in self._pairs if key == name.lower()), None)
+
     def get(self, name: str) -> str | None:
         found = [value for key, value in self._pairs if key == name.lower()]
         if len(found) > 1:
@@ -124,11 +128,13 @@
             content_type=headers.get("Content-Type"),
             body=taken.body,
         ),
+        idempotency_key=headers.first("Idempotency-Key"),
     )
 
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout"}
-REASONS |= {409: "Conflict", 413: "Content Too Large", 500: "Internal Server Error", 502: "Bad Gateway"}
+REASONS |= {409: "Conflict", 413: "Content Too Large", 422: "Unprocessable Content"}
+REASONS |= {500: "Internal Server Error", 502: "Bad Gateway"}
 REASONS |= {503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
@@ -136,6 +142,8 @@
     headers = [("Content-Length", str(len(answer.body)))]
     if answer.retry_after is not None:
         headers.append(("Retry-After", f"{answer.retry_after.total_seconds():.3f}"))
+    if answer.replayed:
+        headers.append(("Idempotency-Replayed", "true"))
     if answer.allow is not None:
         headers.append(("Allow", answer.allow))
     if close:
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
@@ -44,6 +45,7 @@
     key: str | None
     is_retry: bool
     outgoing: Outgoing
+    idempotency_key: str | None = None  # the header as it came
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
     body: bytes = b""
     retry_after: timedelta | None = None
     allow: str | None = None
+    replayed: bool = False  # of an earlier try with the same key
 
 
 class Course:
@@ -105,6 +108,16 @@
         """The one place of release; `late` if the time is up. What is known then; None: it never crossed."""
 
 
+class Claims(Protocol):
+    """Where requests that must not run twice are claimed, whichever dispatcher a retry meets."""
+
+    def minds(self, request: InboundRequest) -> bool: ...
+
+    async def served(
+        self, request: InboundRequest, run: Callable[[Course], Awaitable[Answer]]
+    ) -> Answer: ...
+
+
 class Abroad(Protocol):
     def crossing(self, request: InboundRequest) -> Crossing: ...
 
@@ -122,6 +135,7 @@
         self._clock, self._decisions, self._retry_after = clock, decisions, retry_after
         self._destinations, self._endpoints, self._figures = destinations, endpoints, figures
         self.abroad: Abroad | None = None  # where else requests may go
+        self.claims: Claims | None = None  # asked before anything else is done for a request
         self._leaving: tuple[datetime, datetime] | None = None  # since when, and the last answer by then
         self._ids: dict[str, None] = {}  # of requests in hand or lately here, longest first
 
@@ -151,8 +165,15 @@
         self._ids[request_id] = None
         if len(self._ids) > REMEMBERED:
             del self._ids[next(iter(self._ids))]
-        crossing = self.abroad.crossing(request) if self.abroad and course is None else None
-        return await self._served(request, course or Course(), crossing)
+        if course:
+            return await self._served(request, course, None)
+        if self.claims and self.claims.minds(request):
+            return await self.claims.served(request, lambda course: self._own(request, course))
+        return await self._own(request, Course())
+
+    async def _own(self, request: InboundRequest, course: Course) -> Answer:
+        crossing = self.abroad.crossing(request) if self.abroad else None
+        return await self._served(request, course, crossing)
 
     async def _served(self, request: InboundRequest, course: Course, crossing: Crossing | None) -> Answer:
         job = Job(
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -230,7 +230,7 @@
     folder: Path,
     *endpoints: Endpoint,
     tmpdir: Path | None = None,
-    front: Callable[[Core], Front] | None = None,
+    fronts: tuple[Callable[[Core], Front], ...] = (),
     **changes: Any,
 ) -> AsyncIterator[Stage]:
     async with contextlib.AsyncExitStack() as stack:
@@ -240,6 +240,6 @@
         where = await stack.enter_async_context(listening(discovery))
         listed = [entry(f"s-{n}", endpoint.address) for n, endpoint in enumerate(endpoints)]
         environ = environment(folder, listed, where, **changes)
-        dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})), front)
+        dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})), *fronts)
         stack.push_async_callback(dispatcher.close)
         yield Stage(dispatcher, await dispatcher.start(), discovery)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -75,7 +75,7 @@
         made.append(front_of(operator, place)(core))
         return made[0]
 
-    async with stage(folder, *endpoints, name=name, front=front) as s:
+    async with stage(folder, *endpoints, name=name, fronts=(front,)) as s:
         yield Site(s, made[0])
 
 
@@ -225,7 +225,8 @@
                 place = operators_file(tmp_path / "again", "far", "f0", {"n0": CLOSED}, *fast)
                 place.write_text(place.read_text().replace("127.0.0.1:0", f"127.0.0.1:{port}"))
                 home.stage.discovery.say(2, entry("n-1", at))
-                async with stage(tmp_path / "again", name="f0", front=front_of(load(place).operator, place)):
+                again = front_of(load(place).operator, place)
+                async with stage(tmp_path / "again", name="f0", fronts=(again,)):
                     assert (await asking)[0] == status
                 assert (len(box.seen), len(near.seen)) == (1, 1 if status == 200 else 0)
 
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,228 @@
+"""The ledger in two dispatchers on loopback: one store, clients that come back. One story a failure."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rookwood.conf import load
+from rookwood.lab.redis import StandIn
+from rookwood.ledger.front import LedgerFront, front_of
+from rookwood.ledger.health import FAILURES, LONGEST_PAUSE, Breaker, Circuit
+from tests import stage as st
+from tests.stage import Endpoint, Stage, stage, until
+from tests.test_stories import play
+
+IDS = itertools.count(1)
+
+
+def keyed(key: str = '"k1"', path: str = "/unlock?k=7", body: bytes = b"hello", timeout: float = 8) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: api\r\nRequest-Id: q{next(IDS)}\r\nIdempotency-Key: {key}\r\n"
+    return f"{head}Request-Timeout: {timeout}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def ask(s: Stage, *words: Any, **more: Any) -> tuple[int, dict[str, str], bytes]:
+    streams = await s.connect()
+    try:
+        return await s.exchange(streams, keyed(*words, **more))
+    finally:
+        streams[1].close()
+
+
+class Tier:
+    """Dispatchers that share one stand-in Redis; `box` is listed at each."""
+
+    def __init__(self, stand_in: StandIn, stages: list[Stage], fronts: list[LedgerFront]) -> None:
+        self.redis, self.stages, self.fronts = stand_in, stages, fronts
+
+    def figure(self, n: int, name: str) -> float:
+        lines = (line.partition(":") for line in self.fronts[n].ledger.figures())
+        return next(float(v.partition("|")[0]) for k, _, v in lines if k == f"ledger.{name}")
+
+
+@contextlib.asynccontextmanager
+async def tier(
+    folder: Path, box: Endpoint, size: int = 2, window: str = "0s", sure: bool = True, lines: str = ""
+) -> AsyncIterator[Tier]:
+    """`sure`: the store's first history is over its window, so keys are free at once."""
+    clock = [datetime.now(UTC).timestamp()]
+    stand_in = StandIn(now=lambda: datetime.now(UTC).timestamp() + clock[0] - began)
+    began = clock[0]
+    await stand_in.server.start()
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(stand_in.server.close)
+        stages, fronts = list[Stage](), list[LedgerFront]()
+        for n in range(size):
+            place = folder / f"rookwood{n}.conf"
+            where = f"redis {stand_in.server.address}\nprefix p\ntimeout 200ms\ntier {size}"
+            where += f"\nretry-window {window}"
+            place.write_text(f"store {{\n{where}\n{lines}\n}}\n")
+            operator = load(place).operator
+
+            def front(core: Any, operator: Any = operator) -> LedgerFront:
+                fronts.append(front_of(operator)(core))
+                return fronts[-1]
+
+            own = folder / f"n{n}"
+            own.mkdir()
+            stages.append(await stack.enter_async_context(stage(own, box, name=f"n{n}", fronts=(front,))))
+        t = Tier(stand_in, stages, fronts)
+        await until(lambda: all(f.ledger._watch.generation for f in fronts))
+        if sure:
+            clock[0] += 3600  # the store's clock goes on by an hour
+        yield t
+
+
+def test_retry_at_another_dispatcher_gets_the_first_answer(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.served)
+        async with tier(tmp_path, box) as t:
+            status, headers, body = await ask(t.stages[0])
+            assert (status, body) == (200, b"page") and "idempotency-replayed" not in headers
+            status, headers, body = await ask(t.stages[1])
+            assert (status, body, headers["idempotency-replayed"]) == (200, b"page", "true")
+            assert len(box.seen) == 1
+            assert (await ask(t.stages[1], body=b"another purchase"))[0] == 422
+            assert (await ask(t.stages[1], key="bare"))[0] == 400
+            assert (await ask(t.stages[0], key='"k2"'))[0] == 200 and len(box.seen) == 2
+
+    play(story())
+
+
+def test_retry_while_the_first_is_in_hand_is_told_so(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.silent)
+        async with tier(tmp_path, box) as t:
+            first = asyncio.create_task(ask(t.stages[0]))
+            await until(lambda: len(box.seen) == 1)
+            status, headers, _ = await ask(t.stages[1])
+            assert status == 409 and 0 < float(headers["retry-after"]) <= 2
+            box.resume.set()
+            assert (await first)[0] == 200
+            assert (await ask(t.stages[1]))[0] == 200 and len(box.seen) == 1
+
+    play(story())
+
+
+def test_holder_that_dies_leaves_an_unknown_not_a_free_key(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.silent)
+        async with tier(tmp_path, box, lines="lease 800ms") as t:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                first = asyncio.create_task(ask(t.stages[0]))
+                await until(lambda: len(box.seen) == 1)
+                # Killed: nothing of it writes to the store any more.
+                for task in list(t.fronts[0].ledger._tasks):
+                    task.cancel()
+                t.fronts[0].ledger._write = lambda held: asyncio.sleep(60)  # type: ignore[method-assign,assignment,return-value]
+                await asyncio.sleep(0.9)  # the lease runs out
+                status, headers, _ = await ask(t.stages[1])
+                assert (status, headers["idempotency-replayed"]) == (502, "true") and len(box.seen) == 1
+                first.cancel()
+
+    play(story())
+
+
+def test_refused_job_frees_its_key(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.status(503, "Not-Started: 1"), st.served)
+        async with tier(tmp_path, box) as t:
+            status, _, _ = await ask(t.stages[0], timeout=0.3)
+            assert status in (200, 503)
+            assert (await ask(t.stages[1]))[0] == 200
+            assert t.figure(0, "unknown") + t.figure(1, "unknown") == 0
+
+    play(story())
+
+
+@pytest.mark.parametrize("trouble", ["frozen", "gone", "slow", "READONLY x", "LOADING x", "OOM x"])
+def test_store_in_trouble_refuses_unlocks_and_pages_never_notice(tmp_path: Path, trouble: str) -> None:
+    async def story() -> None:
+        box = Endpoint(st.served)
+        async with tier(tmp_path, box) as t:
+            loop = asyncio.get_running_loop()
+            if trouble == "frozen":
+                t.redis.freeze()
+            elif trouble == "slow":
+                t.redis.faults.delay = 3.0
+            elif trouble == "gone":
+                t.redis.server.close()
+                t.redis.drop()
+            else:
+                t.redis.faults.error = trouble
+            for _ in range(FAILURES + 1):
+                began = loop.time()
+                status, headers, _ = await ask(t.stages[0])
+                assert status == 503 and float(headers["retry-after"]) > 0 and loop.time() - began < 1.5
+            assert box.seen == []
+            calls = dict(t.redis.commands)
+            assert (await ask(t.stages[0], path="/page?k=7"))[0] == 200  # keyed, but safe: it never asks
+            assert (await t.stages[0].ask("/unlock?k=7"))[0] == 200  # no key: as before
+            if trouble == "gone":
+                assert t.redis.commands == calls
+                return
+            t.redis.thaw()
+            t.redis.faults.delay, t.redis.faults.error = 0.0, ""
+            await until(lambda: t.figure(0, "circuit") == Circuit.CLOSED.value)
+            assert (await ask(t.stages[0], key='"after"'))[0] == 200
+
+    play(story())
+
+
+@pytest.mark.parametrize("empty", [True, False])
+def test_store_that_went_back_spends_nothing_twice(tmp_path: Path, empty: bool) -> None:
+    """The first dispatcher's claim is lost. A retry elsewhere is refused until it has been written again."""
+
+    async def story() -> None:
+        box = Endpoint(st.silent)
+        async with tier(tmp_path, box) as t:
+            first = asyncio.create_task(ask(t.stages[0]))
+            await until(lambda: len(box.seen) == 1)
+            t.redis.restart(empty=empty, lost_writes=3)
+            statuses = [(await ask(t.stages[1]))[0] for _ in range(5)]
+            assert set(statuses) <= {409, 503} and len(box.seen) == 1
+            box.resume.set()
+            assert (await first)[0] == 200
+            await until(lambda: t.figure(0, "histories") + t.figure(1, "histories") >= 1)
+            async with asyncio.timeout(5):
+                while (found := await ask(t.stages[1]))[0] in (409, 503):
+                    await asyncio.sleep(0.05)
+            assert found[0] == 200 and found[1]["idempotency-replayed"] == "true" and len(box.seen) == 1
+
+    play(story())
+
+
+def test_new_store_grants_once_the_window_is_over(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.served)
+        async with tier(tmp_path, box, size=1, sure=False) as t:
+            status, headers, _ = await ask(t.stages[0])
+            assert status == 503 and 0 < float(headers["retry-after"]) <= 1
+
+    play(story())
+
+
+def test_breaker_opens_lets_one_look_and_waits_longer_each_time() -> None:
+    now, breaker = datetime(2026, 1, 1, tzinfo=UTC), Breaker()
+    for _ in range(FAILURES):
+        assert breaker.lets(now)
+        breaker.failed(now)
+    waits = []
+    for _ in range(6):
+        assert not breaker.lets(now) and breaker.circuit is Circuit.OPEN
+        waits.append(breaker.wait(now))
+        now += waits[-1]
+        assert breaker.lets(now) and not breaker.lets(now)  # one, and the others wait for its word
+        breaker.failed(now)
+    assert waits == sorted(waits) and waits[0] == timedelta(milliseconds=200) and waits[-1] == LONGEST_PAUSE
+    now += LONGEST_PAUSE
+    assert breaker.lets(now)
+    breaker.answered()
+    assert breaker.lets(now) and breaker.lets(now)
