Free the key of a job that its client left before anything ran, and let a refusal wait for nothing

Cause: whoever closed its connection while an unlock was still held got 'may have run' for its retry, since a request that ends without an answer was written down as failed whatever had happened. And each answer waited up to 0.5 s for its outcome to be written, a refusal too, which is to go out at once.

Change: without an answer the outcome is failed only if an attempt may have run here or the job is out at another site (`Course.abroad`); else the claim is released. Only a result waits, for 0.15 s or a quarter of the time left. A test for the first (it gets 502 without the change).

--- a/rookwood/ledger/guard.py
+++ b/rookwood/ledger/guard.py
@@ -28,7 +28,7 @@
 
 Run = Callable[[Course], Awaitable[Answer]]
 TICK = timedelta(milliseconds=100)  # the store is looked at so often, also while nothing is asked of it
-SETTLE_LIMIT = timedelta(milliseconds=500)  # so long an answer waits for its outcome to be written
+SETTLE_LIMIT = timedelta(milliseconds=150)  # so long a result waits until it is written; nothing else waits
 ROUNDS = 3  # of asking for a claim, with the history made sure of in between
 
 
@@ -105,7 +105,7 @@
         self.counts[said.verdict.value] += 1
         match said.verdict:
             case Verdict.GRANTED:
-                return await self._run(self._held[key], run)
+                return await self._run(self._held[key], run, request.deadline)
             case Verdict.KEPT:
                 return Answer(200, said.result, replayed=True)
             case Verdict.UNKNOWN:
@@ -120,7 +120,7 @@
                 )
         raise AssertionError(said.verdict)
 
-    async def _run(self, held: Held, run: Run) -> Answer:
+    async def _run(self, held: Held, run: Run, deadline: datetime) -> Answer:
         course = Course()
         answer: Answer | None = None
         try:
@@ -129,14 +129,17 @@
             # Also when the client has gone or something here failed: what is known is written down.
             if answer and answer.status == 200:
                 held.outcome = (Phase.SERVED, answer.body)
-            elif answer is None or answer.status not in (400, 503):
+            elif answer.status not in (400, 503) if answer else course.may_have_run or course.abroad:
                 held.outcome = (Phase.FAILED, b"")
             held.open = False
             writing = asyncio.ensure_future(self._settle(held))
             self._tasks.add(writing)
             writing.add_done_callback(self._tasks.discard)
-            if answer:
-                await asyncio.wait((writing,), timeout=SETTLE_LIMIT.total_seconds())
+        if answer.status == 200:
+            # A retry that follows at once then finds the result, not a claim. Nothing hangs on it, so a slow
+            # store may cost a little time of the answer's, and a refusal goes out at once.
+            spare = (deadline - self._clock.now()) / 4
+            await asyncio.wait((writing,), timeout=max(0.0, min(SETTLE_LIMIT, spare).total_seconds()))
         return answer
 
     async def _claim(self, ask: Ask) -> Said:
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -64,6 +64,7 @@
         self.ran = False  # an attempt has ended that may have run
         self.out = False  # the last byte of one may have left
         self.tried = False  # an attempt has begun
+        self.abroad = False  # it is out elsewhere, where only that side knows whether it has run
 
     @property
     def may_have_run(self) -> bool:
@@ -190,7 +191,9 @@
                 while (answer := await self._at_home(request, job, course, crossing)) is None:
                     if crossing is None:
                         return Answer(503, b"held too long\n", self._retry_after)
+                    course.abroad = True
                     carried = await crossing.carried()
+                    course.abroad = carried.fate is not Fate.HOME
                     if carried.fate is Fate.SERVED:
                         return Answer(200, carried.body)
                     if carried.fate is not Fate.HOME:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -17,7 +17,7 @@
 from rookwood.ledger.front import LedgerFront, front_of
 from rookwood.ledger.health import FAILURES, LONGEST_PAUSE, Breaker, Circuit
 from tests import stage as st
-from tests.stage import Endpoint, Stage, stage, until
+from tests.stage import Endpoint, Stage, entry, stage, until
 from tests.test_stories import play
 
 IDS = itertools.count(1)
@@ -142,6 +142,22 @@
     play(story())
 
 
+def test_client_that_leaves_while_its_job_is_held_frees_its_key(tmp_path: Path) -> None:
+    async def story() -> None:
+        box = Endpoint(st.served)
+        async with tier(tmp_path, box) as t:
+            t.stages[0].discovery.say(2, entry("s-0", box.address, "removed"))
+            await until(lambda: t.stages[0].dispatcher._decisions.cluster().listed == 0)
+            streams = await t.stages[0].connect()
+            streams[1].write(keyed())
+            await until(lambda: t.figure(0, "open") == 1)
+            streams[1].close()
+            await until(lambda: not t.fronts[0].ledger._held)
+            assert (await ask(t.stages[1]))[0] == 200 and len(box.seen) == 1
+
+    play(story())
+
+
 @pytest.mark.parametrize("trouble", ["frozen", "gone", "slow", "READONLY x", "LOADING x", "OOM x"])
 def test_store_in_trouble_refuses_unlocks_and_pages_never_notice(tmp_path: Path, trouble: str) -> None:
     async def story() -> None:
