Let dispatchers of a site tell each other of their jobs, and share a budget of probes

At fault: Policy._probe (a rate a dispatcher), _wait (where a share is under a job, an idle worker counted as 1.5 slots full), _step (ejection off at one half), _outcome (a worker that turns jobs away kept its trust), and above all that others' jobs were known from reports alone, which are as old as a job is long.

Now each send and each end goes to the others as three bytes (api.Hint, hints.py, net/peers.py, NOTIFY on the wire). What is odd is dropped and counted; a hint never gives trust. The bounded load by own attempts holds only where nobody tells, jams by the mean of reports are gone.

--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -103,6 +103,7 @@
     cancel: bool = False  # Cancel is permitted
     marks_retry: bool = False  # clients mark their repeats
     probes: bool = False  # Probe is permitted, and brings load reports
+    peers: bool = False  # Tell is permitted, and brings `Heard` to the others
 
     def __post_init__(self) -> None:
         """A setting out of its range is an error at the start, not a wrong decision at night."""
@@ -144,6 +145,26 @@
     service: Mapping[str, float]  # seconds that a job of a class runs, on the mean
 
 
+# ---- between dispatchers ----
+
+
+class Word(Enum):
+    """What one dispatcher tells the others of a worker."""
+
+    SENT = 1  # a job went there
+    ENDED = 2  # and is over
+    BAD = 3  # and is over, by the worker's fault
+
+
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """May come late, twice, or never; it can make a dispatcher more careful and breaks no rule."""
+
+    worker: str
+    word: Word
+    slots: float
+
+
 # ---- events ----
 
 
@@ -218,7 +239,15 @@
     load: Mapping[str, float] | None = None  # as in Outcome
 
 
-Event = WorkersChanged | Request | Timer | Note | Abandoned | Outcome | Probed
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Another dispatcher said this."""
+
+    sender: int
+    hint: Hint
+
+
+Event = WorkersChanged | Request | Timer | Note | Abandoned | Outcome | Probed | Heard
 
 
 # ---- actions ----
@@ -261,6 +290,13 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """To every other dispatcher of the tier."""
+
+    hint: Hint
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     token: int
@@ -277,4 +313,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | Log
+Action = Send | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
--- a/rookwood/net/config.py
+++ b/rookwood/net/config.py
@@ -39,6 +39,9 @@
     bounds: Bounds
     settings: api.Settings
     known: DestinationSet
+    peer_listen: Address | None = None  # where datagrams of other dispatchers arrive; None: nowhere
+    peers: tuple[Address, ...] = ()  # every dispatcher's address, this one's included
+    peers_all: Address | None = None  # one address for all of them
 
 
 def address_of(text: str, key: str) -> Address:
@@ -104,6 +107,8 @@
     for key in ("balancers", "tick", "bounds.attempts-cap"):  # the module takes none of these as 0
         if told.get(key, int) < 1:
             raise told.bad(key, "under 1")
+    heard = settings.peers and "peer_listen" in data
+    everyone = heard and "peers_all" in data
     known = tree.branch("known") if "known" in data else Tree({"rev": 0, "all": True, "targets": []}, "known")
     return Config(
         name=own("PROXY_NAME", "name")[0],
@@ -115,4 +120,7 @@
         bounds=bounds,
         settings=settings,
         known=destination_set_of(known),
+        peer_listen=address_of(tree.get("peer_listen", str), "peer_listen") if heard else None,
+        peers=tuple(address_of(str(peer), "peers") for peer in tree.get("peers", list, [])) if heard else (),
+        peers_all=address_of(tree.get("peers_all", str), "peers_all") if everyone else None,
     )
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -220,6 +220,7 @@
     ) -> None:
         self.clock, self._most_retry_after = clock, most_retry_after
         self.probe: Callable[[str], None] = lambda uid: None  # who carries probes out
+        self.tell: Callable[[api.Hint], None] = lambda hint: None  # and who tells the other dispatchers
         self.unsafe = frozenset(c.name for c in settings.classes if c.repeat is not api.Repeat.SAFE)
         self._policy = Policy(settings, seed)
         self._numbers = itertools.count(1)
@@ -263,6 +264,9 @@
         figures = {LOAD.get(name, name): value for name, value in load.figures} if load else None
         self.feed(api.Probed(uid, ENDINGS[end], figures))
 
+    def heard(self, sender: int, hint: api.Hint) -> None:
+        self.feed(api.Heard(sender, hint))
+
     def admit(self, job: Job) -> Ticket:
         number = next(self._numbers)
         ticket = self._tickets[number] = Ticket(self, number, job)
@@ -303,6 +307,8 @@
                     log.info("decisions: %s", text)
                 case api.Probe(uid):
                     self.probe(uid)
+                case api.Tell(hint):
+                    self.tell(hint)
                 case api.Cancel() | api.Subscribe():
                     pass  # an abandoned attempt is ended by its request; the watch is always on
 
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -22,6 +22,7 @@
 from rookwood.net.inbound import Inbound, readiness
 from rookwood.net.listener import bound
 from rookwood.net.management import Management
+from rookwood.net.peers import Peers
 from rookwood.net.phase import Phase, Service
 from rookwood.net.probes import Probes
 from rookwood.net.request import Answer, Requests
@@ -86,6 +87,7 @@
         self._destinations = Destinations(clock, bounds.drain_grace, self._told, config.discovery)
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, room.half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
+        self._peers = Peers(self._decisions, config.peer_listen, config.peers, config.peers_all)
         self._service = Service(clock)
         classes = frozenset(c.name for c in config.settings.classes)
         self._figures = Figures(classes, lambda: self._decisions.open, self._decisions.cluster)
@@ -130,6 +132,7 @@
     async def start(self) -> int:
         """The kept list first: from the first connection on, requests are decided by it."""
         config = self._config
+        await self._peers.start()
         self._destinations.update(config.known, kept=True)
         self._destinations.start()
         self._tasks = [asyncio.create_task(self._endpoints.sweep())]
@@ -161,6 +164,7 @@
         return port
 
     def _told(self, told: DestinationSet, kept: bool) -> None:
+        self._peers.learn(told, kept)
         for front in self._fronts:
             told = front.told(told, kept)
         self._decisions.update(told, kept)
@@ -254,5 +258,6 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._decisions.close()
+        await self._peers.close()
         await self._probes.close()
         await self._endpoints.close()
--- /dev/null
+++ b/rookwood/net/peers.py
@@ -0,0 +1,82 @@
+"""Datagrams between the dispatchers of a site: hints out, and in, where anything odd is dropped and counted.
+
+A datagram may come late, twice, or never, and from anybody; nothing that is heard here can break a rule.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Sequence
+
+from rookwood.hints import Codec, OddHintError
+from rookwood.interface import Hint
+from rookwood.net.decisions import Decisions
+from rookwood.net.destinations import Address, DestinationSet
+
+log = logging.getLogger(__name__)
+
+Place = tuple[str, int]
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Owns the one datagram socket. Without an address to hear at, nothing is told either."""
+
+    def __init__(
+        self, decisions: Decisions, listen: Address | None, peers: Sequence[Address], everyone: Address | None
+    ) -> None:
+        self._decisions = decisions
+        self._numbers = {(peer.host, peer.port): n for n, peer in enumerate(peers)}
+        self._own = (listen.host, listen.port) if listen else None
+        others = [place for place in self._numbers if place != self._own]
+        self._to: list[Place] = [(everyone.host, everyone.port)] if everyone else others
+        self._codec = Codec()
+        self._transport: asyncio.DatagramTransport | None = None
+        self.dropped: Counter[str] = Counter()  # by reason
+
+    async def start(self) -> None:
+        """What is refused here costs nothing but the hints."""
+        if self._own is None or not self._to:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+            self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self._own)
+        except OSError as error:
+            log.warning("no hints between dispatchers: %s", error)
+            return
+        self._decisions.tell = self._tell
+
+    def learn(self, told: DestinationSet, kept: bool) -> None:
+        self._codec.learn((endpoint.uid for endpoint in told.endpoints), told.whole or kept)
+
+    def _tell(self, hint: Hint) -> None:
+        if self._transport and not self._transport.is_closing():
+            data = self._codec.encode(hint)
+            for place in self._to:
+                self._transport.sendto(data, place)
+
+    def datagram_received(self, data: bytes, addr: Place) -> None:
+        if addr[:2] == self._own:
+            return
+        number = self._numbers.get(addr[:2])
+        try:
+            if number is None:
+                raise OddHintError("of a stranger")
+            hint = self._codec.decode(data)
+        except OddHintError as odd:
+            self.dropped[str(odd)[:40] if number is not None else "of a stranger"] += 1
+            return
+        try:
+            self._decisions.heard(number or 0, hint)
+        except Exception:
+            log.exception("a hint failed")
+
+    def error_received(self, exc: Exception) -> None:
+        log.debug("a hint was not taken: %s", exc)
+
+    async def close(self) -> None:
+        if self._transport:
+            self._transport.close()
+        if self.dropped:
+            log.info("odd hints dropped: %s", dict(self.dropped.most_common(5)))
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -21,11 +21,10 @@
 SECOND = 1_000_000
 STEP, SMOOTH = 2 * SECOND, 0.4  # between placement steps, +- a quarter; weight of the last in a key's demand
 POINTS, WALK = 32, 128  # ring: points of a mean worker, points looked at
-NEAR, WIDER = 3, 1  # workers tried for a job, and more while none is held: there is time to fetch its data
-BOUND, LEARN = 1.25, 0.02  # most own slots at a worker, over the mean of its size; weight of an answer
-REPORT_LAG, REPORT_AGE, REPORT_BLUR = SECOND / 2, 2 * SECOND, 2.5 * SECOND  # usual, oldest; averaged over
-PROBE = SECOND // 2  # every worker is probed once in so long, where reports come to probes alone
-SOON, SPARE = 0.1, 1  # part of a mean job that counts as no wait; workers tried beyond NEAR if that idle
+REACH, PART = 4, 6  # workers tried for a job in its key's order: so many, or one in 6, but at most twice that
+LEARN, REPORT_AGE, REPORT_BLUR = 0.02, 2 * SECOND, 2.5 * SECOND  # weight of an answer; oldest report, blur
+PROBE = SECOND // 10  # so often all dispatchers together probe a worker: each probe has its price
+SOON, LAPSE = 0.1, 4  # mean jobs that count as no wait; after which word of another one's end may be lost
 PATIENCE = 0.17  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
 DISTRUST, LEAST_TRUST = 0.2, 0.02  # a bad sign multiplies trust by this; trust's least
@@ -74,7 +73,7 @@
         self.on: dict[type, Callable[..., None]] = {
             api.Request: self._request, api.Outcome: self._outcome, api.WorkersChanged: self._list,
             api.Note: self._note, api.Timer: lambda e: None, api.Abandoned: self._abandoned,
-            api.Probed: self._probed}  # fmt: skip
+            api.Probed: self._probed, api.Heard: self._heard}  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if now < self.now:
@@ -84,7 +83,7 @@
             self._at(now + STEP // 4 + self.rng.randrange(STEP // 4), self._step)
             self.todo += [api.Subscribe()] * self.set.subscribe
             if self.set.probes:
-                self._at(now + self.rng.randrange(PROBE), self._probe)
+                self._at(now + self.rng.randrange(SECOND // 2), self._probe)
         # A timer that comes late tells of this dispatcher's own pause: silence in it is not the workers'.
         if now > self.now:
             self.stalled = bool(self.timers) and now - self.timers[0] > SILENCE // 2 + 2 * self.set.tick
@@ -224,21 +223,19 @@
         if row := self.table.get(job.row):
             names = row if len(row) == 1 else self.rng.choices(row, [phi for _, phi in row], k=2)
             drawn = [w for name, _ in names if (w := self.workers.get(name)) and self._usable(job, w)]
-            if drawn:
-                best = min(drawn, key=lambda w: (self._wait(job, w) + job.service * w.slowness) / w.trust)
-                if self._room(job, best):
-                    return best
-        # Spill in the key's own order, the same everywhere: few workers fetch its data.
+            drawn.sort(key=lambda w: (self._wait(job, w) + job.service * w.slowness) / w.trust)
+            if drawn and not self._rank(job, drawn[0])[0] and self._room(job, drawn[0]):
+                return drawn[0]
+        # Spill in the key's own order, the same everywhere: few workers fetch its data. Who starts it nearly
+        # at once goes first, and of these the own zone's: a crossing has its price.
         fit = (w for w in self._near(job.req.key) if self._usable(job, w))
-        # Who starts it nearly at once goes first, and of these the own zone's: a crossing has its price.
-        few = itertools.islice(fit, NEAR if self.lanes else NEAR + WIDER)
-        near = sorted(few, key=lambda w: self._rank(job, w))
-        # Further away only to the idle: in a jam, a key spread wider costs more fetches than it saves.
-        near += (w for w in itertools.islice(fit, SPARE) if not self._rank(job, w)[0])
+        reach = min(2 * REACH, max(REACH, len(self.workers) // PART))
+        near = sorted(itertools.islice(fit, reach), key=lambda w: self._rank(job, w))
         return next((w for w in near if self._room(job, w)), None)
 
-    def _rank(self, job: Job, w: State) -> tuple[bool, bool]:
-        return self._wait(job, w) > SOON * self.job_time, w.info.zone != self.set.zone
+    def _rank(self, job: Job, w: State) -> tuple[float, bool]:
+        wait = self._wait(job, w)
+        return wait if wait > SOON * self.job_time else 0.0, w.info.zone != self.set.zone
 
     def _near(self, key: int | None, walk: int = WALK) -> Iterator[State]:
         """Workers in the key's order: along a ring on which each stands by its size."""
@@ -286,26 +283,17 @@
                 w.credit = -job.weight * w.slowness * self.rng.random()
             if w.credit < 0:
                 return False
-        # Bounded load: own attempts out are all that is known without delay. More than the share of slots and
-        # than its mean over workers tells of a hot key, or of a worker that is slow, hung or cut off.
-        usual = BOUND * (self.used + job.need) * self.sizes[w.info.kind] / max(self.whole_size, LEAST)
-        if w.used + job.need > math.ceil(max(job.need, self._slots(w) / self.set.dispatchers, usual)):
+        # Where nobody tells of others, more than a share here would herd with theirs, or tells of a hot key.
+        usual = 1.25 * (self.used + job.need) * self.sizes[w.info.kind] / max(self.whole_size, LEAST)
+        most = math.ceil(max(job.need, self._slots(w) / self.set.dispatchers, usual))
+        if not self.set.peers and w.used + job.need > most:
             return False
-        # In a jam all are as full as the mean of reports: hold, whatever one worker's stale report says.
-        jam = max(0.0, self.crowd - 1) * self.job_time * REPORT_LAG / (self.job_time + REPORT_LAG)
         # Late already, it still earns a part of its worth, but only in time that nobody else wants.
-        return max(jam, self._wait(job, w)) <= max(0.0, PATIENCE * (job.shed_at - self.now))
+        return self._wait(job, w) <= max(0.0, PATIENCE * (job.shed_at - self.now))
 
     def _wait(self, job: Job, w: State) -> float:
-        # Herding: others count for their equal share at most, or all flee a late report and return together.
-        # Where a share is under a job, a report counts the less the more jobs end while it is on its way.
-        slots, others = self._slots(w), w.others
-        share = slots / self.set.dispatchers
-        if share >= 1:
-            others = min(others, slots - share)
-        else:
-            sure = self.job_time / (self.job_time + REPORT_LAG)
-            others = sure * others + (1 - sure) * slots * min(1.0, self.crowd)
+        slots = self._slots(w)  # by late reports, others count for their equal share at most: else all herd
+        others = w.heard(self.now) if self.set.peers else min(w.others, slots - slots / self.set.dispatchers)
         return max(0.0, w.used + others + job.need - slots) / slots * self.job_time * w.slowness
 
     def _send(self, job: Job, w: State) -> None:
@@ -317,6 +305,7 @@
         w.out[key] = job.attempts[-1]
         w.credit -= job.weight * w.slowness
         self.todo.append(api.Send(job.req.id, w.info.id))
+        self._tell(w, api.Word.SENT, job.need)
         self._at(self.now + SILENCE, self._silent, (key, w))
 
     def _silent(self, about: tuple[tuple[int, int], State]) -> None:
@@ -331,6 +320,19 @@
         else:
             self._doubt(w)
 
+    def _tell(self, w: State, word: api.Word, slots: float) -> None:
+        self.todo += [api.Tell(api.Hint(w.info.id, word, slots))] * self.set.peers
+
+    def _heard(self, said: api.Heard) -> None:
+        """Another one's word costs a worker less trust than an own bad sign, and never gives it any."""
+        hint, w = said.hint, self.workers.get(said.hint.worker)
+        if w and hint.word is api.Word.SENT:
+            w.hear(self.now + int(LAPSE * self.job_time * max(1.0, w.slowness)), said.sender, hint.slots)
+        elif w:
+            w.unhear(said.sender, hint.slots)
+            self._doubt(w, 0.5 if hint.word is api.Word.BAD else 1.0)
+            self._serve_held()
+
     def _doubt(self, w: State, part: float = DISTRUST) -> None:
         w.trust = max(LEAST_TRUST, w.trust * part)
 
@@ -354,6 +356,8 @@
         attempt = job.attempts[o.attempt]
         self.used, attempt.ending = max(0.0, self.used - job.need), o.ending
         if w:
+            bad = o.ending in (Ending.FAILED, Ending.FULL, Ending.CONNECT_FAILED, Ending.RESET)
+            self._tell(w, api.Word.BAD if bad else api.Word.ENDED, job.need)
             if w.out.pop(key, None):  # not one from before a restart under the same id
                 # Work that was given up goes on: its slots stay taken for as long as it is expected to run.
                 left = int(job.service * w.slowness) - attempt.ran(self.now) if attempt.started else 0
@@ -368,8 +372,6 @@
                 self._alive(w)
                 if not self.stalled:  # found late, an answer tells this dispatcher's pause for service time
                     self._learn(job, attempt, w)
-            elif o.ending is Ending.FULL:  # fuller than reports told
-                w.others, w.report_at = max(w.others, 2 * self._slots(w)), self.now
             elif o.ending not in (Ending.CANCELLED, Ending.IGNORED):
                 long = attempt.ran(self.now) > SILENCE + HURRIED * job.service * max(1.0, w.slowness)
                 if long or o.ending is not Ending.TIMED_OUT:  # else the client had no time for it
@@ -405,7 +407,7 @@
 
     def _probe(self, _: object) -> None:
         ready = [w for w in self.workers.values() if w.up]
-        self._at(self.now + PROBE // max(1, len(ready)), self._probe)
+        self._at(self.now + max(SECOND // 2, PROBE * self.set.dispatchers) // max(1, len(ready)), self._probe)
         for w in sorted(ready, key=lambda w: (w.probe_at, w.info.id))[:1]:
             w.probe_at = self.now
             self.todo.append(api.Probe(w.info.id))
@@ -477,9 +479,9 @@
         for w in self.workers.values():
             w.slowness = self._slots(w) * self.whole_size / max(self.sizes[w.info.kind] * slots, LEAST)
             w.trust = min(1.0, (1.25 if w.failing else 2) * w.trust)  # time heals: each has its own trials
-        # Where most look bad, the fault is likelier here or in the network, and ejecting is the harm.
+        # Where nearly all look bad, the fault is likelier here: ejecting is the harm. A lost zone is half.
         bad = sum(w.bad for w in self.workers.values())
-        if self.eject != (2 * bad <= len(self.workers)):
+        if self.eject != (4 * bad <= 3 * len(self.workers)):
             self.eject = not self.eject
             self.todo.append(api.Log(f"{bad} workers look bad, ejection is {'on' if self.eject else 'off'}"))
         self._serve_held()
--- a/rookwood/settings.py
+++ b/rookwood/settings.py
@@ -109,5 +109,6 @@
         order_settle=tree.get("rules.order-settle", int, 0),
         cancel=tree.get("bounds.cancel", bool, False),
         marks_retry=tree.get("clients.marks-retry", bool, False),
+        peers=tree.get("bounds.peers", bool, False),
         probes=tree.get("bounds.probes", bool, False) and tree.get("load-report.how", str, "") == "pull",
     )
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -11,6 +11,7 @@
 Fleet = dict[str, tuple[float, str, float]]  # capacity, kind and slots of workers, in the shared order
 Table = dict[Row, list[tuple[str, float]]]  # row -> workers with their phi
 
+MOST_TOLD = 99  # jobs of others remembered at one worker
 
 
 @dataclass(slots=True)
@@ -57,6 +58,7 @@
     report_at: int = 0
     probe_at: int = 0
     out: dict[tuple[int, int], Attempt] = field(default_factory=dict)  # own attempts, oldest first
+    told: list[tuple[int, int, float]] = field(default_factory=list)  # jobs of others: until, whose, slots
     credit: float = math.inf  # slot-time that may be sent while it is cold
     credit_at: int = 0
 
@@ -77,3 +79,16 @@
 
     def free(self, need: float) -> None:
         self.used = max(0.0, self.used - need)
+
+    def hear(self, until: int, sender: int, slots: float) -> None:
+        """Another one's job is here. `until` then it lapses by itself, since word of its end may be lost."""
+        self.told = [*self.told[-MOST_TOLD:], (until, sender, slots)]
+
+    def unhear(self, sender: int, slots: float) -> None:
+        found = next((job for job in self.told if job[1:] == (sender, slots)), None)
+        if found:
+            self.told.remove(found)
+
+    def heard(self, now: int) -> float:
+        self.told = [job for job in self.told if job[0] > now]
+        return sum(slots for _, _, slots in self.told)
--- a/rookwood/wirehost.py
+++ b/rookwood/wirehost.py
@@ -10,10 +10,12 @@
 import sys
 import traceback
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any, NoReturn, TextIO, TypeVar
 
 from rookwood import interface as api
+from rookwood.hints import Codec, OddHintError
 from rookwood.policy import Policy
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 
@@ -145,8 +147,15 @@
     return api.Worker(name, found[0], found[1], found[2], kind, zone, found[3])
 
 
-def event_of(tag: str, line: Line) -> api.Event | None:
-    """The event of one line; ``None`` for a message that carries nothing to decide on."""
+@dataclass(frozen=True, slots=True)
+class Said:
+    """A message of another instance, still to be decoded by the list of the one that gets it."""
+
+    author: int
+    payload: bytes
+
+
+def event_of(tag: str, line: Line) -> api.Event | Said:
     if tag == "ASK":
         return api.Request(
             id=line.whole("handle"),
@@ -181,11 +190,14 @@
         )
     if tag == "SAMPLED":
         return api.Probed(line.text("worker"), line.one_of("ending", api.Ending), line.load("usage"))
-    line.whole("author")
-    return None
+    try:
+        payload = bytes.fromhex(line.opt("payload") or "")
+    except ValueError:
+        line.bad("payload", "not hex digits")
+    return Said(line.whole("author"), payload)
 
 
-def written(action: api.Action) -> str:
+def written(action: api.Action, codec: Codec) -> str:
     """The wire's line for an action."""
     match action:
         case api.Send(request, worker, timeout):
@@ -198,6 +210,8 @@
             return f"ABORT_ATTEMPT {request} {attempt}"
         case api.Probe(worker):
             return f"SOUND_OUT {worker}"
+        case api.Tell(hint):
+            return f"NOTIFY * {codec.encode(hint).hex()}"
         case api.SetTimer(token, delay):
             return f"DEFER {token} {delay}"
         case api.Subscribe():
@@ -211,6 +225,7 @@
 
     def __init__(self) -> None:
         self.policies: dict[str, Policy] = {}
+        self.codecs: dict[str, Codec] = {}
         self.number = 0
 
     def next_line(self, lines: Iterator[str], wanted: str | None = None) -> tuple[str, Line] | None:
@@ -282,16 +297,22 @@
             if event == "CRASH_NOW":
                 self.policies.pop(name, None)
                 continue
-            if event is None:
-                continue
             try:
                 if isinstance(event, tuple):
-                    self.policies[name] = Policy(event[1], event[0])
+                    self.policies[name], self.codecs[name] = Policy(event[1], event[0]), Codec()
                 elif name not in self.policies:
                     line.bad("dispatcher", f"{name} has had no HELLO")
                 else:
+                    if isinstance(event, api.WorkersChanged):
+                        whole = event.how in (api.Listing.WHOLE, api.Listing.KEPT)
+                        self.codecs[name].learn((w.id for w in event.workers), whole)
+                    if isinstance(event, Said):
+                        try:
+                            event = api.Heard(event.author, self.codecs[name].decode(event.payload))
+                        except OddHintError:
+                            continue
                     actions = self.policies[name].handle(now, event)
-                out = [written(action) for action in actions]
+                out = [written(action, self.codecs[name]) for action in actions]
             except WireError:
                 raise
             except Exception as error:  # a defect of the policy ends the run, with its text
--- /dev/null
+++ b/tests/test_tier.py
@@ -0,0 +1,96 @@
+"""Sums over a tier: what is harmless in one dispatcher and harmful in forty."""
+
+from __future__ import annotations
+
+import pytest
+
+from rookwood import interface as api
+from tests.tier import SECOND, Tier
+from tests.world import MS, World, settings, worker
+
+
+@pytest.mark.parametrize("dispatchers", [2, 40])
+def test_probes_of_a_worker_are_a_budget_of_the_tier(dispatchers: int) -> None:
+    """Each dispatcher probed each worker twice a second: forty made eighty, at a price for each."""
+    tier = Tier(dispatchers, probes=True)
+    tier.tell()
+    tier.run(21 * SECOND)
+    assert 3 < tier.count(api.Probe) / 20 / len(tier.boxes) < 11
+
+
+def test_jobs_go_to_idle_workers_though_each_dispatcher_has_few() -> None:
+    """Reports are older than a job is long: half of the jobs queued at workers, or were refused beside idle
+    ones. Of jobs of four slots nearly all were refused."""
+    tier = Tier(probes=True, peers=True)
+    tier.tell()
+    tier.load(200, 6 * SECOND)  # 100 of 240 slots
+    tier.load(8, 6 * SECOND, "fee", slots=4)  # 16 more
+    tier.run(10 * SECOND)
+    late = sum(wait > 100 * MS for wait in tier.started)
+    assert tier.count(api.Refuse) == 0
+    assert late < 0.05 * len(tier.started)
+
+
+def test_lost_zone_is_found_out_once_and_not_by_each_dispatcher_anew() -> None:
+    """Half of the workers and one more look bad: ejection went off where it was needed most."""
+    tier = Tier(probes=True, peers=True)
+    tier.tell()
+    tier.load(60, 8 * SECOND)
+    tier.run(2 * SECOND)
+    dead = [info.id for info in tier.infos if info.zone == "z1"] + [tier.infos[0].id]
+    for name in dead:
+        tier.boxes[name].dead = True
+    tier.run(8 * SECOND)
+    assert all(policy.eject for policy in tier.policies)
+    assert tier.ended[api.Ending.CONNECT_FAILED] < 4 * len(dead)
+    assert tier.count(api.Refuse) + tier.count(api.Fail) < 0.02 * tier.ended[api.Ending.OK]
+
+
+def told(world: World, sender: int, word: api.Word, slots: float = 1.0) -> None:
+    world.feed(api.Heard(sender, api.Hint(worker(0).id, word, slots)))
+
+
+def test_word_of_others_makes_room_and_takes_it() -> None:
+    world = World(settings(peers=True, dispatchers=40))
+    world.list_workers(worker(0), worker(2))
+    for _ in range(4):
+        told(world, 7, api.Word.SENT)
+    assert world.asked[world.ask("fee", key=1)].tries[0].worker == worker(2).id
+    for _ in range(4):
+        told(world, 7, api.Word.ENDED)
+    assert all(world.asked[world.ask("fee", key=1)].tries[0].worker == worker(0).id for _ in range(4))
+
+
+def test_word_that_was_lost_lapses() -> None:
+    world = World(settings(peers=True, dispatchers=40))
+    world.list_workers(worker(0))
+    for _ in range(60):
+        told(world, 7, api.Word.SENT)
+    assert not world.asked[world.ask("fee", key=1)].tries
+    world.advance(10 * SECOND)
+    assert world.asked[world.ask("fee", key=1)].tries
+
+
+def test_flood_of_words_takes_no_memory_and_gives_no_trust() -> None:
+    world = World(settings(peers=True, dispatchers=40))
+    world.list_workers(worker(0), worker(1))
+    state = world.policy.workers[worker(0).id]
+    for _ in range(1000):
+        told(world, 7, api.Word.SENT)
+        told(world, 8, api.Word.BAD)
+    assert len(state.told) <= 100 and state.bad
+    trust = state.trust
+    for _ in range(1000):
+        told(world, 7, api.Word.ENDED)
+    assert state.trust <= trust
+    world.feed(api.Heard(7, api.Hint("10.9.9.9:80", api.Word.SENT, 1.0)))  # of a worker that no list named
+
+
+def test_worker_that_turns_jobs_away_is_told_of() -> None:
+    """It drains, and its reports show idle slots: each dispatcher tried it again and again."""
+    world = World(settings(peers=True, dispatchers=40))
+    world.list_workers(worker(0))
+    number = world.ask("read", key=1)
+    world.end(number, api.Ending.FULL)
+    assert world.policy.workers[worker(0).id].bad
+    assert api.Tell(api.Hint(worker(0).id, api.Word.BAD, 1.0)) in [action for _, action in world.trace]
