Spread the waits told to refused clients, and keep hints through an upgrade

Need: forty dispatchers told everybody that was refused in a jam to come back after the same second; in an upgrade the old process has the datagram address, so the new one had no hints for the rest of its life and took workers for idle; good ends told by others could clear faults that a dispatcher had seen itself.

--- a/rookwood/net/peers.py
+++ b/rookwood/net/peers.py
@@ -8,7 +8,8 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from datetime import timedelta
 
 from rookwood.hints import Codec, OddHintError
 from rookwood.interface import Hint
@@ -18,15 +19,22 @@
 log = logging.getLogger(__name__)
 
 Place = tuple[str, int]
+PAUSE = timedelta(seconds=1)  # between tries to get the address
 
 
 class Peers(asyncio.DatagramProtocol):
     """Owns the one datagram socket. Without an address to hear at, nothing is told either."""
 
     def __init__(
-        self, decisions: Decisions, listen: Address | None, peers: Sequence[Address], everyone: Address | None
+        self,
+        decisions: Decisions,
+        listen: Address | None,
+        peers: Sequence[Address],
+        everyone: Address | None,
+        pause: timedelta = PAUSE,
     ) -> None:
-        self._decisions = decisions
+        self._decisions, self._pause = decisions, pause
+        self._again: asyncio.Task[None] | None = None
         self._numbers = {(peer.host, peer.port): n for n, peer in enumerate(peers)}
         self._own = (listen.host, listen.port) if listen else None
         others = [place for place in self._numbers if place != self._own]
@@ -36,16 +44,25 @@
         self.dropped: Counter[str] = Counter()  # by reason
 
     async def start(self) -> None:
-        """What is refused here costs nothing but the hints."""
-        if self._own is None or not self._to:
-            return
+        """What is refused costs nothing but the hints. Amid an upgrade the old process has the address."""
+        if self._own and self._to and not await self._bound(log.warning):
+            self._again = asyncio.create_task(self._retried())
+
+    async def _bound(self, complain: Callable[[str, OSError], None]) -> bool:
         try:
             loop = asyncio.get_running_loop()
             self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self._own)
         except OSError as error:
-            log.warning("no hints between dispatchers: %s", error)
-            return
+            complain("no hints between dispatchers: %s", error)
+            return False
         self._decisions.tell = self._tell
+        return True
+
+    async def _retried(self) -> None:
+        while True:
+            await asyncio.sleep(self._pause.total_seconds())
+            if await self._bound(log.debug):
+                return
 
     def learn(self, told: DestinationSet, kept: bool) -> None:
         self._codec.learn((endpoint.uid for endpoint in told.endpoints), told.whole or kept)
@@ -76,6 +93,9 @@
         log.debug("a hint was not taken: %s", exc)
 
     async def close(self) -> None:
+        if self._again:
+            self._again.cancel()
+            await asyncio.gather(self._again, return_exceptions=True)
         if self._transport:
             self._transport.close()
         if self.dropped:
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -27,9 +27,9 @@
 SOON, LAPSE = 0.1, 4  # mean jobs that count as no wait; after which word of another one's end may be lost
 PATIENCE = 0.17  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
-DISTRUST, LEAST_TRUST, HEAL = 0.2, 0.02, 0.8  # a bad sign multiplies trust by this; its least; faults by step
+DISTRUST, LEAST_TRUST = 0.2, 0.02  # a bad sign multiplies trust by this; trust's least
 COLD_SAFETY = 0.5  # part of the rule-4 budget that is used
-RETRY_AFTER = SECOND  # when a refused client may come back
+RETRY_AFTER = SECOND  # when a refused client may come back, on the mean
 RETRY_RATIO, RETRY_BURST = 0.1, 10.0  # retries earned by each request; most that are saved up
 LEAST_FIRSTS, HURRIED = 0.25, 3  # part of first tries even in a jam; times that a job may take its mean
 TRIED, HUSH = 12, SECOND // 4  # held requests tried at an event, to bound work; an end's word waits so long
@@ -177,7 +177,8 @@
     def _end(self, job: Job) -> None:  # refused where a new try does no harm, else failed (rule 2)
         harmless = job.cls.repeat is Repeat.SAFE or not any(a.may_have_run for a in job.attempts)
         harmless = harmless or (job.cls.repeat is Repeat.KEYED and job.cls.group is Group.ALL)
-        self.todo.append(api.Refuse(job.req.id, RETRY_AFTER) if harmless else api.Fail(job.req.id))
+        wait = int(RETRY_AFTER * self.rng.uniform(0.5, 1.5))  # refused together is not back together
+        self.todo.append(api.Refuse(job.req.id, wait) if harmless else api.Fail(job.req.id))
         self._forget(job)
 
     def _forget(self, job: Job) -> None:
@@ -220,8 +221,7 @@
 
     def _draw(self, job: Job) -> State | None:
         """Two phi draws, the lower estimate wins. Both busy: spill, or hold."""
-        row = self.table.get(job.row)
-        names = self.rng.choices(row, [phi for _, phi in row], k=2) if row else ()
+        names = self.rng.choices(row, [p for _, p in row], k=2) if (row := self.table.get(job.row)) else ()
         near = [w for name, _ in names if (w := self.workers.get(name)) and self._usable(job, w)]
         # Spill in the key's own order, the same everywhere. Who starts at once first: own zone, then fast.
         near.sort(key=lambda w: (self._wait(job, w) + job.service * w.slowness) / w.worth)
@@ -331,14 +331,14 @@
         self.words.clear()
 
     def _heard(self, said: api.Heard) -> None:
-        """Another one's word costs a worker less trust than an own bad sign, and never gives it any."""
+        """Another one's word can cost a worker requests; it never gives back what own evidence took."""
         for hint in said.hints:
             w = self.workers.get(hint.worker)
             if w and hint.word is api.Word.SENT:
                 w.hear(self.now + int(LAPSE * self.job_time * max(1.0, w.slowness)), said.sender, hint.slots)
             elif w:
                 w.unhear(said.sender, hint.slots)
-                w.ended(hint.word is api.Word.BAD)
+                w.ended(hint.word is api.Word.BAD, own=False)
         self._serve_held()
 
     def _doubt(self, w: State) -> None:
@@ -366,7 +366,7 @@
         if w:
             bad = o.ending in (Ending.FAILED, Ending.FULL, Ending.CONNECT_FAILED, Ending.RESET)
             self._tell(w, api.Word.BAD if bad else api.Word.ENDED, job.need)
-            w.ended(bad)
+            w.ended(bad, own=True)
             if w.out.pop(key, None):  # not one from before a restart under the same id
                 # Work that was given up goes on: its slots stay taken for as long as it is expected to run.
                 left = int(job.service * w.slowness) - attempt.ran(self.now) if attempt.started else 0
@@ -478,7 +478,7 @@
         slots = sum(self._slots(w) for w in self.workers.values())
         for w in self.workers.values():
             w.slowness = self._slots(w) * self.whole_size / max(self.sizes[w.info.kind] * slots, LEAST)
-            w.trust, w.faults = min(1.0, 2 * w.trust), HEAL * w.faults  # time heals: each has its own trials
+            w.heal()  # each has its own trials
         # Where nearly all look bad, the fault is likelier here: ejecting is the harm. A lost zone is half.
         bad = sum(w.bad for w in self.workers.values())
         if self.eject != (4 * bad <= 3 * len(self.workers)):
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -12,7 +12,8 @@
 Table = dict[Row, list[tuple[str, float]]]  # row -> workers with their phi
 
 MOST_TOLD = 99  # jobs of others remembered at one worker
-FAULT, MOST_FAULTS, LEAST_SOUND = 0.1, 0.2, 0.02  # weight of one end; faults that leave it the least
+FAULT, MOST_FAULTS, LEAST_SOUND = 0.1, 0.25, 0.02  # weight of one end; faults that leave it the least
+HEAL = 0.8  # part of the faults that is still counted a step later
 
 
 @dataclass(slots=True)
@@ -52,7 +53,8 @@
     points: list[tuple[int, str]]  # on the ring
     last_sign: int  # when it last showed life
     slowness: float = 1.0  # time that a job takes, by size and slots, over the fleet's mean
-    faults: float = 0.0  # part of the jobs, all dispatchers' as far as told, that lately ended by its fault
+    faults: float = 0.0  # part of the own jobs that lately ended by its fault
+    told_faults: float = 0.0  # and of the jobs of others, as far as told
     trust: float = 1.0  # what silence, time-outs and failed probes leave of that, by own evidence
     used: float = 0.0  # slots of own attempts out
     others: float = 0.0  # slots that other dispatchers hold, by reports, averaged
@@ -65,7 +67,8 @@
 
     @property
     def worth(self) -> float:  # part of its usual requests that it gets
-        return self.trust * max(LEAST_SOUND, 1 - self.faults / MOST_FAULTS)
+        over = max(0.0, max(self.faults, self.told_faults) - FAULT)  # a stray one is free
+        return self.trust * max(LEAST_SOUND, 1 - over / (MOST_FAULTS - FAULT))
 
     @property
     def bad(self) -> bool:  # most of its usual requests go elsewhere
@@ -81,8 +84,17 @@
     def free(self, need: float) -> None:
         self.used = max(0.0, self.used - need)
 
-    def ended(self, fault: bool) -> None:
-        self.faults += FAULT * (fault - self.faults)
+    def ended(self, fault: bool, own: bool) -> None:
+        """Others' good ends do not weigh against own bad ones."""
+        if own:
+            self.faults += FAULT * (fault - self.faults)
+        else:
+            self.told_faults += FAULT * (fault - self.told_faults)
+
+    def heal(self) -> None:
+        """At each step: time brings a worker its trial."""
+        self.trust = min(1.0, 2 * self.trust)
+        self.faults, self.told_faults = HEAL * self.faults, HEAL * self.told_faults
 
     def hear(self, until: int, sender: int, slots: float) -> None:
         """Another one's job is here. `until` then it lapses by itself, since word of its end may be lost."""
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -83,6 +83,12 @@
     for _ in range(1000):
         told(world, 7, api.Word.ENDED)
     assert state.trust <= trust
+    for _ in range(5):
+        state.ended(fault=True, own=True)
+    worth = state.worth
+    for _ in range(1000):
+        told(world, 7, api.Word.ENDED)
+    assert state.worth <= worth
     world.feed(api.Heard(7, (api.Hint("10.9.9.9:80", api.Word.SENT, 1.0),)))  # of a worker that no list named
 
 
@@ -108,3 +114,16 @@
     assert [world.asked[world.ask("fee", key=n)].tries[0].worker for n in range(3)] == [worker(2).id] * 3
     world.advance(20 * SECOND)  # it has its trial
     assert world.policy.cluster().avoided == 0
+
+
+def test_refused_clients_are_told_different_times() -> None:
+    """One constant brought all that were refused together back together."""
+    tier = Tier(peers=True)
+    for policy_number in range(40):
+        for _ in range(5):
+            tier.ask(policy_number, "read", SECOND, key=1)  # there is no worker at all
+    tier.run(6 * SECOND)
+    waits = sorted(a.retry_after for _, _, a in tier.done if isinstance(a, api.Refuse))
+    assert len(waits) == 200
+    tenths = {wait // (SECOND // 10) for wait in waits}
+    assert len(tenths) == 10 and waits[0] >= SECOND // 2 and waits[-1] <= 3 * SECOND // 2
