--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from rookwood import interface as api
@@ -127,3 +129,23 @@
     assert len(waits) == 200
     tenths = {wait // (SECOND // 10) for wait in waits}
     assert len(tenths) == 10 and waits[0] >= SECOND // 2 and waits[-1] <= 3 * SECOND // 2
+
+
+def test_cold_workers_are_used_and_never_sent_more_than_the_rule_allows_in_sum() -> None:
+    """Each keeps to a share of its own; what forty send together must stay under the rule all the same."""
+    tier = Tier(probes=True, peers=True)
+    born = tier.now
+    conf = tier.policies[0].set
+    tier.tell(tuple(replace(info, started_at=born) for info in tier.infos))
+    tier.load(600, 3 * SECOND)  # more than the cold fleet can do
+    tier.run(3 * SECOND)
+    sends: dict[str, list[int]] = {name: [] for name in tier.boxes}
+    for when, _, action in tier.done:
+        if isinstance(action, api.Send):
+            sends[action.worker].append(when)
+    for times in sends.values():
+        for when in times:
+            warm = conf.cold_share + (1 - conf.cold_share) * (when - born) / conf.warm_up
+            work = sum(when - conf.fall_window < other <= when for other in times) * SECOND / 2
+            assert work <= conf.fall_multiple * 4 * warm * conf.fall_window
+    assert min(map(len, sends.values())) > 5  # none is left cold by all
