Name the datagram socket among the descriptors kept back

Need: `net/room.py` says what its 16 descriptors are for, and the hints brought one more. Only the comment changes.

--- a/rookwood/net/room.py
+++ b/rookwood/net/room.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-# Standard streams, the loop's own, two listeners, the watch and the one after it, the sockets of a handover.
+# Standard streams, the loop's own, two listeners, the peers' datagrams, the watch and the one after it, a handover's.
 BASE = 16
 CALL_ACCEPTS = 4  # callers taken in before those taken are counted
 
