--- a/rookwood/net/room.py
+++ b/rookwood/net/room.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass
 
-# Standard streams, the loop's own, two listeners, the peers' datagrams, the watch and the one after it, a handover's.
+# Standard streams, the loop's own, two listeners, the peers' datagrams, the watch and the one after it, and
+# the sockets of a handover.
 BASE = 16
 CALL_ACCEPTS = 4  # callers taken in before those taken are counted
 
