Pass Idempotency-Key on to endpoints unchanged

PROTOCOL.md has the key among what passes on unchanged, and a roster-rebuild carries one. `endpoints.encoded` wrote five headers and never this one; the first site has no keyed class, so it never showed.

Every value now goes on as it came, in bytes, several and odd ones too, for any class, at each attempt and over the gateway (a field at the end of Offer that older sides leave out).

--- a/rookwood/gateway/frames.py
+++ b/rookwood/gateway/frames.py
@@ -76,6 +76,7 @@
     content_type: str | None
     body: bytes
     stops: tuple[Stop, ...] = ()
+    keys: tuple[bytes, ...] = ()
 
 
 class Withdraw(Struct, frozen=True, array_like=True, tag="withdraw"):
--- a/rookwood/gateway/guests.py
+++ b/rookwood/gateway/guests.py
@@ -357,7 +357,9 @@
                 memory=offer.memory,
                 key=offer.key,
                 is_retry=offer.is_retry,
-                outgoing=Outgoing(offer.request_id, offer.target, offer.host, offer.content_type, offer.body),
+                outgoing=Outgoing(
+                    offer.request_id, offer.target, offer.host, offer.content_type, offer.body, offer.keys
+                ),
             )
             answer = await self._requests.serve(request, course)
             if answer.status == 200:
--- a/rookwood/gateway/home.py
+++ b/rookwood/gateway/home.py
@@ -318,6 +318,7 @@
             content_type=out.content_type,
             body=out.body,
             stops=self._stops(now),
+            keys=out.keys,
         )
 
     def tick(self) -> None:
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -69,6 +69,7 @@
     host: str
     content_type: str | None
     body: bytes
+    keys: tuple[bytes, ...] = ()  # every `Idempotency-Key` as it came: endpoints drop repeats by it
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,13 +119,14 @@
 
 def encoded(wire: Wire, request: Outgoing, left: timedelta) -> bytes:
     headers = [
-        ("Host", request.host),
-        ("Request-Id", request.request_id),
-        ("Request-Timeout", f"{max(0.0, left.total_seconds()):.3f}"),
-        ("Content-Length", str(len(request.body))),
+        (b"Host", request.host.encode()),
+        (b"Request-Id", request.request_id.encode()),
+        (b"Request-Timeout", b"%.3f" % max(0.0, left.total_seconds())),
+        (b"Content-Length", b"%d" % len(request.body)),
     ]
     if request.content_type is not None:
-        headers.append(("Content-Type", request.content_type))
+        headers.append((b"Content-Type", request.content_type.encode()))
+    headers += [(b"Idempotency-Key", key) for key in request.keys]
     head = h11.Request(method="POST", target=request.target, headers=headers)
     return wire.encode(head, h11.Data(data=request.body), h11.EndOfMessage())
 
--- a/rookwood/net/messages.py
+++ b/rookwood/net/messages.py
@@ -127,6 +127,7 @@
             host=headers.get("Host") or "",
             content_type=headers.get("Content-Type"),
             body=taken.body,
+            keys=tuple(value for name, value in taken.head.headers if name == b"idempotency-key"),
         ),
         idempotency_key=headers.first("Idempotency-Key"),
     )
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -107,10 +107,13 @@
 
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """Start line, headers and body of a message with a Content-Length."""
-    head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT)).decode()
-    start, *rest = head.rstrip().split("\r\n")
-    headers = {name.lower(): value.strip() for name, _, value in (item.partition(":") for item in rest)}
+    """Start line, headers and body of a message with a Content-Length; values of one name with | between."""
+    head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT)).decode("latin-1")
+    start, *rest = head[:-4].split("\r\n")
+    headers: dict[str, str] = {}
+    for name, _, value in (item.partition(":") for item in rest):
+        before = headers.get(name.lower())
+        headers[name.lower()] = value.strip(" ") if before is None else f"{before}|{value.strip(' ')}"
     return start, headers, await reader.readexactly(int(headers.get("content-length", 0)))
 
 
@@ -194,9 +197,13 @@
     async def connect(self) -> Streams:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
-    def request(self, path: str = "/page?k=7", timeout: float = 8.0, body: bytes = b"hello") -> bytes:
+    def request(
+        self, path: str = "/page?k=7", timeout: float = 8.0, body: bytes = b"hello", more: bytes = b""
+    ) -> bytes:
+        """`more`: further header lines, each with its end."""
         head = f"POST {path} HTTP/1.1\r\nHost: api\r\nRequest-Id: r{next(self.ids)}\r\n"
-        return f"{head}Request-Timeout: {timeout}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        head += f"Request-Timeout: {timeout}\r\nContent-Length: {len(body)}\r\n"
+        return head.encode() + more + b"\r\n" + body
 
     async def exchange(self, streams: Streams, data: bytes) -> tuple[int, dict[str, str], bytes]:
         streams[1].write(data)
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -93,7 +93,9 @@
     Hello(1, "zagreb", "z0", 2**61, 5),
     Ping(1, 2.5, 3),
     Ack(7),
-    Offer(1, 2, 1, 9, 5, "page", 1.0, None, "k", False, "id", b"/p", "h", None, b"\0\xff", (Stop("s", 4),)),
+    Offer(
+        1, 2, 1, 9, 5, "page", 1.0, None, "k", False, "i", b"p", "h", None, b"\0\xff", (Stop("s", 4),), (b"",)
+    ),
 ]
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -76,6 +76,33 @@
     play(story())
 
 
+@pytest.mark.parametrize(
+    ("path", "values"),
+    [
+        ("/roster", [b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"]),
+        ("/page", [b"k"]),  # a class that is not keyed
+        ("/roster", [b""]),
+        ("/roster", [b"k" * 4000]),
+        ("/roster", [b'"a, b"', b"\xe9\xff \t;"]),  # several, and bytes that no text has
+        ("/roster", []),
+    ],
+)
+def test_idempotency_key_reaches_every_attempt_unchanged(
+    tmp_path: Path, path: str, values: list[bytes]
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.ends("returned"), st.served)
+        roster = st.lane("roster", "keyed", group="zone", window=30_000_000)
+        lanes = [*SETTINGS["lanes"], roster]
+        async with stage(tmp_path, endpoint, settings=SETTINGS | {"lanes": lanes}) as s:
+            more = b"".join(b"idempotency-KEY: %s\r\n" % value for value in values)
+            assert (await s.ask(path, more=more))[0] == 200
+            sent = b"|".join(values).decode("latin-1")
+            assert [h.get("idempotency-key", "") for h in endpoint.headers] == [sent] * 2
+
+    play(story())
+
+
 def test_refused_connection_is_an_attempt_that_never_ran(tmp_path: Path) -> None:
     async def story() -> None:
         dead, alive = Endpoint(st.served), Endpoint(st.served)
