Keep slots seen free, weigh the class served worst, and follow a key over cheap crossings

Workers idle that were taken for full. `most = free + old_ones` counts own jobs alone where reports lack `outstanding`: a lower bound, yet the figure fell towards it. It now falls only at a worker that is mostly idle.

--- a/rookwood/interface.py
+++ b/rookwood/interface.py
@@ -94,6 +94,8 @@
     max_attempts: int = 3
     worth_by_work: bool = False
     over_share_worth: float = 1.0
+    worst_class: float = 0.0  # what the class served worst counts for, as a multiple of all together
+    crossing: float = 1.0  # price of a request that crosses zones, as a part of a request; unsaid, it is dear
     tells_start: bool = False
     cold_share: float = 1.0  # part of its capacity that a worker starts with, at least
     warm_up: int = 0
@@ -115,7 +117,8 @@
                 raise ValueError(f"settings: {count} must be 1 or more")
         if not 0 <= self.me < self.dispatchers:
             raise ValueError("settings: me is no number of a dispatcher")
-        amounts: dict[str, float] = {"warm_up": self.warm_up, "order_settle": self.order_settle}
+        amounts: dict[str, float] = {"worst_class": self.worst_class, "crossing": self.crossing}
+        amounts |= {"warm_up": self.warm_up, "order_settle": self.order_settle}
         amounts |= {"fall_window": self.fall_window, "fall_multiple": self.fall_multiple}
         for c in self.classes:
             amounts |= {f"{c.name}.aim": c.aim, f"{c.name}.give_up": c.give_up, f"{c.name}.window": c.window}
--- a/rookwood/memory.py
+++ b/rookwood/memory.py
@@ -9,9 +9,9 @@
 from rookwood import interface as api
 from rookwood.policy import Policy
 
-FORM = 3  # a process of another release may not know this one
+FORM = 4  # a process of another release may not know this one
 PLAIN = ("job_time", "weight", "seen", "retries", "eject")
-BY_CLASS = ("answers", "typical", "mean")
+BY_CLASS = ("answers", "typical", "mean", "asked", "won")
 ROWS = ("whole", "firsts", "demand", "table")  # their keys are tuples
 
 
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -26,7 +26,7 @@
 REACH, MOST, PART = 3, 6, 8  # own zone's workers tried for a job in its key's order: one in 8, 3 to 6
 LEARN = 0.02  # weight of an answer
 FAULT, MOST_FAULTS, LEAST_SOUND = 0.1, 0.25, 0.02  # weight of one end; faults that leave a worker the least
-HEAL = 0.8  # part of the faults that is still counted a step later
+HEAL = 0.8  # part of the faults, and of the worth asked for and won, that is still counted a step later
 SOON, LOOKS = 0.1, 2  # mean jobs that count as no wait; times that load is asked for: own zone, then all
 PATIENCE = 0.17  # part of the time a job can still wait that it may be expected to queue at a worker
 SILENCE, SILENT_JOBS = SECOND // 4, 4.0  # silent after this, and so many mean jobs, without a sign of life
@@ -53,6 +53,7 @@
         self.answers, self.typical = dict.fromkeys(self.classes, 0), dict.fromkeys(self.classes, 0.0)
         self.whole: dict[tuple[str, str | None], int] = {}  # time that first tries of (class, tenant) bring
         self.firsts: dict[tuple[str, str | None], float] = {}  # part of these that names the whole time
+        self.asked, self.won = dict.fromkeys(self.classes, 0.0), dict.fromkeys(self.classes, 0.0)  # worth
         self.mean = dict.fromkeys(self.classes, 1.0)  # over typical (log of service time over `_base`): tails
         self.weight = self.job_time = float(max((c.aim for c in settings.classes), default=1))  # the mean
         self.workers, self.whole_size = dict[str, State](), 0.0  # and the sum of their sizes
@@ -120,11 +121,14 @@
         row = (cls.kind or "", group, -1 if req.key is None else req.key)
         lane = (cls.name, self._fairness(req), group)
         need, service = max(req.slots, req.memory or 0.0), self._base(req) * math.exp(self.typical[cls.name])
-        job = Job(req, cls, row, lane, need, service, need * service * self.mean[cls.name], self.rng.random())
+        weight, value = need * service * self.mean[cls.name], lane[1] * cls.worth
+        value *= service if self.set.worth_by_work else 1.0
+        job = Job(req, cls, row, lane, need, service, weight, value, self.rng.random())
         # Load shedding: after its wanted time, counted from the first try, an answer is worth nothing.
         slack = cls.aim - self._age(req) + (cls.stretch - 1) * job.service
         job.shed_at = self.now + min(req.time_left - 2 * self.set.tick, int(slack))
         self.jobs[req.id] = job
+        self.asked[cls.name] += value
         self.weight += FAULT * (job.weight - self.weight)
         self.count[row] += job.weight / max(job.need, LEAST) * req.slots / SECOND
         self.seen += 1
@@ -158,9 +162,11 @@
     def _base(self, req: api.Request) -> float:  # what service is learned against: hint or seed
         return req.work_hint or max(1.0, self.classes[req.job_class].aim / 2)
 
-    def _worth(self, name: str) -> float:  # of a slot-second
+    def _worth(self, name: str) -> float:  # of a slot-second; more where the class served worst has its part
         cls = self.classes[name]
-        return cls.worth / (1 if self.set.worth_by_work else cls.aim * math.exp(self.typical[name]))
+        worst = min(self.asked, key=lambda n: (self.won[n] + LEAST) / (self.asked[n] + LEAST)) == name
+        more = self.set.worst_class * worst * sum(self.asked.values()) / (self.asked[name] or LEAST)
+        return cls.worth * (1 + more) / (self.set.worth_by_work or cls.aim * math.exp(self.typical[name]))
 
     def _turn(self, key: int) -> None:
         """Rule 5: the first of a key's requests may go, once the key has rested."""
@@ -226,8 +232,6 @@
                 lane.remove(job)
                 job.held = False
                 self._send(job, w)
-            if not lane:
-                del self.lanes[name]
 
     def _draw(self, job: Job) -> State | None:
         """Two phi draws, the lower estimate wins. Both busy: spill, or hold."""
@@ -238,24 +242,19 @@
         return next((w for w in known if self._room(job, w)), None)
 
     def _near(self, job: Job) -> list[State]:
-        """Two phi draws, then spill in the key's own order. Who starts at once first: own zone, then fast."""
+        """Two phi draws, then spill in the key's own order; own zone first, unless a crossing is cheap."""
         names = self.rng.choices(row, [p for _, p in row], k=2) if (row := self.table.get(job.row)) else ()
         near = [w for name, _ in names if (w := self.workers.get(name)) and self._usable(job, w)]
         near.sort(key=lambda w: (self._wait(job, w) + job.service * w.slowness) / self._sound(w))
         reach = max(REACH, min(MOST, len(self.workers) // PART))
-        few, rest, last = list[State](), list[State](), job.looks == LOOKS
+        few, rest, last, cheap = list[State](), list[State](), job.looks == LOOKS, self.set.crossing <= SOON
         for w in self._ordered(job.req.key):
             if self._usable(job, w):
-                (few if w.info.zone == self.set.zone and len(few) < reach else rest).append(w)
+                (few if (cheap or w.info.zone == self.set.zone) and len(few) < reach else rest).append(w)
                 if len(few) == reach and (not last or len(rest) > reach // 2):
                     break
         few += [*rest[: reach // 2 + 1], *(w for w in self.open if self._usable(job, w))][: last * MOST]
-        few.sort(key=lambda w: self._rank(job, w))
-        return sorted([*near, *few], key=lambda w: self._rank(job, w)[0])
-
-    def _rank(self, job: Job, w: State) -> tuple[float, bool, float]:
-        wait, away = self._wait(job, w), w.info.zone != self.set.zone
-        return wait if wait > SOON * self.job_time else 0.0, away, w.slowness / self._warmth(w)
+        return sorted([*near, *few], key=lambda w: max(0.0, self._wait(job, w) - SOON * self.job_time))
 
     def _ordered(self, key: int | None, walk: int = WALK) -> Iterator[State]:
         """Workers in the key's order: along a ring on which each stands by its size."""
@@ -320,8 +319,7 @@
         self._at(self.now + SILENCE, self._open)
         for job in (job for lane in self.lanes.values() for job in lane[-AGAIN:]):
             self.talk.ask(self._near(job))
-        every = self.workers.values()
-        self.open = [w for w in every if w.up and self._warmth(w) < 1.0 and self._credit(w) >= 0]
+        self.open = [w for w in self.workers.values() if self._warmth(w) < 1.0 and self._credit(w) >= 0]
 
     def _wait(self, job: Job, w: State) -> float:
         slots, others = self.talk.slots(w), self.talk.others(w)
@@ -398,6 +396,7 @@
             self.talk.reported(w, o.load)
             if o.ending is Ending.OK:
                 self._alive(w)
+                self.won[job.cls.name] += job.value * (self.now <= job.shed_at + job.service)
                 if not self.stalled:  # found late, an answer tells this dispatcher's pause for service time
                     self._learn(job, attempt, w)
             elif o.ending not in (Ending.CANCELLED, Ending.IGNORED):
@@ -455,7 +454,6 @@
                 new.append(State(info, old.points if old else [], self.now))
             else:
                 old.info = info
-        most = max(self.sizes.values(), default=0.0) or 1.0
         if gone:
             self.ring = [p for p in self.ring if p[1] not in gone]
             for name in gone & self.workers.keys():
@@ -463,7 +461,7 @@
         for w in new:
             self.workers[w.info.id] = w
             if not w.points:  # a restart under the same id keeps its place
-                many = max(1, round(POINTS * self.sizes[w.info.kind] / most))
+                many = max(1, round(POINTS * self.sizes[w.info.kind] / (max(self.sizes.values()) or 1.0)))
                 w.points = [(place, w.info.id) for place in hashed(w.info.id, many)]
                 self.ring += w.points
         if gone or new:
@@ -479,6 +477,7 @@
         for w in self.workers.values():
             w.slowness = self.talk.slots(w) * self.whole_size / max(self.sizes[w.info.kind] * slots, LEAST)
             w.trust, w.faults, w.told_faults = min(1.0, 2 * w.trust), HEAL * w.faults, HEAL * w.told_faults
+        self.asked, self.won = ({n: HEAL * v for n, v in book.items()} for book in (self.asked, self.won))
         # Where nearly all look bad, the fault is likelier here: ejecting is the harm. A lost zone is half.
         bad = sum(self._sound(w) < 0.5 for w in self.workers.values())
         self.eject = 4 * bad <= 3 * len(self.workers)
--- a/rookwood/settings.py
+++ b/rookwood/settings.py
@@ -87,6 +87,7 @@
                 sequential=lane.get("sequential", bool, False),
             )
         )
+    goal = {name: tree.get(f"score-parts.{name}", float, 0.0) for name in ("whole", "worst-window")}
     return api.Settings(
         classes=tuple(classes),
         tenants=tuple(
@@ -101,6 +102,8 @@
         max_attempts=tree.get("bounds.attempts-cap", int),
         worth_by_work=tree.get("counted-by", str, "request") == "work",
         over_share_worth=tree.get("over-share-worth", float, 1.0),
+        worst_class=tree.get("score-parts.worst-class", float, 0.0) / (sum(goal.values()) or 1.0),
+        crossing=tree.get("prices.cross-zone", float, 1.0),
         tells_start=tree.get("family-info.tells-start", bool, False),
         cold_share=tree.get("rules.start-capacity", float),
         warm_up=tree.get("rules.warm-up", int),
--- a/rookwood/state.py
+++ b/rookwood/state.py
@@ -36,6 +36,7 @@
     need: float  # slots, or memory units if these are more
     service: float  # expected, on a worker of mean speed
     weight: float  # slot-time it is expected to take, on the mean
+    value: float  # what an answer in time is worth
     luck: float  # one throw for the whole request: a worker trusted less than this does not get it
     shed_at: int = 0  # started later than this it would come too late
     attempts: list[Attempt] = field(default_factory=list)
--- a/rookwood/talk.py
+++ b/rookwood/talk.py
@@ -141,7 +141,10 @@
         old_ones = sum(self._now - attempt.sent > REPORT_AGE for attempt in w.out.values())
         kind, most = w.info.kind, free + max(0.0, held - queue if held else old_ones)
         old = self.by_kind.get(kind, most)  # rises fast, falls slowly
-        self.by_kind[kind] = max(1.0, old + (0.2 if most > old else 0.005) * (most - old))
+        # Where reports do not say what is held there, jobs of others are missing: a lower bound, close
+        # only at a worker that is mostly idle. One that is busy tells of nothing to take back.
+        fall = 0.005 if held or 2 * free >= old else 0.0
+        self.by_kind[kind] = max(1.0, old + (0.2 if most > old else fall) * (most - old))
         self.found(w, max(0.0, self.by_kind[kind] - free + queue * self._need - w.used))
         return True
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -432,3 +432,45 @@
         for number in world.out():
             world.end(number, api.Ending.OK)
     assert all(w.slowness > 0 for w in world.policy.workers.values())
+
+
+def test_busy_workers_do_not_lose_slots_where_reports_name_only_free_ones() -> None:
+    """Jobs of others are missing from free slots and own jobs: taken for the whole, 5 slots became 3."""
+    world = World(settings(peers=True, probes=False))
+    world.list_workers(worker(0))
+    for free in [5.0] + 200 * [1.0]:
+        world.end(world.ask("fee"), api.Ending.OK, {"x0": free, "utilization": 0.5})
+    assert world.policy.talk.slots(world.policy.workers[worker(0).id]) == 5.0
+
+
+@pytest.mark.parametrize(("worst_class", "first"), [(0.0, "order"), (0.6, "fee")])
+def test_class_served_worst_goes_first_as_far_as_it_counts(worst_class: float, first: str) -> None:
+    """An order is worth three times a fee; but nine orders have been served of ten, and no fee of one."""
+    world = World(settings(dispatchers=1, worst_class=worst_class))
+    world.list_workers(worker(0, size=1.0))
+    for _ in range(9):
+        number = world.ask("order")
+        world.advance(400 * MS)
+        world.end(number, api.Ending.OK)
+    while not world.policy.lanes:
+        world.ask("order")
+    held = [world.ask(name) for name in ("fee", "order", "fee", "order")]
+    world.advance(300 * MS)
+    while not (sent := [n for n in held if world.asked[n].tries]):
+        world.end(world.out()[0], api.Ending.OK)
+    assert world.asked[sent[0]].cls.name == first
+
+
+@pytest.mark.parametrize(("crossing", "alike"), [(0.01, True), (0.13, False)])
+def test_key_keeps_one_worker_over_the_zones_where_a_crossing_is_cheap(crossing: float, alike: bool) -> None:
+    fleet = [worker(n, zone=f"z{n % 2}", kind="small") for n in range(8)]
+    chosen: list[list[str]] = []
+    for zone in ("z0", "z1"):
+        world = World(settings(zone=zone, crossing=crossing, peers=True))
+        world.list_workers(*fleet)
+        chosen.append([])
+        for key in range(20):
+            number = world.ask("fee", key=key)
+            chosen[-1].append(world.asked[number].tries[0].worker)
+            world.end(number, api.Ending.OK)
+    assert (chosen[0] == chosen[1]) is alike
