Hand tenant, hint and load told with answers to the decisions, and ask discovery spread

Cause: PROTOCOL.md has `Tenant` and `Work-Hint` on requests and a load report in an attempt's last object or in `Server-Load`. `messages.request_of`, `endpoints.message_of` and `_answer` dropped all of them, so on sockets the decisions knew no slots of a worker (4 were taken for 5), no tenant over its share and no hint. What is unsound in them costs nobody an answer. Over the gateway the offer carries tenant and hint.

Discovery that all ask (`subscribe`) serves a few calls a second and an outage ends all watches at once; `destinations.watch` asked again after a constant 0.2 s and gave a call 1 s. The pause is now drawn, grows with failures and with how long a call took, 3 s at most; a call may take 4 s. An agent on the own machine is asked as before. The list's age is a figure.

Tests: three stories that fail without it.

--- a/rookwood/gateway/frames.py
+++ b/rookwood/gateway/frames.py
@@ -77,6 +77,8 @@
     body: bytes
     stops: tuple[Stop, ...] = ()
     keys: tuple[bytes, ...] = ()
+    tenant: str | None = None
+    hint: int | None = None
 
 
 class Withdraw(Struct, frozen=True, array_like=True, tag="withdraw"):
--- a/rookwood/gateway/guests.py
+++ b/rookwood/gateway/guests.py
@@ -360,6 +360,8 @@
                 outgoing=Outgoing(
                     offer.request_id, offer.target, offer.host, offer.content_type, offer.body, offer.keys
                 ),
+                tenant=offer.tenant,
+                hint=timedelta(microseconds=offer.hint) if offer.hint else None,
             )
             answer = await self._requests.serve(request, course)
             if answer.status == 200:
--- a/rookwood/gateway/home.py
+++ b/rookwood/gateway/home.py
@@ -319,6 +319,8 @@
             body=out.body,
             stops=self._stops(now),
             keys=out.keys,
+            tenant=request.tenant,
+            hint=micros(request.hint) if request.hint else None,
         )
 
     def tick(self) -> None:
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -51,6 +51,8 @@
     memory: float | None = None
     key: str | None = None
     is_retry: bool = False
+    tenant: str | None = None
+    hint: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +123,10 @@
     return None if text is None else int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest())
 
 
+def figures_of(load: LoadReport | None) -> dict[str, float] | None:
+    return {LOAD.get(name, name): value for name, value in load.figures} if load else None
+
+
 def worker_of(endpoint: Endpoint) -> api.Worker:
     return api.Worker(
         id=endpoint.uid,
@@ -185,14 +191,16 @@
             attempt, _ = self._out
             self._door.feed(api.Note(self._number, attempt.number, attempt.uid, started))
 
-    def ended(self, end: End) -> None:
+    def ended(self, end: End, load: LoadReport | None = None) -> None:
         assert self._out
         (attempt, since), self._out = self._out, None
         self._settled = self._settled or end is End.SERVED
         latency = micros(self._door.clock.now() - since)
         ending = ENDINGS[end]
         self._door.feed(
-            api.Outcome(self._number, attempt.number, attempt.uid, ending, latency, self._settled)
+            api.Outcome(
+                self._number, attempt.number, attempt.uid, ending, latency, self._settled, figures_of(load)
+            )
         )
 
     def decided(self, action: api.Send | api.Refuse | api.Fail) -> None:
@@ -261,8 +269,7 @@
         self.feed(api.WorkersChanged(whole if told.whole or kept else api.Listing.CHANGES, workers))
 
     def probed(self, uid: str, end: End, load: LoadReport | None) -> None:
-        figures = {LOAD.get(name, name): value for name, value in load.figures} if load else None
-        self.feed(api.Probed(uid, ENDINGS[end], figures))
+        self.feed(api.Probed(uid, ENDINGS[end], figures_of(load)))
 
     def heard(self, sender: int, hints: tuple[api.Hint, ...]) -> None:
         self.feed(api.Heard(sender, hints))
@@ -281,6 +288,8 @@
                     memory=job.memory,
                     key=key_of(job.key),
                     is_retry=job.is_retry,
+                    tenant=job.tenant,
+                    work_hint=micros(job.hint) if job.hint else None,
                 )
             )
         except BaseException:
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable, Collection
+import random
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from enum import Enum
@@ -23,6 +24,8 @@
 FIRST_WORD_LIMIT = timedelta(seconds=1)  # the agent answers at once, or is down
 SILENCE_LIMIT = timedelta(seconds=3)  # a watch says something every 2 s
 PAUSE = timedelta(milliseconds=200)  # between tries; the agent is on this machine
+ASKED_LIMIT = timedelta(seconds=4)  # a service that all ask in turn gives up by itself after 2 s
+LONGEST_PAUSE = timedelta(seconds=3)  # the rules count whoever has not asked for 10 s as told all the same
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -82,6 +85,27 @@
     )
 
 
+class Pace:
+    """When discovery is asked again after a call or a watch that ended.
+
+    An agent on this machine answers at once and at no cost: after `PAUSE`. A service that all dispatchers
+    ask serves a few calls a second, and its outage ends all watches in one moment. How full it is shows in
+    how long a call took: the pause is drawn from up to twice that, doubled by each failure in a row, so that
+    those who come back arrive spread, and the less often the slower it answers."""
+
+    def __init__(self, asked: bool, seed: int) -> None:
+        self._asked, self._random = asked, random.Random(seed)
+        self._failures = 0
+
+    def after(self, took: timedelta, heard: bool) -> timedelta:
+        """`took`: until the first word, or until the call failed. `heard`: it brought a list."""
+        if not self._asked:
+            return PAUSE
+        self._failures = 0 if heard else min(self._failures + 1, 8)
+        most: timedelta = min(LONGEST_PAUSE, max(PAUSE, took) * 2 ** (self._failures + 1))
+        return PAUSE / 4 + (most - PAUSE / 4) * self._random.random()
+
+
 class Destinations:
     """Holds the list as told, and owns the one watch that talks to discovery."""
 
@@ -91,7 +115,14 @@
         grace: timedelta,
         apply: Callable[[DestinationSet, bool], None],
         discovery: Address,
+        asked: bool = False,
+        seed: int = 0,
     ) -> None:
+        """`asked`: discovery is one service for all dispatchers, and no agent on this machine."""
+        self._pace = Pace(asked, seed)
+        self._first_word = ASKED_LIMIT if asked else FIRST_WORD_LIMIT
+        self._heard: datetime | None = None  # discovery's last sign of life: the list's age
+        self._answered = clock.now()  # when the last call that was answered was
         self._clock, self._grace, self._apply = clock, grace, apply
         self._discovery, self._started = discovery, False
         self._foreign = False  # the list here came from another discovery
@@ -166,6 +197,7 @@
 
     async def watch(self) -> None:
         while True:
+            begun, before = self._clock.now(), self._heard
             try:
                 await self._follow()
                 log.info("the discovery watch ended; asking again")
@@ -173,7 +205,14 @@
                 log.warning("the discovery watch broke: %s: %s", type(error).__name__, error)
             except Exception:
                 log.exception("a change of the destination set failed")
-            await asyncio.sleep(PAUSE.total_seconds())
+            heard = self._heard is not before
+            took = self._answered - begun if heard else self._clock.now() - begun
+            await asyncio.sleep(self._pace.after(took, heard).total_seconds())
+
+    def figures(self) -> Iterator[str]:
+        """How old the list is; while discovery was never heard nothing is said of it."""
+        if self._heard:
+            yield f"discovery_age_ms:{(self._clock.now() - self._heard) // timedelta(milliseconds=1)}|g"
 
     async def _follow(self) -> None:
         async with asyncio.timeout(CONNECT_LIMIT.total_seconds()):
@@ -182,7 +221,7 @@
         try:
             if self._foreign:
                 # Its revisions need not continue those known here: what changed since one says nothing.
-                async with asyncio.timeout(FIRST_WORD_LIMIT.total_seconds()):
+                async with asyncio.timeout(self._first_word.total_seconds()):
                     await self._ask(wire, "/api/targets")
                     told = destination_set_of(Tree(parsed(await wire.body(MAX_LINE))))
                 if not told.whole:
@@ -190,14 +229,16 @@
                 self.update(told)
                 self._foreign = False
                 wire.http.start_next_cycle()
-            async with asyncio.timeout(FIRST_WORD_LIMIT.total_seconds()):
+            async with asyncio.timeout(self._first_word.total_seconds()):
                 await self._ask(wire, f"/api/targets?follow=1&since={self.revision}")
+            self._answered = self._clock.now()
             rest = b""
             while True:
                 async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
                     event = await wire.event()
                 if not isinstance(event, h11.Data):
                     return
+                self._heard = self._clock.now()
                 *lines, rest = (rest + bytes(event.data)).split(b"\n")
                 for line in filter(None, map(bytes.strip, lines)):
                     self.update(destination_set_of(Tree(parsed(line))))
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -84,13 +84,16 @@
         self._config = config
         longest = bounds.max_retry_after if bounds.retry_after else timedelta(0)
         self._decisions = Decisions(config.settings, config.seed, clock, longest)
-        self._destinations = Destinations(clock, bounds.drain_grace, self._told, config.discovery)
+        self._destinations = Destinations(
+            clock, bounds.drain_grace, self._told, config.discovery, config.settings.subscribe, config.seed
+        )
         self._endpoints = Endpoints(clock, bounds.connect_timeout, bounds.idle, room.half)
         self._probes = Probes(self._decisions, self._destinations, self._endpoints)
         self._peers = Peers(self._decisions, config.peer_listen, config.peers)
         self._service = Service(clock)
         classes = frozenset(c.name for c in config.settings.classes)
         self._figures = Figures(classes, lambda: self._decisions.open, self._decisions.cluster)
+        self._figures.more.append(self._destinations.figures)
         parts = (self._decisions, self._destinations, self._endpoints, self._figures)
         self._requests = Requests(clock, *parts, longest or None)
         self._inbound = Inbound(
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import Enum
+from typing import Any, TypeVar
 
 import h11
 
@@ -58,6 +59,7 @@
     request_id: str
     stage: Stage
     result: str
+    load: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
 class Result:
     end: End
     body: bytes = b""
+    load: LoadReport | None = None  # told with the end of the attempt
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +101,21 @@
     except (ValueError, RecursionError) as error:
         raise FaultyKeyError("line", f"not JSON: {error}") from None
     stage = tree.word("state", Stage)
-    return Message(tree.get("id", str), stage, tree.get("result", str, None if stage is Stage.DONE else ""))
+    result = tree.get("result", str, None if stage is Stage.DONE else "")
+    load = told_load(report_of, tree.data.get("load")) if stage in LAST else None
+    return Message(tree.get("id", str), stage, result, load)
+
+
+T = TypeVar("T")
+
+
+def told_load(read: Callable[[T], LoadReport], told: T | None) -> LoadReport | None:
+    """Beside an answer, which stands whatever is said of load."""
+    try:
+        return None if told is None else read(told)
+    except FaultyKeyError as error:
+        log.info("load told with an answer is left out: %s", error)
+        return None
 
 
 def load_report_of(body: bytes) -> LoadReport:
@@ -109,8 +126,16 @@
             pairs = json.loads(text)
         else:
             pairs = dict(pair.strip().split("=", 1) for pair in text.split(",") if pair.strip())
+    except (ValueError, RecursionError) as error:
+        raise FaultyKeyError("load", f"not a report: {error}") from None
+    return report_of(pairs)
+
+
+def report_of(pairs: Any) -> LoadReport:
+    """Of names with numbers. Raises `FaultyKeyError`."""
+    try:
         figures = tuple((str(name), float(value)) for name, value in pairs.items())
-    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise FaultyKeyError("load", f"not a report: {error}") from None
     if not all(map(math.isfinite, (value for _, value in figures))):
         raise FaultyKeyError("load", "not a finite number")
@@ -257,10 +282,11 @@
         self._fared_well(connection)
         if event.status_code != 200:
             headers = dict(event.headers)
+            load = told_load(load_report_of, headers.get(b"server-load"))
             if event.status_code in (503, 504) and headers.get(b"not-started") == b"1":
-                return Result(End.TURNED_AWAY)
+                return Result(End.TURNED_AWAY, load=load)
             log.info("an endpoint answered %d", event.status_code)
-            return Result(End.UNFIT if event.status_code in UNFIT else End.ERROR)
+            return Result(End.UNFIT if event.status_code in UNFIT else End.ERROR, load=load)
         rest = b""
         while isinstance(event := await wire.event(), h11.Data):
             *lines, rest = (rest + bytes(event.data)).split(b"\n")
@@ -269,7 +295,7 @@
                 if message.request_id != request_id:
                     raise FaultyKeyError("id", f"of another request: {message.request_id!r}")
                 if message.stage in LAST:
-                    return Result(LAST[message.stage], message.result.encode())
+                    return Result(LAST[message.stage], message.result.encode(), message.load)
                 sign(message.stage)
             if len(rest) > MAX_LINE:
                 raise FaultyKeyError("line", "without an end")
--- a/rookwood/net/messages.py
+++ b/rookwood/net/messages.py
@@ -18,6 +18,7 @@
 
 MAX_ID = 128
 MAX_TIMEOUT = timedelta(hours=1)
+MAX_HINT = 86_400e6  # microseconds: a day
 
 
 class UnfitError(Exception):
@@ -89,6 +90,16 @@
     return found
 
 
+def hint_of(text: str | None) -> timedelta | None:
+    """`Work-Hint`, in microseconds. It is a guess at best, so one that is no guess costs nobody an answer."""
+    if text is None or not NUMBER.fullmatch(text):
+        return None
+    try:
+        return timedelta(microseconds=float(text)) if 1 <= float(text) <= MAX_HINT else None
+    except OverflowError:
+        return None
+
+
 def class_of(head: h11.Request, classes: Collection[str]) -> str:
     path, _, _ = head.target.decode("latin-1").partition("?")
     job_class = unquote(path.lstrip("/").split("/", 1)[0])
@@ -130,6 +141,8 @@
             keys=tuple(value for name, value in taken.head.headers if name == b"idempotency-key"),
         ),
         idempotency_key=headers.first("Idempotency-Key"),
+        tenant=headers.first("Tenant"),
+        hint=hint_of(headers.first("Work-Hint")),
     )
 
 
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -46,6 +46,8 @@
     is_retry: bool
     outgoing: Outgoing
     idempotency_key: str | None = None  # the header as it came
+    tenant: str | None = None
+    hint: timedelta | None = None  # how long it may run, as its client guesses
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +186,8 @@
             memory=request.memory,
             key=request.key,
             is_retry=request.is_retry,
+            tenant=request.tenant,
+            hint=request.hint,
         )
         last, late = self._last_answer(request), False
         try:
@@ -242,7 +246,7 @@
                         course.ended(end)
                         if end is End.UNFIT:  # the client's doing: the endpoint keeps its trust
                             return Answer(400, b"no endpoint can use this request\n")
-                        ticket.ended(end)
+                        ticket.ended(end, result.load)
                         if end is End.SERVED:
                             return Answer(200, result.body)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -21,6 +21,7 @@
 from rookwood.net import endpoints
 from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.decisions import Decisions, End
+from rookwood.net.destinations import LONGEST_PAUSE, PAUSE, Pace
 from rookwood.net.endpoints import Endpoints, Outgoing
 from tests import stage as st
 from tests.stage import LIMIT, SETTINGS, Endpoint, Script, stage, until
@@ -372,6 +373,75 @@
     play(story())
 
 
+@pytest.mark.parametrize(
+    ("script", "slots"),
+    [
+        (st.ends("done", result="page", load={"x0": 7, "util": 0.2}), 7),
+        (st.ends("failed", load={"x0": 7}), 7),
+        (st.status(500, "Server-Load: inflight=0,queue=0,x0=7"), 7),
+        (st.status(503, "Not-Started: 1", "Server-Load: x0=7,util=0.61"), 7),
+        (st.ends("done", result="page"), 4),  # none told: as if never heard
+        (st.ends("done", result="page", load={"x0": "many"}), 4),  # and what is unsound costs no answer
+        (st.ends("done", result="page", load=[[7]]), 4),
+        (st.status(500, "Server-Load: x0=nan"), 4),
+    ],
+)
+def test_load_told_with_an_answer_reaches_the_decisions(tmp_path: Path, script: Script, slots: int) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(script, st.served)) as s:
+            assert (await s.ask("/page"))[0] == 200
+            policy = s.dispatcher._decisions._policy
+            assert policy.talk.slots(policy.workers["s-0"]) == slots
+
+    play(story())
+
+
+@pytest.mark.parametrize(
+    ("headers", "tenant", "hint"),
+    [
+        (b"Tenant: acme\r\nWork-Hint: 250000\r\n", "acme", 250_000),
+        (b"Tenant: acme\r\nTenant: b\r\nWork-Hint: 2.5e5\r\n", "acme", 250_000),
+        (b"Tenant: \xe9\r\n", "\xe9", None),
+        (b"Work-Hint: soon\r\n", None, None),
+        (b"Work-Hint: -4\r\n", None, None),
+        (b"Work-Hint: 0\r\n", None, None),
+        (b"Work-Hint: 1e400\r\n", None, None),
+        (b"", None, None),
+    ],
+)
+def test_tenant_and_hint_reach_the_decisions_and_cost_no_answer(
+    tmp_path: Path, headers: bytes, tenant: str | None, hint: int | None
+) -> None:
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            policy, seen = s.dispatcher._decisions._policy, list[api.Request]()
+            handle = policy.on[api.Request]
+
+            def watched(request: api.Request) -> None:
+                seen.append(request)
+                handle(request)
+
+            policy.on[api.Request] = watched
+            assert (await s.ask(more=headers))[0] == 200
+            assert [(r.tenant, r.work_hint) for r in seen] == [(tenant, hint)]
+
+    play(story())
+
+
+def test_discovery_that_all_ask_is_asked_again_spread_and_the_less_the_slower_it_is() -> None:
+    second = timedelta(seconds=1)
+    agent = Pace(asked=False, seed=1)
+    assert {agent.after(n * second, heard=False) for n in range(5)} == {PAUSE}
+    firsts = [Pace(True, seed).after(second / 10, heard=True) for seed in range(200)]
+    assert len({round(first / PAUSE, 1) for first in firsts}) > 15 and max(firsts) <= 2 * PAUSE
+    for seed in range(50):
+        pace = Pace(True, seed)
+        assert all(PAUSE / 4 <= pace.after(n * second, heard=False) <= LONGEST_PAUSE for n in range(20))
+        assert pace.after(second / 10, heard=True) <= 2 * PAUSE  # one word, and it is well again
+    slow = [Pace(True, seed).after(second, heard=True) for seed in range(200)]
+    assert sum(slow, timedelta()) > 4 * sum(firsts, timedelta())
+
+
 def test_endpoint_told_to_drain_while_connecting_gets_nothing() -> None:
     async def story() -> None:
         endpoint, clock = Endpoint(st.served), Clock()
