--- a/rookwood/ledger/front.py
+++ b/rookwood/ledger/front.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from rookwood.conf import Operator
 from rookwood.conf import Store as Settings
+from rookwood.interface import Group, JobClass, Repeat
 from rookwood.ledger.guard import Ledger, Terms
 from rookwood.ledger.memory import MemoryStore
 from rookwood.ledger.store import Store, Tier
@@ -39,14 +40,26 @@
     return MemoryStore(tier)
 
 
+def claimed(classes: Iterable[JobClass], retry_window: timedelta) -> frozenset[str]:
+    """Classes whose keyed requests are claimed: all that must not run twice, but for those of which every
+    worker drops repeats for as long as clients come back. Where only the workers of a zone or cell do, a
+    client's retry may well meet others, and a claim is what keeps it from running there."""
+
+    def dropped(job_class: JobClass) -> bool:
+        everywhere = job_class.repeat is Repeat.KEYED and job_class.group is Group.ALL
+        return everywhere and timedelta(microseconds=job_class.window) >= retry_window
+
+    return frozenset(c.name for c in classes if c.repeat is not Repeat.SAFE and not dropped(c))
+
+
 class LedgerFront:
     def __init__(self, core: Core, settings: Settings) -> None:
         longest = max((c.give_up for c in core.classes.values()), default=0)
         window = timedelta(microseconds=longest) + settings.retry_window
         tier = Tier(settings.tier or core.dispatchers, window)
         terms = Terms(settings.lease, settings.keep)
-        store = store_of(settings, tier)
-        self.ledger = Ledger(core.name, store, tier, terms, core.clock, core.decisions.unsafe)
+        store, keyed = store_of(settings, tier), claimed(core.classes.values(), settings.retry_window)
+        self.ledger = Ledger(core.name, store, tier, terms, core.clock, keyed)
         core.requests.claims = self.ledger
         core.figures.more.append(self.ledger.figures)
 
--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -165,8 +165,8 @@
     def _worth(self, name: str) -> float:  # of a slot-second; more where the class served worst has its part
         cls = self.classes[name]
         worst = min(self.asked, key=lambda n: (self.won[n] + LEAST) / (self.asked[n] + LEAST)) == name
-        more = self.set.worst_class * worst * sum(self.asked.values()) / (self.asked[name] or LEAST)
-        return cls.worth * (1 + more) / (self.set.worth_by_work or cls.aim * math.exp(self.typical[name]))
+        up = 1 + self.set.worst_class * worst * sum(self.asked.values()) / (self.asked[name] or LEAST)
+        return cls.worth * up / (self.set.worth_by_work or (cls.aim or 1) * math.exp(self.typical[name]))
 
     def _turn(self, key: int) -> None:
         """Rule 5: the first of a key's requests may go, once the key has rested."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -13,8 +13,9 @@
 import pytest
 
 from rookwood.conf import load
+from rookwood.interface import Group, JobClass, Repeat
 from rookwood.lab.redis import StandIn
-from rookwood.ledger.front import LedgerFront, front_of
+from rookwood.ledger.front import LedgerFront, claimed, front_of
 from rookwood.ledger.health import FAILURES, LONGEST_PAUSE, Breaker, Circuit
 from tests import stage as st
 from tests.stage import Endpoint, Stage, entry, stage, until
@@ -86,6 +87,24 @@
         yield t
 
 
+@pytest.mark.parametrize(
+    ("repeat", "group", "window", "claims"),
+    [
+        (Repeat.UNSAFE, Group.ALL, 0, True),
+        (Repeat.SAFE, Group.ALL, 0, False),
+        (Repeat.KEYED, Group.ALL, 30, False),  # its workers drop what comes back
+        (Repeat.KEYED, Group.ALL, 29, True),  # but not for so long
+        (Repeat.KEYED, Group.ZONE, 60, True),  # or only some of them
+        (Repeat.KEYED, Group.CELL, 60, True),
+    ],
+)
+def test_what_every_worker_drops_by_itself_is_not_claimed(
+    repeat: Repeat, group: Group, window: int, claims: bool
+) -> None:
+    job_class = JobClass("a", 1, 1, 1.0, repeat, group, window * 1_000_000)
+    assert claimed([job_class], timedelta(seconds=30)) == ({"a"} if claims else set())
+
+
 def test_retry_at_another_dispatcher_gets_the_first_answer(tmp_path: Path) -> None:
     async def story() -> None:
         box = Endpoint(st.served)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,28 +20,14 @@
 LATER_ENDINGS = [e for e in api.Ending if e is not api.Ending.IGNORED]
 
 
-@pytest.mark.parametrize("dispatchers", [1, 4])
-@profile(
-    derandomize=True,
-    max_examples=60,
-    phases=(Phase.generate,),
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
-@given(data=st.data())
-def test_rules_hold_under_random_legal_events(dispatchers: int, data: st.DataObject) -> None:
-    conf = settings(
-        dispatchers=dispatchers,
-        sequential=data.draw(st.sampled_from([(), ("vent",), ("order", "vent", "fee")])),
-        order_settle=data.draw(st.sampled_from([0, 300 * MS])),
-        cancel=data.draw(st.booleans()),
-        marks_retry=data.draw(st.booleans()),
-    )
-    world = World(conf)
+def drive(world: World, data: st.DataObject) -> None:
+    """Any legal events in any order; the world judges each action, and at the end all must be answered."""
     world.list_workers(*(worker(n) for n in range(data.draw(st.integers(0, 5)))), how=api.Listing.KEPT)
     world.judge_cold = False  # here sizes, hints and answers contradict each other: see the pointed test
+    tenants = [None, *(tenant.name for tenant in world.conf.tenants), "unlisted"]
+    happens = ["ask", "ask", "end", "end", "start", "list", "gone", "heard", "wait"]
     for _ in range(data.draw(st.integers(5, 60))):
-        match data.draw(st.sampled_from(["ask", "ask", "end", "end", "start", "list", "gone", "wait"])):
+        match data.draw(st.sampled_from(happens)):
             case "ask":
                 cls = data.draw(st.sampled_from(world.conf.classes))
                 world.ask(
@@ -51,7 +37,7 @@
                     memory=data.draw(st.sampled_from([None, 0.0, 0.5, 3.0])),
                     work_hint=data.draw(st.sampled_from([None, 0, 1, 200 * MS, 10**9])),
                     key=data.draw(st.sampled_from([None, 0, 1, 2, 2**53 - 1])),
-                    tenant=data.draw(st.sampled_from([None, "a", "b", "unlisted"])),
+                    tenant=data.draw(st.sampled_from(tenants)),
                     is_retry=data.draw(st.booleans()),
                 )
             case "end" if world.out():
@@ -59,9 +45,15 @@
                 world.end(number, data.draw(st.sampled_from(LATER_ENDINGS)), load=data.draw(LOAD))
             case "start" if world.out():
                 world.start(data.draw(st.sampled_from(world.out())))
+            case "heard" if world.conf.peers and world.listed:
+                said = data.draw(st.sampled_from(api.Word))
+                uid = data.draw(st.sampled_from(sorted(world.listed)))
+                hint = api.Hint(uid, said, data.draw(st.sampled_from([0.0, 1.0, 255.0])), 0.1)
+                world.feed(api.Heard(data.draw(st.integers(0, world.conf.dispatchers - 1)), (hint,)))
             case "list":
                 info = worker(
                     data.draw(st.integers(0, 5)),
+                    zone=data.draw(st.sampled_from(["z0", "z1"])),
                     health=data.draw(st.sampled_from(api.Health)),
                     size=data.draw(st.sampled_from([0.0, 0.5, 4.0])),
                     started_at=data.draw(st.sampled_from([None, 0, world.now - 100 * MS, world.now])),
@@ -78,6 +70,26 @@
     assert all(a.answered for a in world.asked.values())
 
 
+@pytest.mark.parametrize("dispatchers", [1, 4])
+@profile(
+    derandomize=True,
+    max_examples=60,
+    phases=(Phase.generate,),
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(data=st.data())
+def test_rules_hold_under_random_legal_events(dispatchers: int, data: st.DataObject) -> None:
+    conf = settings(
+        dispatchers=dispatchers,
+        sequential=data.draw(st.sampled_from([(), ("vent",), ("order", "vent", "fee")])),
+        order_settle=data.draw(st.sampled_from([0, 300 * MS])),
+        cancel=data.draw(st.booleans()),
+        marks_retry=data.draw(st.booleans()),
+    )
+    drive(World(conf), data)
+
+
 def test_every_request_is_answered_when_no_worker_is_listed() -> None:
     world = World(settings())
     world.list_workers()
--- a/tests/world.py
+++ b/tests/world.py
@@ -222,6 +222,8 @@
             assert self.now <= ran[0].sent + asked.cls.window, "rule 2: sent after the window"
             if asked.cls.group is api.Group.CELL:
                 assert self.listed[name].cell == self.listed[ran[0].worker].cell, "rule 2: other cell"
+            if asked.cls.group is api.Group.ZONE:
+                assert self.listed[name].zone == self.listed[ran[0].worker].zone, "rule 2: other zone"
         if asked.cls.sequential and asked.key is not None:
             self.judge_turn(asked)
         assert self.now <= self.told_stop.get(name, self.now) + GRACE, "rule 3: sent to a draining worker"
