Decide and explore who holds a duty: majority leases without a disk, and tokens

Nothing runs on it yet.

`rookwood/duties/lease.py`: votes of a majority in one round, a no changes nothing, a voter that has started is mute until its old promises ran out, the holder counts from its question and less than a voter by the bound on drift.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -156,6 +156,18 @@
     sys.exit(run(json_file))
 
 
+@experiment.command("leases", epilog=CODES)
+@click.option("--wide", is_flag=True, help="With renewals, and drift and a restart at once; some minutes.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def leases(wide: bool, json_file: Path | None) -> None:
+    """Explore the leases of a duty exhaustively, and check that broken variants of them are caught."""
+    from rookwood.lab.modelcheck import run_leases
+
+    sys.exit(run_leases(json_file, wide))
+
+
 @experiment.command("rest", epilog=CODES)
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
--- a/rookwood/lab/modelcheck.py
+++ b/rookwood/lab/modelcheck.py
@@ -1,18 +1,60 @@
-"""`rookwood experiment handoff`: the exploration, its mutants and their figures."""
+"""`rookwood experiment handoff` and `leases`: the explorations, their mutants and their figures."""
 
 from __future__ import annotations
 
 import time
+from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from rich.console import Console
+from rich.status import Status
 from rich.table import Table
 
+from rookwood.duties import explore as leases
 from rookwood.gateway.explore import MUTANTS, BrokenError, explore
 from rookwood.lab.results import keep
 
 
+def mutants(plays: Mapping[str, Callable[[], object]], status: Status) -> dict[str, Any]:
+    """What caught each of them; None: nothing did."""
+    table = Table("mutant", "caught by", "steps", "seconds", title="Broken variants")
+    caught: dict[str, Any] = {}
+    for name, play in plays.items():
+        status.update(f"mutant: {name}")
+        began = time.perf_counter()
+        try:
+            play()
+            caught[name] = None
+            table.add_row(name, "[red]not caught[/]", "", "")
+        except (BrokenError, leases.BrokenError) as broken:
+            caught[name] = {"why": broken.why, "trace": broken.trace}
+            table.add_row(name, broken.why, str(len(broken.trace)), f"{time.perf_counter() - began:.2f}")
+    status.console.print(table)
+    return caught
+
+
+def run_leases(json_file: Path | None, wide: bool) -> int:
+    """`wide`: with renewals and with drift and a restart at once, some minutes."""
+    console, found = Console(), dict[str, Any]()
+    with console.status("exploring") as status:
+        for name, bounds in {**leases.NARROW, **(leases.WIDE if wide else {})}.items():
+            status.update(f"exploring: {name}")
+            try:
+                report = leases.Explorer(leases.Machine(), bounds).explore()
+            except leases.BrokenError as broken:
+                console.print(f"[red]broken:[/] {name}: {broken}")
+                return 3
+            seconds = round(report.seconds, 1)
+            found[name] = {"states": report.states, "held": report.holders, "seconds": seconds}
+            console.print(f"{name}: {report.states} states, all sound, in {report.seconds:.1f} s")
+        plays = {n: leases.Explorer(m.machine, m.bounds).explore for n, m in leases.MUTANTS.items()}
+        caught = mutants(plays, status)
+    keep(json_file, "leases", {"members": 3, "wide": wide}, {"explored": found, "mutants": caught})
+    return 0 if all(caught.values()) else 1
+
+
 def run(json_file: Path | None) -> int:
     console = Console()
     with console.status("exploring") as status:
@@ -25,19 +67,7 @@
             f"2 jobs each way: {report.states} states of single jobs in {report.shared} shared ones. "
             f"They stand for {report.product:.3g} joint states; all sound, in {report.seconds:.1f} s"
         )
-        table = Table("mutant", "caught by", "steps", "seconds", title="Broken variants")
-        caught: dict[str, Any] = {}
-        for name, machines in MUTANTS.items():
-            status.update(f"mutant: {name}")
-            began = time.perf_counter()
-            try:
-                explore(machines)
-                caught[name] = None
-                table.add_row(name, "[red]not caught[/]", "", "")
-            except BrokenError as broken:
-                caught[name] = {"why": broken.why, "trace": broken.trace}
-                table.add_row(name, broken.why, str(len(broken.trace)), f"{time.perf_counter() - began:.2f}")
-    console.print(table)
+        caught = mutants({name: partial(explore, machines) for name, machines in MUTANTS.items()}, status)
     figures = {
         "states": report.states,
         "shared_states": report.shared,
