--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from collections.abc import Iterator
 from importlib.metadata import version as version_of
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
 
 if TYPE_CHECKING:  # the commands import only what they use
     from rookwood.conf import Settings
+    from rookwood.net.config import Config
 
 FAILED, FAULTY, BROKEN = 1, 2, 3
 CODES = "Exit codes: 0 done; 1 failed while running; 2 wrong use or a faulty file; 3 a rule was broken."
@@ -54,10 +56,30 @@
         sys.exit(FAULTY)
 
 
+def _platform(file: Path) -> Config | None:
+    """The platform's configuration, if FILE is one: a JSON object. Ends the command at its first fault."""
+    try:
+        if not file.read_text().lstrip().startswith("{"):
+            return None
+    except (OSError, UnicodeDecodeError):
+        return None  # whoever reads the operator's file says what is wrong with it
+    from rookwood.net.config import load
+    from rookwood.settings import FaultyKeyError
+
+    try:
+        return load({"PROXY_CONFIG": str(file)})
+    except FaultyKeyError as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(FAULTY)
+
+
 @main.command(epilog=CODES)
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
 def check(file: Path) -> None:
-    """Check the operator's FILE, and tell every fault in it at once."""
+    """Check the operator's FILE, and tell every fault in it at once; or the platform's JSON file."""
+    if _platform(file):
+        click.echo(f"{file}: sound")
+        return
     settings = _loaded(file)
     if settings.operator.gateway:
         from rookwood.gateway.secure import CertificateError, secured, utc_now
@@ -73,7 +95,11 @@
 @main.command(epilog=CODES)
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
 def show(file: Path) -> None:
-    """Show the settings that FILE puts in force, and where each came from."""
+    """Show the settings that FILE puts in force, and where each came from; or what the platform's tells."""
+    if config := _platform(file):
+        for name, told in _told(config):
+            click.echo(f"{name:<32}  {told}")
+        return
     settings = _loaded(file)
     rows = list(settings.rows())
     widths = [max(len(row[n]) for row in rows) for n in (0, 1)]
@@ -81,6 +107,29 @@
         click.echo(f"{path:<{widths[0]}}  {value:<{widths[1]}}  {origin}")
 
 
+def _told(config: Config) -> Iterator[tuple[str, object]]:
+    """What decides how this deployment is served, one row each; docs/operators/deployments.md says how."""
+    settings = config.settings
+    for job_class in settings.classes:
+        for key in ("aim", "stretch", "give_up", "worth", "repeat", "group", "window"):
+            told = getattr(job_class, key)
+            yield f"class {job_class.name} {key}", getattr(told, "value", told)
+    for tenant in settings.tenants:
+        yield f"tenant {tenant.name} a second", tenant.allowance_per_s
+    for part, names in ((settings, SETTINGS_SHOWN), (config.bounds, BOUNDS_SHOWN)):
+        yield from ((name, getattr(part, name)) for name in names)
+    yield "hints heard at", config.peer_listen or "nowhere"
+    yield "endpoints known", len(config.known.endpoints)
+
+
+SETTINGS_SHOWN = (
+    *("dispatchers", "me", "zone", "subscribe", "max_attempts", "worth_by_work", "worst_class", "crossing"),
+    *("over_share_worth", "tells_start", "cold_share", "warm_up", "fall_multiple", "fall_window", "cancel"),
+    *("marks_retry", "probes", "peers", "tick"),
+)
+BOUNDS_SHOWN = ("connect_timeout", "idle", "drain_grace", "max_open", "max_retry_after", "sockets")
+
+
 @main.command()
 def version() -> None:
     """Show the version of this program."""
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -12,6 +12,7 @@
 
 from rookwood.cli.main import main
 from rookwood.conf import ConfError, Peer, load
+from tests import stage
 
 SOUND = """
 site zagreb   # the own one
@@ -140,3 +141,15 @@
 def test_every_command_helps(words: list[str]) -> None:
     done = CliRunner().invoke(main, [*words, "--help"])
     assert done.exit_code == 0 and "Usage" in done.output
+
+
+def test_check_and_show_know_the_platforms_file(tmp_path: Path) -> None:
+    sound = stage.environment(tmp_path, [], "127.0.0.1:9")["PROXY_CONFIG"]
+    done = CliRunner().invoke(main, ["check", sound])
+    assert done.exit_code == 0 and "sound" in done.output
+    done = CliRunner().invoke(main, ["show", sound])
+    assert done.exit_code == 0 and "unsafe" in done.output and "class unlock repeat" in done.output
+    stage.environment(tmp_path, [], "127.0.0.1:9", settings=stage.SETTINGS | {"tick": 0})
+    for command in ("check", "show"):
+        done = CliRunner().invoke(main, [command, sound])
+        assert done.exit_code == 2 and "settings.tick" in done.output
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -18,7 +18,7 @@
 
 from rookwood import __main__ as program
 from rookwood import interface as api
-from rookwood.net import endpoints
+from rookwood.net import destinations, endpoints
 from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.decisions import Decisions, End
 from rookwood.net.destinations import LONGEST_PAUSE, PAUSE, Pace
@@ -104,6 +104,19 @@
     play(story())
 
 
+def test_slots_named_by_a_request_are_counted_at_its_endpoint(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent)
+        async with stage(tmp_path, endpoint) as s:
+            _, writer = await s.connect()
+            writer.write(s.request(more=b"Request-Info: slots=3,memory=2\r\n"))
+            await until(lambda: len(endpoint.seen) == 1)
+            assert s.dispatcher._decisions._policy.workers["s-0"].used == 3
+            writer.close()
+
+    play(story())
+
+
 def test_refused_connection_is_an_attempt_that_never_ran(tmp_path: Path) -> None:
     async def story() -> None:
         dead, alive = Endpoint(st.served), Endpoint(st.served)
@@ -442,6 +455,38 @@
     assert sum(slow, timedelta()) > 4 * sum(firsts, timedelta())
 
 
+def test_discovery_that_all_ask_may_take_its_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """An agent that does not answer at once is down. A service is full: asking anew would fill it more."""
+    monkeypatch.setattr(destinations, "FIRST_WORD_LIMIT", timedelta(milliseconds=30))
+    monkeypatch.setattr(destinations, "PAUSE", timedelta(milliseconds=1))
+
+    async def story() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            asked = {True: 0, False: 0}
+            for service in asked:
+
+                async def silent(
+                    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, service: bool = service
+                ) -> None:
+                    await st.read_message(reader)
+                    asked[service] += 1
+                    await reader.read()
+                    writer.close()
+
+                server = await asyncio.start_server(silent, "127.0.0.1", 0)
+                stack.callback(server.close)
+                where = destinations.Address(*server.sockets[0].getsockname())
+                watched = destinations.Destinations(
+                    Clock(), timedelta(seconds=1), lambda told, kept: None, where, asked=service, seed=1
+                )
+                watched.start()
+                stack.push_async_callback(watched.close)
+            await until(lambda: asked[False] >= 4)
+            assert asked[True] == 1
+
+    play(story())
+
+
 def test_endpoint_told_to_drain_while_connecting_gets_nothing() -> None:
     async def story() -> None:
         endpoint, clock = Endpoint(st.served), Clock()
