Hold the service address by a lease among real processes, shown by faults between them

`duties` section of the operator's file: members, lease, drift, relay. `board` decides when a member asks, pure; `links` speaks frames of the gateway over one link a direction; `address` announces to a relay that checks tokens, the first duty; `front` plugs it in. Off in `run`, which imports none of it (tests/test_deploy.py). `rookwood/lab/ground.py`: 3 to 9 processes, a relay on each directed link, a witness that judges from its record alone.

Tests (three stories over real processes): the holder is killed, stopped, cut one way and both, told to end; each time another acts, the old one unseats nobody when it is back, and no older act is accepted. A partial cut changes no holder. A majority that is gone leaves the duty unheld.

--- a/rookwood/__main__.py
+++ b/rookwood/__main__.py
@@ -75,6 +75,10 @@
         from rookwood.gateway import gate
 
         fronts.append(gate.front_of(operator, Path(place)))
+    if operator.duties:
+        from rookwood.duties import front as duties
+
+        fronts.append(duties.front_of(operator, Path(place)))
     return fronts
 
 
--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -205,6 +205,25 @@
     sys.exit(run(json_file))
 
 
+@experiment.command("duties", epilog=CODES)
+@click.option("--nodes", default=5, show_default=True, help="Processes.")
+@click.option("--seed", default=1, show_default=True, help="For the order of troubles.")
+@click.option("--kills", default=8, show_default=True, help="Troubles, one after the other.")
+@click.option("--faults", default="kill,stop,term,cut,one-way,partial,loss,delay", help="Of which kinds.")
+@click.option("--lease-ms", default=400, show_default=True, help="Length of a lease.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def duties(nodes: int, seed: int, kills: int, faults: str, lease_ms: int, json_file: Path | None) -> None:
+    """Real processes that hold the duty `address` in turn, while its holder meets trouble after trouble."""
+    from rookwood.lab.ground import FAULTS, Plan, run_duties
+
+    chosen = tuple(filter(None, faults.split(",")))
+    if not chosen or not set(chosen) <= set(FAULTS):
+        raise click.BadParameter(f"is not a list of {', '.join(FAULTS)}", param_hint="--faults")
+    sys.exit(run_duties(Plan(nodes, seed, kills, chosen, lease_ms), json_file))
+
+
 @experiment.command("leases", epilog=CODES)
 @click.option("--wide", is_flag=True, help="With renewals, and drift and a restart at once; some minutes.")
 @click.option(
--- a/rookwood/conf/read.py
+++ b/rookwood/conf/read.py
@@ -6,13 +6,25 @@
 import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from rookwood.conf.grammar import Line, LineError, Word, line_of
-from rookwood.conf.schema import SECTIONS, TOP, Directive, Gateway, Operator, Peer, Section, Site, Store
+from rookwood.conf.schema import (
+    SECTIONS,
+    TOP,
+    Directive,
+    Duties,
+    Gateway,
+    Operator,
+    Peer,
+    Section,
+    Site,
+    Store,
+)
 
 MAX_DEPTH = 8  # of includes
 MAX_LINES = 20_000  # of all files together
@@ -60,11 +72,13 @@
     def rows(self) -> Iterator[tuple[str, str, str]]:
         """Path, value and origin of every setting, for `rookwood show`."""
         operator = self.operator
-        yield from self._rows("", operator, skip=("gateway", "sites", "store"))
+        yield from self._rows("", operator, skip=("gateway", "sites", "store", "duties"))
         if operator.gateway:
             yield from self._rows("gateway.", operator.gateway)
         if operator.store:
             yield from self._rows("store.", operator.store)
+        if operator.duties:
+            yield from self._rows("duties.", operator.duties)
         for site in operator.sites:
             yield from self._rows(f"site.{site.name}.", site, skip=("name",))
 
@@ -84,6 +98,8 @@
             return f"{value.name} {value.host}:{value.port}"
         case (str() as host, int() as port):
             return f"{host}:{port}"
+        case (str() as name, (str() as host, int() as port)):
+            return f"{name} {host}:{port}"
         case tuple():
             return " ".join(shown(item) for item in value) or "-"
         case None | "":
@@ -239,8 +255,9 @@
             if b.kind == "site"
         )
         store = next((Store(**_fields(b)) for b in self.blocks if b.kind == "store"), None)
+        duties = next((Duties(**_fields(b)) for b in self.blocks if b.kind == "duties"), None)
         top = _fields(self.top)
-        return Operator(gateway=gateway, store=store, sites=sites, **top)
+        return Operator(gateway=gateway, store=store, duties=duties, sites=sites, **top)
 
     def check(self, operator: Operator) -> None:
         """What no single directive can tell."""
@@ -254,6 +271,8 @@
         if store and store.timeout * 4 > store.lease:
             at = self.origins.get("store.timeout", place["store"])
             self.fault(at, "timeout", "is over a quarter of 'lease': two slow answers would end it")
+        if operator.duties:
+            self._check_duties(operator.duties, gateway, place["duties"])
         if operator.sites and not gateway:
             self.fault(self.blocks[0].origin, "site", "there is no section 'gateway'", "gateway {")
         if gateway is None:
@@ -285,6 +304,25 @@
             self.fault(here, "certificate", "'certificate', 'key' and 'authority' are all needed")
 
 
+    def _check_duties(self, duties: Duties, gateway: Gateway | None, here: Origin) -> None:
+        if gateway is None:
+            self.fault(here, "duties", "needs the section 'gateway', for its name and keys", "gateway {")
+        names = [name for name, _ in duties.member]
+        if len(set(names)) < len(names):
+            self.fault(self.origins.get("duties.member", here), "member", "one is named twice")
+        if bool(duties.relay) != bool(duties.address):
+            self.fault(here, "relay", "'relay' and 'address' go together")
+        if duties.drift >= 0.5:
+            self.fault(self.origins.get("duties.drift", here), "drift", "is not below 0.5", "0.01")
+        if duties.lease < timedelta(milliseconds=100):
+            at = self.origins.get("duties.lease", here)
+            self.fault(at, "lease", "is under 100ms: a busy machine could not keep it", "1s")
+        if gateway and gateway.plaintext:
+            hosts = [duties.listen[0], *(host for _, (host, _) in duties.member)]
+            if bad := [h for h in hosts if not h.startswith("127.") and h not in ("::1", "localhost")]:
+                self.fault(here, "duties", f"'plaintext' is for loopback alone, not {bad[0]}")
+
+
 def _fields(block: _Block) -> dict[str, Any]:
     directives = block.section.directives
     return {
--- a/rookwood/conf/schema.py
+++ b/rookwood/conf/schema.py
@@ -74,6 +74,17 @@
     retry_window: timedelta = timedelta(seconds=30)
 
 
+class Duties(Struct, frozen=True):
+    """Duties that one dispatcher of the site holds at a time, by a lease from a majority of the members."""
+
+    listen: tuple[str, int]
+    member: tuple[tuple[str, tuple[str, int]], ...]  # every dispatcher that votes, this one among them
+    lease: timedelta = timedelta(seconds=1)
+    drift: float = 0.01  # how much faster one machine's clock may run than another's
+    relay: tuple[str, int] | None = None  # what moves the service address; None: nobody holds that duty
+    address: tuple[str, int] | None = None  # what is told to it
+
+
 class Operator(Struct, frozen=True):
     """The whole file."""
 
@@ -82,6 +93,7 @@
     log_level: str = "info"
     gateway: Gateway | None = None
     store: Store | None = None
+    duties: Duties | None = None
     sites: tuple[Site, ...] = field(default_factory=tuple)
 
 
@@ -161,6 +173,17 @@
     },
     build=Store,
 )
+DUTIES = Section(
+    {
+        "listen": _one(units.address, "host:port", required=True),
+        "member": Directive((units.name, units.address), "a name and host:port", many=True, required=True),
+        "lease": _one(units.duration, SPAN),
+        "drift": _one(units.share, SHARE),
+        "relay": _one(units.address, "host:port"),
+        "address": _one(units.address, "host:port"),
+    },
+    build=Duties,
+)
 TOP = Section(
     {
         "site": _one(units.name, "the name of the own site"),
@@ -168,4 +191,4 @@
         "log-level": _one(units.one_of("debug", "info", "warning", "error"), "debug, info, warning or error"),
     }
 )
-SECTIONS = {"gateway": GATEWAY, "site": SITE, "store": STORE}
+SECTIONS = {"gateway": GATEWAY, "site": SITE, "store": STORE, "duties": DUTIES}
--- /dev/null
+++ b/rookwood/duties/board.py
@@ -0,0 +1,127 @@
+"""All duties at one member: its votes, its claims, and when it asks. Messages in and out; no I/O or clock."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from rookwood.duties import lease
+from rookwood.duties.lease import Ask, Claim, Release, Rule, Token, Vote, Voter
+
+Message = Ask | Vote | Release
+RENEWALS = 3  # questions within one lease: two may be lost
+ANSWER = 0.25  # of a lease: by then a majority has answered, or what was got is given back
+STEP = 0.05  # of a lease, between the members that may ask once a duty is free
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """`to` None: to every other member."""
+
+    duty: str
+    what: Message
+    to: str | None = None
+
+
+class Board:
+    """A member asks once the lease that it has granted to another has run out, in its turn: turns differ
+    from duty to duty, so that these spread, and whoever is after the first finds the duty taken. A holder
+    that lives is never disturbed: a question that is refused changes nothing at a voter."""
+
+    def __init__(
+        self, me: str, life: int, rule: Rule, duties: Iterable[str], now: datetime, seed: int
+    ) -> None:
+        if me not in rule.members:
+            raise ValueError(f"members: {me!r} is none of them")
+        self.me, self.rule, self._random = me, rule, random.Random(seed)
+        self._voters: dict[str, Voter] = {duty: lease.started(now, rule) for duty in duties}
+        self._claims = {duty: Claim(me, life) for duty in self._voters}
+        self._ask_at = {duty: now + rule.mute + self._turn(duty) for duty in self._voters}
+        self.leaving = False
+
+    def _turn(self, duty: str) -> timedelta:
+        members = self.rule.members
+        order = sorted(members, key=lambda name: hashlib.blake2b(f"{duty} {name}".encode()).digest())
+        return self.rule.length * STEP * (order.index(self.me) + self._random.random() / 2)
+
+    def token(self, duty: str, now: datetime) -> Token | None:
+        """Asked right before each act. None: it is not ours now."""
+        claim = self._claims[duty]
+        return claim.token if claim.holds(now) else None
+
+    def holder(self, duty: str, now: datetime) -> str:
+        """Whom this member believes to hold it: by its own claim, else by the vote it has given."""
+        voter = self._voters[duty]
+        if self.token(duty, now):
+            return self.me
+        return voter.granted.token.holder if voter.granted and voter.until and now < voter.until else ""
+
+    def term(self, duty: str) -> int:
+        return max(self._claims[duty].term, self._voters[duty].term)
+
+    def tick(self, now: datetime) -> list[Letter]:
+        found = list[Letter]()
+        for duty, claim in list(self._claims.items()):
+            if self.leaving:
+                break
+            if claim.holds(now):
+                if now >= self._ask_at[duty]:
+                    if claim.token and claim.term > claim.token.term:  # else who has heard of it says no
+                        self._claims[duty] = lease.bumped(claim, claim.term, now)
+                    found += self._ask(duty, now)
+            elif claim.asked_at:
+                if now - claim.asked_at >= self.rule.length * ANSWER:
+                    found += self._give_up(duty, now)
+                    pause = self._random.random() * self.rule.length * ANSWER
+                    self._ask_at[duty] = now + self._turn(duty) + pause
+            elif now >= self._ask_at[duty]:
+                if self.holder(duty, now):
+                    until = self._voters[duty].until
+                    self._ask_at[duty] = (until or now) + self._turn(duty)
+                else:
+                    found += self._ask(duty, now)
+        return found
+
+    def _ask(self, duty: str, now: datetime) -> list[Letter]:
+        claim, ask = lease.ask(self._claims[duty], now)
+        self._voters[duty], vote = lease.asked(self._voters[duty], self.me, ask, now, self.rule)
+        self._claims[duty] = lease.counted(claim, vote, self.rule) if vote else claim
+        self._ask_at[duty] = now + self.rule.held / RENEWALS
+        return [Letter(duty, ask)]
+
+    def _give_up(self, duty: str, now: datetime) -> Iterator[Letter]:
+        self._claims[duty], release = lease.given_up(self._claims[duty])
+        if release:
+            self._voters[duty] = lease.released(self._voters[duty], release)
+            yield Letter(duty, release)
+
+    def heard(self, sender: str, letter: Letter, now: datetime) -> list[Letter]:
+        """Whoever sends may speak for itself alone. What is of another, or of a duty not known here, is
+        nothing."""
+        duty, what = letter.duty, letter.what
+        if duty not in self._voters or sender not in self.rule.members:
+            return []
+        match what:
+            case Ask(token) if token.holder == sender:
+                self._voters[duty], vote = lease.asked(self._voters[duty], self.me, what, now, self.rule)
+                return [Letter(duty, vote, sender)] if vote else []
+            case Vote(voter, token=token) if voter == sender and token.holder == self.me:
+                self._claims[duty] = lease.counted(self._claims[duty], what, self.rule)
+            case Release(token) if token.holder == sender:
+                before, self._voters[duty] = self._voters[duty], lease.released(self._voters[duty], what)
+                if before != self._voters[duty] and not self._claims[duty].asked_at:
+                    self._ask_at[duty] = now + self._turn(duty)
+        return []
+
+    def behind(self, duty: str, seen: int, now: datetime) -> None:
+        """A receiver has seen a term not below ours: the holder goes on above it."""
+        self._claims[duty] = lease.bumped(self._claims[duty], seen, now)
+        self._ask_at[duty] = now
+
+    def leave(self, now: datetime) -> list[Letter]:
+        """All that is held goes at once to whoever asks next; nothing is asked for any more."""
+        self.leaving = True
+        return [letter for duty in self._claims for letter in self._give_up(duty, now)]
--- a/rookwood/gateway/frames.py
+++ b/rookwood/gateway/frames.py
@@ -103,9 +103,57 @@
     body: bytes = b""
 
 
+class DutyAsk(Struct, frozen=True, array_like=True, tag="duty-ask"):
+    """A member asks for a vote. This and the next kinds are of `rookwood.duties`, on links of its own."""
+
+    duty: str
+    term: int
+    holder: str
+    life: int
+    number: int
+
+
+class DutyVote(Struct, frozen=True, array_like=True, tag="duty-vote"):
+    duty: str
+    voter: str
+    number: int
+    term: int  # of the question, with the next two
+    holder: str
+    life: int
+    yes: bool
+    highest: int  # term that the voter has heard of
+
+
+class DutyRelease(Struct, frozen=True, array_like=True, tag="duty-release"):
+    duty: str
+    term: int
+    holder: str
+    life: int
+    number: int
+
+
+class Announce(Struct, frozen=True, array_like=True, tag="announce"):
+    """To the relay of the service address: it is here. The first of a token opens the relay for it."""
+
+    duty: str
+    term: int
+    holder: str
+    life: int
+    address: str
+    serial: int
+    opens: bool
+
+
+class Announced(Struct, frozen=True, array_like=True, tag="announced"):
+    serial: int
+    accepted: bool
+    seen: int  # the highest term that the relay was opened for
+
+
 FromHome = Hello | Pong | Offer | Withdraw | Ack | Refusal
 FromAway = Hello | Ping | Taken | Ended | Refusal
-Frame = Hello | Refusal | Ping | Pong | Offer | Withdraw | Ack | Taken | Ended
+OfDuties = DutyAsk | DutyVote | DutyRelease | Announce | Announced
+Frame = Hello | Refusal | Ping | Pong | Offer | Withdraw | Ack | Taken | Ended | OfDuties
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
