--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -225,7 +225,7 @@
 
 
 @experiment.command("leases", epilog=CODES)
-@click.option("--wide", is_flag=True, help="With renewals, and drift and a restart at once; some minutes.")
+@click.option("--wide", is_flag=True, help="Also drift and a restart at once; some minutes.")
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
 )
--- a/rookwood/duties/address.py
+++ b/rookwood/duties/address.py
@@ -24,6 +24,7 @@
 
 DUTY = "address"
 OFTEN = 0.1  # of a lease, between two words to the relay
+SOON = 0.2  # of that: so often who does not hold it looks whether it does
 MAX_FRAME, MAX_BYTES = 4096, 64 << 10
 
 
@@ -53,7 +54,8 @@
                     if channel:
                         channel.cut()
                     channel = None
-                await asyncio.sleep(self._step.total_seconds())
+                held = self._board.token(DUTY, self._clock.now())
+                await asyncio.sleep((self._step if held else self._step * SOON).total_seconds())
         finally:
             if channel:
                 channel.cut()
--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -40,6 +40,8 @@
         self._voters: dict[str, Voter] = {duty: lease.started(now, rule) for duty in duties}
         self._claims = {duty: Claim(me, life) for duty in self._voters}
         self._ask_at = {duty: now + rule.mute + self._turn(duty) for duty in self._voters}
+        self._noes: dict[str, set[str]] = {duty: set() for duty in self._voters}  # to its last question
+        self._lost = dict.fromkeys(self._voters, 0)  # questions in a row that did not win
         self.leaving = False
 
     def _turn(self, duty: str) -> timedelta:
@@ -74,9 +76,7 @@
                     found += self._ask(duty, now)
             elif claim.asked_at:
                 if now - claim.asked_at >= self.rule.length * ANSWER:
-                    found += self._give_up(duty, now)
-                    pause = self._random.random() * self.rule.length * ANSWER
-                    self._ask_at[duty] = now + self._turn(duty) + pause
+                    found += self._lose(duty, now)
             elif now >= self._ask_at[duty]:
                 if self.holder(duty, now):
                     until = self._voters[duty].until
@@ -90,6 +90,7 @@
         self._voters[duty], vote = lease.asked(self._voters[duty], self.me, ask, now, self.rule)
         self._claims[duty] = lease.counted(claim, vote, self.rule) if vote else claim
         self._ask_at[duty] = now + self.rule.held / RENEWALS
+        self._noes[duty].clear()
         return [Letter(duty, ask)]
 
     def _give_up(self, duty: str, now: datetime) -> Iterator[Letter]:
@@ -98,6 +99,13 @@
             self._voters[duty] = lease.released(self._voters[duty], release)
             yield Letter(duty, release)
 
+    def _lose(self, duty: str, now: datetime) -> list[Letter]:
+        """Back with what was got. Another may have got the rest, so the pause is by chance, and grows."""
+        self._lost[duty] += 1
+        pause = self.rule.length * STEP * 2 ** min(self._lost[duty], 3) * self._random.random()
+        self._ask_at[duty] = now + self._turn(duty) + pause
+        return list(self._give_up(duty, now))
+
     def heard(self, sender: str, letter: Letter, now: datetime) -> list[Letter]:
         """Whoever sends may speak for itself alone. What is of another, or of a duty not known here, is
         nothing."""
@@ -109,7 +117,13 @@
                 self._voters[duty], vote = lease.asked(self._voters[duty], self.me, what, now, self.rule)
                 return [Letter(duty, vote, sender)] if vote else []
             case Vote(voter, token=token) if voter == sender and token.holder == self.me:
-                self._claims[duty] = lease.counted(self._claims[duty], what, self.rule)
+                claim = self._claims[duty] = lease.counted(self._claims[duty], what, self.rule)
+                if claim.holds(now):
+                    self._lost[duty] = 0
+                elif claim.asked_at and (what.number, token) == (claim.number, claim.token) and not what.yes:
+                    self._noes[duty].add(sender)
+                    if len(self.rule.members) - len(self._noes[duty]) < self.rule.majority:
+                        return self._lose(duty, now)  # some had not heard yet that it is free
             case Release(token) if token.holder == sender:
                 before, self._voters[duty] = self._voters[duty], lease.released(self._voters[duty], what)
                 if before != self._voters[duty] and not self._claims[duty].asked_at:
--- a/rookwood/lab/modelcheck.py
+++ b/rookwood/lab/modelcheck.py
@@ -36,7 +36,7 @@
 
 
 def run_leases(json_file: Path | None, wide: bool) -> int:
-    """`wide`: with renewals and with drift and a restart at once, some minutes."""
+    """`wide`: also with drift and a restart at once, and after a holder before; some minutes."""
     console, found = Console(), dict[str, Any]()
     with console.status("exploring") as status:
         for name, bounds in {**leases.NARROW, **(leases.WIDE if wide else {})}.items():
