--- a/rookwood/lab/rest.py
+++ b/rookwood/lab/rest.py
@@ -20,10 +20,11 @@
 
 MOST_MB = 26.0  # 23 before the operator's file, the gateway and the logs came, and 3 more at most
 EXTRAS = ("click", "cryptography", "lark", "msgspec", "numpy", "rich", "structlog", "hdrh")
+OFF = ("rookwood.conf", "rookwood.duties", "rookwood.gateway", "rookwood.lab", "rookwood.ledger")  # in `run`
 LIMIT = 10.0
 PROGRAM = """
 import atexit, sys
-found = lambda: sorted({name.partition(".")[0] for name in sys.modules})
+found = lambda: sorted({".".join(name.split(".")[:n]) for name in sys.modules for n in (1, 2)})
 atexit.register(lambda: print("modules", *found(), flush=True))
 import rookwood.__main__ as program
 sys.exit(program.main())
@@ -68,7 +69,8 @@
             process.kill()
             discovery.server.close()
     modules = set(out.partition("modules")[2].split())
-    return {"resident_mb": round(mb, 1), "extras_imported": sorted(modules & set(EXTRAS)), "most_mb": MOST_MB}
+    extras = sorted(modules & {*EXTRAS, *OFF})
+    return {"resident_mb": round(mb, 1), "extras_imported": extras, "most_mb": MOST_MB}
 
 
 def run(json_file: Path | None) -> int:
