Split the lab's world into traffic, dispatcher processes and the two sites

The proving ground used the processes and settings of lab/world.py and not its sites, and the file had 500 lines of three concerns. traffic.py: classes, arrivals, scores; nodes.py: processes, their second address, settings; world.py: two sites. Code moved unchanged; lint and types pass.

--- a/rookwood/lab/demo.py
+++ b/rookwood/lab/demo.py
@@ -14,7 +14,8 @@
 from rich.text import Text
 
 from rookwood.lab.experiment import SETTLE, figures_of
-from rookwood.lab.world import SITES, World, carries, traffic
+from rookwood.lab.traffic import SITES, carries, traffic
+from rookwood.lab.world import World
 
 LOAD, SKEW = 1.0, 0.78
 BAR = 12
--- a/rookwood/lab/experiment.py
+++ b/rookwood/lab/experiment.py
@@ -15,7 +15,8 @@
 from rich.table import Table
 
 from rookwood.lab.results import keep
-from rookwood.lab.world import SITES, World, carries, traffic
+from rookwood.lab.traffic import SITES, carries, traffic
+from rookwood.lab.world import World
 
 TROUBLES_LIMIT = 30.0  # seconds after the last answer
 SETTLE = 1.5  # seconds: links come up, first probes are answered
--- a/rookwood/lab/ground.py
+++ b/rookwood/lab/ground.py
@@ -26,8 +26,8 @@
 from rookwood.gateway.frames import Announce, Announced, FrameError, Splitter, encoded
 from rookwood.lab.boxes import Discovery
 from rookwood.lab.net import Relay, Server, Weather
+from rookwood.lab.nodes import LINK, LISTEN, Node, asked, figure_lines, settings_of
 from rookwood.lab.results import keep
-from rookwood.lab.world import LINK, LISTEN, Node, asked, figure_lines, settings_of
 
 READY_LIMIT = 20.0  # seconds
 DUTIES = 7444  # port of a member's links
--- /dev/null
+++ b/rookwood/lab/nodes.py
@@ -0,0 +1,103 @@
+"""Dispatcher processes of the lab: started as an operator would, asked over their second address."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rookwood.lab.traffic import CLASSES, MOST_WAIT, STRETCH
+
+LISTEN, MGMT, LINK = 3000, 9901, 7443  # ports of every node
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """One dispatcher process."""
+
+    name: str
+    site: str
+    host: str  # an address of its own on loopback: ports there collide with nobody's
+    config: Path
+    conf: Path | None
+    process: subprocess.Popen[bytes] | None = None
+    mgmt: int = MGMT
+    old: subprocess.Popen[bytes] | None = None  # amid an upgrade: the process before
+    dead_until: float = 0.0  # by the event loop's clock
+
+    def start(self, log: Path) -> None:
+        environ = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "ROOKWOOD_", "TMPDIR"))}
+        environ["PROXY_CONFIG"] = str(self.config)
+        environ["PROXY_MGMT"] = f"{self.host}:{self.mgmt}"
+        environ["TMPDIR"] = str(self.config.parent)
+        if self.conf:
+            environ["ROOKWOOD_CONF"] = str(self.conf)
+        with log.open("ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "rookwood"],
+                env=environ,
+                stdout=out,
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def stop(self) -> None:
+        for process in (self.process, self.old):
+            if process and process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+async def asked(host: str, port: int, path: str, method: str = "GET") -> tuple[int, str]:
+    """One call of a second address."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n".encode())
+        text = (await asyncio.wait_for(reader.read(), 2.0)).decode()
+        return int(text.split()[1]), text.partition("\r\n\r\n")[2]
+    finally:
+        writer.close()
+
+
+def figure_lines(text: str) -> Iterator[tuple[str, float]]:
+    for line in text.splitlines():
+        name, _, value = line.removeprefix("dispatcher.").partition(":")
+        yield name, float(value.partition("|")[0])
+
+
+def settings_of(dispatchers: int, zone: str, give_up: float = math.inf) -> dict[str, Any]:
+    micro = 1_000_000
+    return {
+        "balancers": dispatchers,
+        "locality": zone,
+        "tick": 4000,
+        "discovery": "automatic",
+        "bounds": {
+            "attempts-cap": 4,
+            "cancel": True,
+            "probes": True,
+            "conn-idle": 60 * micro,
+            "connect-timeout": 150_000,
+            "retry-after": True,
+            "max-retry-after": int(MOST_WAIT * micro),
+        },
+        "load-report": {"how": "pull"},
+        "rules": {"fall-multiple": 3.0, "overload-for": micro, "start-capacity": 0.31, "warm-up": 8 * micro},
+        "lanes": [
+            {
+                "name": c.name,
+                "repeat": "safe" if c.safe else "unsafe",
+                "importance": c.worth,
+                "aim": int(c.aim * micro),
+                "give-up": int(min(give_up, c.give_up) * micro),
+                "aim-stretch": STRETCH,
+            }
+            for c in CLASSES
+        ],
+    }
--- a/rookwood/lab/rest.py
+++ b/rookwood/lab/rest.py
@@ -15,8 +15,8 @@
 from rich.console import Console
 
 from rookwood.lab.boxes import Discovery
+from rookwood.lab.nodes import settings_of
 from rookwood.lab.results import keep
-from rookwood.lab.world import settings_of
 
 MOST_MB = 26.0  # 23 before the operator's file, the gateway and the logs came, and 3 more at most
 EXTRAS = ("click", "cryptography", "lark", "msgspec", "numpy", "rich", "structlog", "hdrh")
--- a/rookwood/lab/unlocks.py
+++ b/rookwood/lab/unlocks.py
@@ -20,9 +20,10 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from rookwood.lab.nodes import LISTEN, Node
 from rookwood.lab.redis import StandIn
 from rookwood.lab.results import keep
-from rookwood.lab.world import LISTEN, Node, World
+from rookwood.lab.world import World
 
 FAULTS = ("freeze", "slow", "kill", "empty", "older", "errors")
 RETRY_WINDOW, TRIES = 8.0, 12  # seconds in which clients come back; tries of an unlock
--- a/rookwood/lab/world.py
+++ b/rookwood/lab/world.py
@@ -13,161 +13,32 @@
 import random
 import signal
 import subprocess
-import sys
 import tempfile
-from collections import Counter
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
-import numpy as np
-
-from rookwood.lab.boxes import GRACE, Box, Discovery, Ledger
+from rookwood.lab.boxes import Box, Discovery, Ledger
 from rookwood.lab.net import Relay, Weather
+from rookwood.lab.nodes import LINK, LISTEN, Node, asked, figure_lines, settings_of
+from rookwood.lab.traffic import (
+    BOXES,
+    CLASSES,
+    LATE_WORTH,
+    MOST_WAIT,
+    QUEUE,
+    SITES,
+    SLOTS,
+    SPEEDS,
+    STRETCH,
+    TRIES,
+    Arrival,
+    Score,
+)
 
 READY_LIMIT = 15.0  # seconds
 GENTLE = 3.7  # from SIGTERM to SIGKILL, as the platform counts
 UPGRADE_LIMIT = 21.0  # the longest deadline and a little more
-SITES = ("zagreb", "rijeka")
-
-
-@dataclass(frozen=True, slots=True)
-class Class:
-    name: str
-    share: float
-    work: float  # seconds at speed 1, on the mean
-    slots: tuple[float, ...]  # shares of jobs with 1, 2, 4
-    aim: float
-    give_up: float
-    worth: float
-    safe: bool
-
-
-CLASSES = (
-    Class("page-render", 0.43, 0.45, (1.0,), 0.5, 5.0, 3.0, True),
-    Class("chapter-unlock", 0.43, 0.9, (0.6, 0.25, 0.15), 1.0, 10.0, 2.0, False),
-    Class("chapter-publish", 0.14, 1.8, (0.6, 0.25, 0.15), 1.2, 20.0, 10.0, False),
-)
-STRETCH = 2.0
-LATE_WORTH = 0.3
-SPEEDS = (2.0, 1.2, 0.8, 0.8)  # of a site's boxes, in turn
-BOXES, SLOTS, QUEUE = 4, 4, 40
-KEYS, TRIES, MOST_WAIT = 40, 3, 2.0
-MEAN_WORK = sum(c.share * c.work * sum(p * 2**n for n, p in enumerate(c.slots)) for c in CLASSES)
-
-
-def carries(boxes: int = BOXES) -> float:
-    """Jobs a second that fill one site's boxes."""
-    return float(sum(SPEEDS[n % len(SPEEDS)] * SLOTS for n in range(boxes)) / MEAN_WORK)
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    at: float
-    job: str
-    site: str
-    kind: Class
-    work: float
-    slots: int
-    key: int
-
-
-def traffic(seed: int, seconds: float, rate: float, skew: float, burst: bool = False) -> list[Arrival]:
-    """The same for each play of a seed: open-loop Poisson arrivals, lognormal work, Zipf-like keys."""
-    rng = np.random.default_rng(seed)
-    found, at = list[Arrival](), 0.0
-    weights = 1 / np.arange(1, KEYS + 1) ** 0.9
-    weights /= weights.sum()
-    while True:
-        now = rate * (2.0 if burst and 0.3 * seconds < at < 0.7 * seconds else 1.0)
-        at += float(rng.exponential(1 / now))
-        if at >= seconds:
-            return found
-        site = SITES[0] if rng.random() < skew else SITES[1]
-        kind = CLASSES[int(rng.choice(len(CLASSES), p=[c.share for c in CLASSES]))]
-        work = kind.work * float(rng.lognormal(-0.125, 0.5))
-        slots = 2 ** int(rng.choice(len(kind.slots), p=kind.slots))
-        key = int(rng.choice(KEYS, p=weights))
-        found.append(Arrival(at, f"{site}-{len(found)}", site, kind, work, slots, key))
-
-
-@dataclass(slots=True)
-class Score:
-    """What came of a play, from the clients' side."""
-
-    asked: float = 0.0
-    earned: float = 0.0
-    ends: dict[str, Counter[str]] = field(default_factory=dict)  # class -> end
-    worth: dict[str, list[float]] = field(default_factory=dict)  # class -> [asked, earned]
-    overhead: list[tuple[bool, float]] = field(default_factory=list)  # crossed?, seconds beyond the box's
-    retries: int = 0
-
-    def ended(self, arrival: Arrival, how: str, part: float) -> None:
-        kind = arrival.kind
-        self.ends.setdefault(kind.name, Counter())[how] += 1
-        asked, earned = self.worth.get(kind.name, [0.0, 0.0])
-        self.worth[kind.name] = [asked + kind.worth, earned + part * kind.worth]
-        self.asked += kind.worth
-        self.earned += part * kind.worth
-
-    def count(self, how: str) -> int:
-        return sum(counts[how] for counts in self.ends.values())
-
-    @property
-    def service(self) -> float:
-        return self.earned / self.asked if self.asked else 0.0
-
-
-LISTEN, MGMT, LINK = 3000, 9901, 7443  # ports of every node
-
-
-@dataclass(slots=True, eq=False)
-class Node:
-    """One dispatcher process."""
-
-    name: str
-    site: str
-    host: str  # an address of its own on loopback: ports there collide with nobody's
-    config: Path
-    conf: Path | None
-    process: subprocess.Popen[bytes] | None = None
-    mgmt: int = MGMT
-    old: subprocess.Popen[bytes] | None = None  # amid an upgrade: the process before
-    dead_until: float = 0.0  # by the event loop's clock
-
-    def start(self, log: Path) -> None:
-        environ = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "ROOKWOOD_", "TMPDIR"))}
-        environ["PROXY_CONFIG"] = str(self.config)
-        environ["PROXY_MGMT"] = f"{self.host}:{self.mgmt}"
-        environ["TMPDIR"] = str(self.config.parent)
-        if self.conf:
-            environ["ROOKWOOD_CONF"] = str(self.conf)
-        with log.open("ab") as out:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "rookwood"],
-                env=environ,
-                stdout=out,
-                stderr=out,
-                stdin=subprocess.DEVNULL,
-            )
-
-    def stop(self) -> None:
-        for process in (self.process, self.old):
-            if process and process.poll() is None:
-                process.kill()
-                process.wait()
-
-
-async def asked(host: str, port: int, path: str, method: str = "GET") -> tuple[int, str]:
-    """One call of a second address."""
-    reader, writer = await asyncio.open_connection(host, port)
-    try:
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n".encode())
-        text = (await asyncio.wait_for(reader.read(), 2.0)).decode()
-        return int(text.split()[1]), text.partition("\r\n\r\n")[2]
-    finally:
-        writer.close()
 
 
 class NotReadError(ConnectionError):
@@ -465,44 +336,3 @@
         return doubled + self.ledger.at_once
 
     kinds: dict[str, str] = {}  # noqa: RUF012 - set by whoever plays
-
-
-def figure_lines(text: str) -> Iterator[tuple[str, float]]:
-    for line in text.splitlines():
-        name, _, value = line.removeprefix("dispatcher.").partition(":")
-        yield name, float(value.partition("|")[0])
-
-
-def settings_of(dispatchers: int, zone: str, give_up: float = math.inf) -> dict[str, Any]:
-    micro = 1_000_000
-    return {
-        "balancers": dispatchers,
-        "locality": zone,
-        "tick": 4000,
-        "discovery": "automatic",
-        "bounds": {
-            "attempts-cap": 4,
-            "cancel": True,
-            "probes": True,
-            "conn-idle": 60 * micro,
-            "connect-timeout": 150_000,
-            "retry-after": True,
-            "max-retry-after": int(MOST_WAIT * micro),
-        },
-        "load-report": {"how": "pull"},
-        "rules": {"fall-multiple": 3.0, "overload-for": micro, "start-capacity": 0.31, "warm-up": 8 * micro},
-        "lanes": [
-            {
-                "name": c.name,
-                "repeat": "safe" if c.safe else "unsafe",
-                "importance": c.worth,
-                "aim": int(c.aim * micro),
-                "give-up": int(min(give_up, c.give_up) * micro),
-                "aim-stretch": STRETCH,
-            }
-            for c in CLASSES
-        ],
-    }
-
-
-__all__ = ["CLASSES", "GRACE", "Arrival", "World", "carries", "traffic"]
