Tell who lives, spread four duties, change the list of members, and roll a site

members/swim.py tells who lives (SWIM with Lifeguard, pure), over the links that duties have. duties/: change.py takes lists by one at a time, gated by what others have told of their votes; roll.py has every dispatcher end once, at most k at a time, with no leader; trial.py leaves an endpoint that fails for most to one dispatcher; lending goes by a duty as well; watchdog.py ends the right to act by a timer of the kernel. A draining dispatcher gives its duties up. The second address tells duties and members, and the command line shows them.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -146,6 +146,76 @@
     sys.exit(demonstrate(seconds, seed))
 
 
+AT = click.option(
+    *("--at", "places"),
+    multiple=True,
+    envvar="PROXY_MGMT",
+    metavar="HOST:PORT",
+    help="Second address of a dispatcher; once for each member [default: $PROXY_MGMT].",
+)
+WATCH = click.option("--watch", default=0.0, metavar="SECONDS", help="Again and again, so often.")
+
+
+def _site(command: str, places: tuple[str, ...], *arguments: object) -> None:
+    from rookwood.cli import site
+
+    if not places:
+        raise click.UsageError("no dispatcher to ask: give --at HOST:PORT, or set PROXY_MGMT")
+    sys.exit(getattr(site, command)(places, *arguments))
+
+
+@main.group("duties", epilog=CODES, invoke_without_command=True)
+@AT
+@WATCH
+@click.pass_context
+def duties_(context: click.Context, places: tuple[str, ...], watch: float) -> None:
+    """Who holds which duty of a site, as each dispatcher asked believes, and who disagrees.
+
+    Ends with 3 where two say of themselves that they hold one duty.
+    """
+    context.obj = places
+    if context.invoked_subcommand is None:
+        _site("duties", places, watch)
+
+
+@duties_.command("release", epilog=CODES)
+@click.argument("name")
+@click.pass_obj
+def release(places: tuple[str, ...], name: str) -> None:
+    """The dispatcher that holds duty NAME gives it up, and lets another one take it."""
+    _site("release", places, name)
+
+
+@main.group(epilog=CODES)
+@AT
+@click.pass_context
+def roll(context: click.Context, places: tuple[str, ...]) -> None:
+    """Every dispatcher of the site drains and ends, a few at a time; whoever runs them starts them again."""
+    context.obj = places
+
+
+@roll.command("start", epilog=CODES)
+@click.pass_obj
+def roll_start(places: tuple[str, ...]) -> None:
+    """Begin one. The dispatcher asked tells all others, and the roll goes on without it."""
+    _site("post", places, "/ops/roll/start")
+
+
+@roll.command("stop", epilog=CODES)
+@click.pass_obj
+def roll_stop(places: tuple[str, ...]) -> None:
+    """Nobody else begins. Who drains already goes on."""
+    _site("post", places, "/ops/roll/stop")
+
+
+@main.command(epilog=CODES)
+@AT
+@WATCH
+def members(places: tuple[str, ...], watch: float) -> None:
+    """Who lives among the dispatchers of a site, as each dispatcher asked believes."""
+    _site("members", places, watch)
+
+
 @main.group(epilog=CODES)
 def experiment() -> None:
     """Measure something; --json FILE keeps the figures with settings and version."""
--- a/rookwood/conf/read.py
+++ b/rookwood/conf/read.py
@@ -317,6 +317,8 @@
         if duties.lease < timedelta(milliseconds=100):
             at = self.origins.get("duties.lease", here)
             self.fault(at, "lease", "is under 100ms: a busy machine could not keep it", "1s")
+        if "duties.places" in self.origins and duties.places * 2 >= len(names):
+            self.fault(self.origins["duties.places"], "places", "would leave no majority of the members", "1")
         if gateway and gateway.plaintext:
             hosts = [duties.listen[0], *(host for _, (host, _) in duties.member)]
             if bad := [h for h in hosts if not h.startswith("127.") and h not in ("::1", "localhost")]:
--- a/rookwood/conf/schema.py
+++ b/rookwood/conf/schema.py
@@ -83,6 +83,11 @@
     drift: float = 0.01  # how much faster one machine's clock may run than another's
     relay: tuple[str, int] | None = None  # what moves the service address; None: nobody holds that duty
     address: tuple[str, int] | None = None  # what is told to it
+    list: int = 1  # the number of this list of members: one more at each change
+    places: int = 1  # dispatchers that may be down at once by a roll
+    patience: timedelta = timedelta(seconds=30)  # after which a roll goes on without one that is down
+    lending: bool = True  # one dispatcher alone lends what is spare to other sites
+    trial: bool = True  # one alone tries an endpoint that fails for all
 
 
 class Operator(Struct, frozen=True):
@@ -181,6 +186,11 @@
         "drift": _one(units.share, SHARE),
         "relay": _one(units.address, "host:port"),
         "address": _one(units.address, "host:port"),
+        "list": _one(units.count, "a whole number from 1"),
+        "places": _one(units.count, "a whole number from 1"),
+        "patience": _one(units.duration, SPAN),
+        "lending": _one(units.switch, "yes or no"),
+        "trial": _one(units.switch, "yes or no"),
     },
     build=Duties,
 )
--- a/rookwood/duties/address.py
+++ b/rookwood/duties/address.py
@@ -15,6 +15,7 @@
 
 from rookwood.duties.board import Board
 from rookwood.duties.lease import Token
+from rookwood.duties.watchdog import Watchdog
 from rookwood.gateway.frames import Announce, Announced
 from rookwood.gateway.link import Channel, LinkError, connected
 from rookwood.net.clock import Clock
@@ -29,8 +30,11 @@
 
 
 class Announcer:
-    def __init__(self, board: Board, relay: Address, address: str, clock: Clock) -> None:
+    def __init__(
+        self, board: Board, relay: Address, address: str, clock: Clock, watchdog: Watchdog | None = None
+    ) -> None:
         self._board, self._relay, self._address, self._clock = board, relay, address, clock
+        self._watchdog = watchdog
         self._step: timedelta = board.rule.length * OFTEN
         self._limit: timedelta = board.rule.length / 2  # of an answer
         self._open: Token | None = None
@@ -46,19 +50,25 @@
                         if channel is None:
                             place = self._relay.host, self._relay.port
                             channel = await connected(*place, self._limit, None, MAX_FRAME, MAX_BYTES)
+                            if self._watchdog:
+                                self._watchdog.guard(channel.socket)
                         if await self._say(channel):
                             continue  # it was opened: act at once
                 except LinkError as error:
                     self.counts["broken"] += 1
                     log.info("the relay is not reached", why=str(error))
-                    if channel:
-                        channel.cut()
+                    self._cut(channel)
                     channel = None
                 held = self._board.token(DUTY, self._clock.now())
                 await asyncio.sleep((self._step if held else self._step * SOON).total_seconds())
         finally:
-            if channel:
-                channel.cut()
+            self._cut(channel)
+
+    def _cut(self, channel: Channel | None) -> None:
+        if channel:
+            if self._watchdog:
+                self._watchdog.let_go(channel.socket)
+            channel.cut()
 
     async def _say(self, channel: Channel) -> bool:
         """One word to the relay, and its answer. True: the next one may follow at once."""
--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -42,8 +42,46 @@
         self._ask_at = {duty: now + rule.mute + self._turn(duty) for duty in self._voters}
         self._noes: dict[str, set[str]] = {duty: set() for duty in self._voters}  # to its last question
         self._lost = dict.fromkeys(self._voters, 0)  # questions in a row that did not win
+        self._wanted, self._rests = set(self._voters), dict[str, datetime]()
+        self.takes_part = True  # asks and votes; else it is silent, since its list may not count yet
         self.leaving = False
 
+    @property
+    def duties(self) -> tuple[str, ...]:
+        return tuple(self._voters)
+
+    def muted(self, now: datetime) -> bool:
+        return not self.takes_part or any(now < voter.mute_until for voter in self._voters.values())
+
+    def floor(self, now: datetime) -> int:
+        return min((lease.floor(v, now, self.rule) for v in self._voters.values()), default=self.rule.list)
+
+    def listed(self, rule: Rule) -> None:
+        """The next list of members; `change.Change` knows when. Votes and claims go on."""
+        self.rule = rule
+
+    def want(self, duty: str, yes: bool, now: datetime) -> list[Letter]:
+        """Who does not want it gives it up, and goes on to vote for others."""
+        if yes == (duty in self._wanted):
+            return []
+        if yes:
+            self._wanted.add(duty)
+            self._ask_at[duty] = max(self._ask_at[duty], now)
+            return []
+        self._wanted.discard(duty)
+        return list(self._give_up(duty, now))
+
+    def rest(self, duty: str, now: datetime) -> list[Letter]:
+        """Gives it up, and asks for it again only when another has had time to take it."""
+        letters = list(self._give_up(duty, now))
+        self._rests[duty] = self._ask_at[duty] = now + 2 * self.rule.length
+        return letters
+
+    def left(self, duty: str, now: datetime) -> timedelta:
+        """Of the lease that is held here, or granted to another."""
+        until = self._claims[duty].until if self.token(duty, now) else self._voters[duty].until
+        return max(timedelta(0), until - now) if until else timedelta(0)
+
     def _turn(self, duty: str) -> timedelta:
         members = self.rule.members
         order = sorted(members, key=lambda name: hashlib.blake2b(f"{duty} {name}".encode()).digest())
@@ -67,8 +105,10 @@
     def tick(self, now: datetime) -> list[Letter]:
         found = list[Letter]()
         for duty, claim in list(self._claims.items()):
-            if self.leaving:
+            if self.leaving or not self.takes_part:
                 break
+            if duty not in self._wanted:
+                continue
             if claim.holds(now):
                 if now >= self._ask_at[duty]:
                     if claim.token and claim.term > claim.token.term:  # else who has heard of it says no
@@ -86,7 +126,7 @@
         return found
 
     def _ask(self, duty: str, now: datetime) -> list[Letter]:
-        claim, ask = lease.ask(self._claims[duty], now)
+        claim, ask = lease.ask(self._claims[duty], now, self.rule.list)
         self._voters[duty], vote = lease.asked(self._voters[duty], self.me, ask, now, self.rule)
         self._claims[duty] = lease.counted(claim, vote, self.rule) if vote else claim
         self._ask_at[duty] = now + self.rule.held / RENEWALS
@@ -113,7 +153,7 @@
         if duty not in self._voters or sender not in self.rule.members:
             return []
         match what:
-            case Ask(token) if token.holder == sender:
+            case Ask(token) if token.holder == sender and self.takes_part:
                 self._voters[duty], vote = lease.asked(self._voters[duty], self.me, what, now, self.rule)
                 return [Letter(duty, vote, sender)] if vote else []
             case Vote(voter, token=token) if voter == sender and token.holder == self.me:
@@ -127,7 +167,7 @@
             case Release(token) if token.holder == sender:
                 before, self._voters[duty] = self._voters[duty], lease.released(self._voters[duty], what)
                 if before != self._voters[duty] and not self._claims[duty].asked_at:
-                    self._ask_at[duty] = now + self._turn(duty)
+                    self._ask_at[duty] = max(now + self._turn(duty), self._rests.get(duty, now))
         return []
 
     def behind(self, duty: str, seen: int, now: datetime) -> None:
--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -1,57 +1,113 @@
-"""Plugs duties into a dispatcher, as the operator's file says."""
+"""Plugs duties and members into a dispatcher, as the operator's file says."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import secrets
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from datetime import datetime, timedelta
 from pathlib import Path
+from typing import Any
 
 import structlog
 
-from rookwood.conf import Operator
+from rookwood.conf import ConfError, Duties, Operator, load
 from rookwood.duties.address import DUTY, Announcer
 from rookwood.duties.board import Board, Letter
+from rookwood.duties.change import Change, Roster
 from rookwood.duties.lease import Rule
 from rookwood.duties.links import Links, Self
+from rookwood.duties.roll import Roller, places
+from rookwood.duties.site import TRIAL, Site
+from rookwood.duties.trial import Trial
+from rookwood.duties.watchdog import Watchdog
 from rookwood.duties.wire import frame_of, letter_of
-from rookwood.gateway.frames import Frame
+from rookwood.gateway.frames import Frame, SiteAsk, SiteTold
+from rookwood.gateway.lending import LENDING
 from rookwood.gateway.secure import secured, utc_now
+from rookwood.members import wire as members_wire
+from rookwood.members.swim import Change as Told
+from rookwood.members.swim import Letter as Probing
+from rookwood.members.swim import Members, News, Pace, Standing
+from rookwood.net.decisions import End
 from rookwood.net.destinations import Address, DestinationSet
 from rookwood.net.dispatcher import Core
+from rookwood.net.phase import Phase
+from rookwood.net.request import Answer
 from rookwood.settings import FaultyKeyError
 
 log = structlog.stdlib.get_logger(__name__)
 
 TICKS = 50  # in a lease
-PINGS = 4  # in a lease
+PINGS = 4  # in a lease; words of oneself as well
+PROBES = 4  # in a lease: the period of `members`
+BAD = frozenset({End.ERROR, End.NO_CONNECTION, End.RESET, End.TIMED_OUT})  # the endpoint's own doing
+DRAINED_LIMIT = timedelta(seconds=30)  # so long a roll waits for jobs in hand
 
 
 class DutiesFront:
     def __init__(self, core: Core, operator: Operator, place: Path) -> None:
         settings, gateway = operator.duties, operator.gateway
         assert settings and gateway
-        self._gateway, self._clock = gateway, core.clock
-        members = {name: Address(*address) for name, address in settings.member}
+        self._core, self._gateway, self._clock, self._place = core, gateway, core.clock, place
+        self._settings = settings
         me = Self(operator.site, gateway.name or core.name, secrets.randbits(62))
+        now, members = core.clock.now(), addresses(settings)
         if me.name not in members:
             raise FaultyKeyError(str(place), f"duties: {me.name!r}, this dispatcher, is none of the members")
-        rule = Rule(tuple(sorted(members)), settings.lease, settings.drift)
-        self.board = Board(me.name, me.life, rule, (DUTY,), core.clock.now(), seed=me.life)
+        duties = [*places(settings.places)]
+        duties += [DUTY] * bool(settings.relay) + [TRIAL] * settings.trial
+        duties += [LENDING] * (settings.lending and bool(operator.sites))
+        rule = Rule(tuple(sorted(members)), settings.lease, settings.drift, settings.list)
+        self.board = Board(me.name, me.life, rule, duties, now, seed=me.life)
         others = {name: address for name, address in members.items() if name != me.name}
+        news = News(me.name, me.life, 0, Standing.ALIVE, core.zone)
+        self.members = Members(news, others, Pace(settings.lease / PROBES), now, seed=me.life)
+        roster = Roster(settings.list, frozenset(members))
+        roller = Roller(me.name, me.life, settings.patience)
+        change = Change(me.name, roster)
+        self.site = Site(self.board, change, roller, Trial(me.name), settings.places)
         listen = Address(*settings.listen)
-        self._links = Links(me, others, listen, rule.length, core.clock, self._heard)
+        self._links = Links(me, others, listen, rule.length, core.clock, self._heard, self._gone)
+        self._watchdog = Watchdog()
         self._announcer: Announcer | None = None
         if settings.relay and settings.address:
             address = f"{settings.address[0]}:{settings.address[1]}"
-            self._announcer = Announcer(self.board, Address(*settings.relay), address, core.clock)
-        self._holders = dict.fromkeys((DUTY,), "")
+            relay = Address(*settings.relay)
+            self._announcer = Announcer(self.board, relay, address, core.clock, self._watchdog)
+        self._holders = dict.fromkeys(duties, "")
+        self._since = dict.fromkeys(duties, now)
         self._changes = Counter[str]()
+        self._booted: dict[str, datetime | None] = {}  # endpoints as listed, with their starts
+        self._waits = list[str]()  # who a roll waits for, as last logged
         self._tasks: list[asyncio.Task[None]] = []
+        self._out: asyncio.Task[None] | None = None  # this one's part of a roll
         core.figures.more.append(self._figures)
+        core.tier.living = lambda: len(self.members.alive)
+        core.tier.holds = self._holds
+        core.decisions.observed = self._observed
+        core.destinations.advisers.append(self.site.trial.since)
+        core.calls[b"GET", b"/ops/duties"] = self._told_duties
+        core.calls[b"GET", b"/ops/members"] = self._told_members
+        core.calls[b"POST", b"/ops/roll/start"] = self._roll
+        core.calls[b"POST", b"/ops/roll/stop"] = self._roll_stop
+        for duty in duties:
+            core.calls[b"POST", f"/ops/duties/{duty}/release".encode()] = lambda d=duty: self._release(d)  # type: ignore[misc]
+
+    # ---- a Front ----
 
     def told(self, told: DestinationSet, kept: bool) -> DestinationSet:
+        changed = set[str]()
+        if told.whole:
+            self._booted = {u: b for u, b in self._booted.items() if u in {e.uid for e in told.endpoints}}
+        for endpoint in told.endpoints:
+            if endpoint.uid in self._booted and self._booted[endpoint.uid] != endpoint.booted:
+                changed |= {endpoint.uid} if self.site.trial.started(endpoint.uid) else set()
+            self._booted[endpoint.uid] = endpoint.booted
+        if changed:
+            asyncio.get_running_loop().call_soon(self._core.destinations.again, changed)
         return told
 
     async def start(self) -> None:
@@ -60,64 +116,274 @@
         if self._announcer:
             self._tasks.append(asyncio.create_task(self._announcer.run()))
 
+    def reload(self) -> None:
+        """The list of members may change, by one at a time; the rest waits for the next start."""
+        try:
+            settings = load(self._place).operator.duties
+        except ConfError as error:
+            log.error("the list of members is not taken over", why=str(error))
+            return
+        if settings is None:
+            log.error("the list of members is not taken over", why="the file has no duties any more")
+            return
+        wish = Roster(settings.list, frozenset(addresses(settings)))
+        if why := self.site.change.unfit(wish):
+            log.error("the list of members is not taken over", why=why)
+            return
+        self._settings, self.site.change.wish = settings, wish
+        if wish != self.site.change.roster:
+            awaits = self.site.change.awaits(self.board.floor(self._clock.now()))
+            log.info("list of members wished for", list=wish.number, awaits=" ".join(awaits) or "nobody")
+
+    def succeeded(self) -> None:
+        """The next process speaks under this name. What is out of a roll is done with it."""
+        self.leave(replaced=True)
+
+    def leave(self, replaced: bool = False) -> None:
+        if self.board.leaving:
+            return
+        self._send(self.board.leave(self._clock.now()))
+        if replaced:
+            self.members.leaving = True
+            self._links.hush()
+        else:
+            self._probe(self.members.leave())
+            self._tell(0, None)
+
+    async def empty(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        tasks = [*self._tasks, *([self._out] if self._out else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._watchdog.close()
+        await self._links.close()
+
+    # ---- what ticks ----
+
     async def _tick(self) -> None:
         step, ticks = self.board.rule.length / TICKS, 0
         while True:
             try:
-                now = self._clock.now()
-                self._send(self.board.tick(now))
-                if ticks % (TICKS // PINGS) == 0:
-                    self._links.ping()
-                for duty, before in self._holders.items():
-                    holder = self.board.holder(duty, now)
-                    if holder != before:
-                        self._holders[duty] = holder
-                        self._changes[duty] += 1
-                        log.info("duty", duty=duty, holder=holder or "nobody", term=self.board.term(duty))
+                self._step(self._clock.now(), ticks % (TICKS // PINGS) == 0)
             except Exception:
                 log.exception("tick failed")
             ticks += 1
             await asyncio.sleep(step.total_seconds())
 
+    def _step(self, now: datetime, often: bool) -> None:
+        serving = self._core.service.phase is Phase.SERVING
+        for duty in self._holders:
+            if not duty.startswith("roll-"):  # who drains speaks for nobody
+                self._send(self.board.want(duty, serving, now))
+        self._send(self.board.tick(now))
+        if DUTY in self._holders:
+            self._watch(now)
+        self._probe(self.members.tick(now))
+        self._tell_changes(self.members.changes)
+        self.site.silent(now)
+        if roster := self.site.takes_part(now):
+            self._listed(roster, now)
+        letters, question, ends = self.site.rolls(now)
+        self._send(letters)
+        if often:
+            self._links.ping()
+            if not self.board.leaving:
+                self._tell(0, None)
+            if question:
+                self._links.send(None, SiteAsk(question))
+        if question:
+            self._tell_waits(now)
+        if ends:
+            self._end()
+        if changed := self.site.tries(self.members.alive, len(self._booted), now):
+            self._core.destinations.again(changed)
+        for duty, before in self._holders.items():
+            holder = self.board.holder(duty, now)
+            if holder != before:
+                self._holders[duty], self._since[duty] = holder, now
+                self._changes[duty] += 1
+                log.info("duty", duty=duty, holder=holder or "nobody", term=self.board.term(duty))
+
+    def _watch(self, now: datetime) -> None:
+        held = self.board.token(DUTY, now) is not None
+        self._watchdog.held_for(self.board.left(DUTY, now).total_seconds() if held else 0.0)
+
     def _heard(self, sender: str, frame: Frame) -> None:
+        now = self._clock.now()
         if letter := letter_of(frame):
-            self._send(self.board.heard(sender, letter, self._clock.now()))
+            self._send(self.board.heard(sender, letter, now))
+        elif what := members_wire.letter_of(frame):
+            self._probe(self.members.heard(sender, what, now))
+        elif isinstance(frame, SiteAsk):
+            if not self.board.leaving:
+                self._tell(frame.number, sender)
+        elif isinstance(frame, SiteTold):
+            self.site.heard(sender, frame, now)
+
+    def _gone(self, name: str) -> None:
+        self.members.closed(name, self._clock.now())
 
     def _send(self, letters: Iterable[Letter]) -> None:
         for letter in letters:
             self._links.send(letter.to, frame_of(letter))
 
-    def reload(self) -> None:
-        """Members wait for the next start: the list may change by one at a time alone."""
+    def _probe(self, letters: Iterable[Probing]) -> None:
+        for name, what in letters:
+            self._links.send(name, members_wire.frame_of(what))
 
-    def succeeded(self) -> None:
-        self.leave()
+    def _tell(self, number: int, to: str | None) -> None:
+        ready = self._core.service.phase is Phase.SERVING and not self.board.leaving
+        self._links.send(to, self.site.told(number, ready, self._clock.now()))
 
-    def leave(self) -> None:
-        if not self.board.leaving:
-            self._send(self.board.leave(self._clock.now()))
+    def _tell_changes(self, changes: list[Told]) -> None:
+        for change in changes:
+            if change.standing > Standing.SUSPECTED:
+                self.site.change.lost(change.name)
+            log.info("member", member=change.name, standing=change.standing.name.lower(), why=change.why)
+        changes.clear()
 
-    async def empty(self) -> None:
-        pass
+    def _listed(self, roster: Roster, now: datetime) -> None:
+        members = addresses(self._settings)
+        others = {n: a for n, a in members.items() if n in roster.members and n != self.board.me}
+        self._links.listed(others)
+        self.members.listed(others, now)
+        log.info("list of members", list=roster.number, members=" ".join(sorted(roster.members)))
+        if self.board.me not in roster.members:
+            log.warning("this dispatcher is no member any more: it holds nothing from now on")
+            self.leave()
 
-    async def close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._links.close()
+    # ---- rolls ----
+
+    def _tell_waits(self, now: datetime) -> None:
+        waits = self.site.roller.waits_for(self.board.rule.members, now)
+        if waits != self._waits:
+            self._waits = waits
+            log.info("roll waits", number=self.site.roller.roll.number, for_=" ".join(waits) or "nobody")
+
+    def _end(self) -> None:
+        self.site.roller.begun = True
+        log.info("roll: this dispatcher drains and ends", number=self.site.roller.roll.number)
+        self._core.service.drain()
+        self._out = asyncio.create_task(self._drained())
+
+    async def _drained(self) -> None:
+        """A drain that the operator ends, ends this part of the roll as well; it comes again in its turn."""
+        limit = self._clock.now() + DRAINED_LIMIT
+        service = self._core.service
+        while self._clock.now() < limit and not (service.refusing and self._core.decisions.open == 0):
+            if service.phase is not Phase.DRAINING:
+                if service.phase is Phase.SERVING:
+                    self.site.roller.begun = False
+                return
+            await asyncio.sleep(0.02)
+        self._core.leave()
+
+    def _roll(self) -> Answer:
+        members = set(self.board.rule.members)
+        if why := self.site.roller.begin(members, self.members.gone):
+            return Answer(409, f"{why}\n".encode())
+        roll = self.site.roller.roll
+        names = " ".join(name for name, _ in roll.lives)
+        log.info("roll begins", number=roll.number, members=names)
+        self._tell(0, None)  # so that it goes on without this one
+        return Answer(200, f"roll {roll.number}: {names}\n".encode())
+
+    def _roll_stop(self) -> Answer:
+        self.site.roller.stop()
+        log.info("roll stopped", number=self.site.roller.roll.number)
+        self._tell(0, None)
+        return Answer(200, b"stopped\n")
+
+    # ---- the rest of the dispatcher asks ----
+
+    def _holds(self, duty: str) -> bool | None:
+        if duty not in self._holders:
+            return None
+        holder = self.board.holder(duty, self._clock.now())
+        return holder == self.board.me if holder else None
+
+    def _observed(self, uid: str, end: End) -> None:
+        if end in BAD:
+            self.site.trial.ended(uid, False, self._clock.now())
+        elif end is End.SERVED:
+            self.site.trial.ended(uid, True, self._clock.now())
+
+    # ---- the second address ----
+
+    def _release(self, duty: str) -> Answer:
+        now = self._clock.now()
+        if self.board.token(duty, now) is None:
+            holder = self.board.holder(duty, now)
+            return Answer(409, f"{duty} is held by {holder or 'nobody'}\n".encode())
+        self._send(self.board.rest(duty, now))
+        log.info("duty released by the operator", duty=duty)
+        return Answer(200, f"{duty} is released\n".encode())
+
+    def _told_duties(self) -> Answer:
+        now, site = self._clock.now(), self.site
+        roll = site.roller
+        told: dict[str, Any] = {
+            "me": self.board.me,
+            "list": site.change.roster.number,
+            "wished": site.change.wish.number,
+            "awaits": list(site.change.awaits(self.board.floor(now))),
+            "votes": not self.board.muted(now),
+            "duties": [
+                {
+                    "duty": duty,
+                    "holder": self.board.holder(duty, now),
+                    "here": self.board.token(duty, now) is not None,
+                    "term": self.board.term(duty),
+                    "since_ms": (now - self._since[duty]) // timedelta(milliseconds=1),
+                    "left_ms": self.board.left(duty, now) // timedelta(milliseconds=1),
+                }
+                for duty in self._holders
+            ],
+            "roll": {"number": roll.roll.number, "pending": roll.pending, "waits_for": self._waits},
+            "held_back": sorted(u for u in self._booted if site.trial.since(u)),
+        }
+        return Answer(200, json.dumps(told).encode() + b"\n")
+
+    def _told_members(self) -> Answer:
+        now = self._clock.now()
+        rows = [
+            {
+                "name": news.name,
+                "standing": self.members.word(news.name),
+                "zone": news.zone,
+                "life": news.life,
+                "turn": news.turn,
+                "since_ms": (now - seen.since) // timedelta(milliseconds=1) if seen else None,
+            }
+            for news, seen in self.members.rows()
+        ]
+        told = {"me": self.board.me, "health": self.members.health, "members": rows}
+        return Answer(200, json.dumps(told).encode() + b"\n")
 
     def _figures(self) -> Iterator[str]:
         now = self._clock.now()
         yield f"duties.members_heard:{self._links.up}|g"
+        yield f"duties.members_alive:{len(self.members.alive)}|g"
         yield f"duties.letters:{self._links.sent}|c"
-        for duty, changes in ((duty, self._changes[duty]) for duty in self._holders):
+        yield f"duties.list:{self.site.change.roster.number}|g"
+        yield f"duties.roll_pending:{len(self.site.roller.pending)}|g"
+        yield f"duties.endpoints_held_back:{sum(1 for u in self._booted if self.site.trial.since(u))}|g"
+        yield f"duties.watchdog:{self._watchdog.barked}|c"
+        for duty in self._holders:
             yield f"duties.{duty}.held:{int(self.board.token(duty, now) is not None)}|g"
             yield f"duties.{duty}.term:{self.board.term(duty)}|g"
-            yield f"duties.{duty}.changes:{changes}|c"
+            yield f"duties.{duty}.changes:{self._changes[duty]}|c"
         if self._announcer:
             for what in ("accepted", "refused", "broken"):
                 yield f"duties.{DUTY}.{what}:{self._announcer.counts[what]}|c"
 
 
+def addresses(settings: Duties) -> dict[str, Address]:
+    return {name: Address(*address) for name, address in settings.member}
+
+
 def front_of(operator: Operator, place: Path) -> Callable[[Core], DutiesFront]:
     return lambda core: DutiesFront(core, operator, place)
--- a/rookwood/duties/lease.py
+++ b/rookwood/duties/lease.py
@@ -41,6 +41,7 @@
     members: tuple[str, ...]
     length: timedelta  # of a vote, as its voter counts
     drift: float = 0.01  # how much faster one clock may run than another
+    list: int = 0  # the number of this list of members (`change.py`)
 
     def __post_init__(self) -> None:
         if not self.members or len(set(self.members)) < len(self.members):
@@ -69,6 +70,7 @@
 
     token: Token
     number: int  # counts the questions of this life
+    list: int = 0  # by which the holder counts a majority
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,17 +112,25 @@
         return voter, None
     token, last = ask.token, voter.granted
     no = Vote(me, ask.number, token, False, voter.term)
+    runs = voter.until is not None and now < voter.until
     if last and (token.holder, token.life) == (last.token.holder, last.token.life):
         fits = ask.number > last.number and token.term >= last.token.term
+        # A holder may go on by the list before this one, and nobody becomes holder by it any more.
+        fits = fits and ask.list >= rule.list - runs
     else:
-        runs = voter.until is not None and now < voter.until
-        fits = not runs and token.term > voter.term
+        fits = not runs and token.term > voter.term and ask.list >= rule.list
     if not fits:
         return voter, no
     term = max(voter.term, token.term)
     return replace(voter, term=term, granted=ask, until=now + rule.length), replace(no, yes=True, term=term)
 
 
+def floor(voter: Voter, now: datetime, rule: Rule) -> int:
+    """It has no vote running for a holder by an older list than this, and will never have one again."""
+    runs = voter.granted and voter.until and now < voter.until
+    return min(rule.list, voter.granted.list) if voter.granted and runs else rule.list
+
+
 def released(voter: Voter, release: Release) -> Voter:
     """One that comes late finds a newer question granted, and changes nothing."""
     if voter.granted is None or voter.granted.token != release.token or release.number < voter.granted.number:
@@ -145,7 +155,7 @@
         return self.until is not None and now < self.until
 
 
-def ask(claim: Claim, now: datetime) -> tuple[Claim, Ask]:
+def ask(claim: Claim, now: datetime, list_: int = 0) -> tuple[Claim, Ask]:
     """For all members, itself among them. While it holds, the term stays and the lease is prolonged."""
     token = claim.token if claim.holds(now) else None
     token = token or Token(claim.term + 1, claim.me, claim.life)
@@ -154,7 +164,7 @@
         claim, term=token.term, number=number, asked_at=now, votes=frozenset(), token=token,
         until=claim.until if claim.holds(now) else None,
     )  # fmt: skip
-    return fresh, Ask(token, number)
+    return fresh, Ask(token, number, list_)
 
 
 def counted(claim: Claim, vote: Vote, rule: Rule) -> Claim:
--- a/rookwood/duties/links.py
+++ b/rookwood/duties/links.py
@@ -16,7 +16,7 @@
 import structlog
 
 from rookwood.gateway.frames import VERSION, Frame, Hello, Ping, Pong, Refusal
-from rookwood.gateway.link import Channel, LinkError, connected
+from rookwood.gateway.link import Channel, GoneError, LinkError, connected
 from rookwood.gateway.secure import Secured
 from rookwood.net.clock import EPOCH, Clock
 from rookwood.net.decisions import micros
@@ -45,10 +45,14 @@
         limit: timedelta,
         clock: Clock,
         heard: Callable[[str, Frame], None],
+        gone: Callable[[str], None] = lambda name: None,
     ) -> None:
-        """`members`: the others. `limit`: of a silence, of a connection and of a hello."""
+        """`members`: the others. `limit`: of a silence, of a connection and of a hello. `gone` is told of
+        one whose machine says that nobody is there."""
         self._me, self._members, self._listen, self._limit = me, dict(members), listen, limit
-        self._clock, self._heard = clock, heard
+        self._clock, self._heard, self._gone = clock, heard, gone
+        self._speakers: dict[str, asyncio.Task[None]] = {}
+        self._secured: Secured | None = None
         self._out: dict[str, Channel] = {}
         self._in: dict[str, list[Channel]] = {name: [] for name in members}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -64,9 +68,28 @@
         context = secured.server if secured else None
         listener = bound(self._listen, shared=True)
         self._server = await asyncio.start_server(self._accepted, sock=listener, ssl=context)
-        for name in self._members:
-            task = asyncio.create_task(self._speak(name, secured.client if secured else None))
-            self._tasks.add(task)
+        self._secured = secured
+        self.listed(self._members)
+
+    def listed(self, members: Mapping[str, Address]) -> None:
+        """The others, from now on. Links to who is no member any more, or moved, end."""
+        for name in [n for n in self._speakers if members.get(n) != self._members.get(n)]:
+            self._speakers.pop(name).cancel()
+        for name in self._in.keys() - members.keys():
+            for channel in self._in.pop(name):
+                channel.cut()
+        self._members = dict(members)
+        for name in members:
+            self._in.setdefault(name, [])
+            if name not in self._speakers:
+                context = self._secured.client if self._secured else None
+                self._speakers[name] = asyncio.create_task(self._speak(name, context))
+
+    def hush(self) -> None:
+        """The next process speaks under this name: nobody is heard here any more."""
+        if self._server:
+            self._server.close()
+        self.listed({})
 
     def send(self, to: str | None, frame: Frame) -> None:
         for name in self._members if to is None else (to,):
@@ -100,6 +123,8 @@
                     if not isinstance(frame, Pong):
                         raise LinkError("something else than a sign of life")
             except (LinkError, OSError, ssl.SSLError) as error:
+                if isinstance(error, GoneError):
+                    self._gone(name)
                 if str(error) != why:  # once, however long it lasts
                     why = str(error)
                     log.warning("member not heard", member=name, why=why)
@@ -131,6 +156,8 @@
             if channel.name not in (None, hello.name):
                 raise LinkError(f"the certificate names {channel.name!r}, not {hello.name!r}")
             name = hello.name
+            if name not in self._in:
+                raise LinkError(f"{name!r} is no member any more")
             self._in[name].append(channel)
             while len(self._in[name]) > MOST_LINKS:
                 self._in[name].pop(0).cut()
@@ -157,6 +184,7 @@
     async def close(self) -> None:
         if self._server:
             self._server.close()
-        for task in list(self._tasks):
+        tasks = [*self._tasks, *self._speakers.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/rookwood/gateway/frames.py
+++ b/rookwood/gateway/frames.py
@@ -111,6 +111,7 @@
     holder: str
     life: int
     number: int
+    list: int = 0
 
 
 class DutyVote(Struct, frozen=True, array_like=True, tag="duty-vote"):
@@ -150,10 +151,55 @@
     seen: int  # the highest term that the relay was opened for
 
 
+class MemberNews(Struct, frozen=True, array_like=True):
+    """A word about a member of the site, of `rookwood.members`."""
+
+    name: str
+    life: int
+    turn: int
+    standing: int
+    zone: str
+    by: str
+
+
+class MemberProbe(Struct, frozen=True, array_like=True, tag="member-probe"):
+    number: int
+    about: str
+    news: tuple[MemberNews, ...]
+
+
+class MemberAck(Struct, frozen=True, array_like=True, tag="member-ack"):
+    number: int
+    about: str
+    news: tuple[MemberNews, ...]
+
+
+class SiteAsk(Struct, frozen=True, array_like=True, tag="site-ask"):
+    """How is it with you? The answer was given after the question, whatever the links do meanwhile."""
+
+    number: int
+
+
+class SiteTold(Struct, frozen=True, array_like=True, tag="site-told"):
+    """What a dispatcher tells the others of its site, of itself."""
+
+    number: int  # of the question; 0: nobody asked
+    life: int
+    ready: bool  # serves, and may vote
+    roll: int  # the latest that it has heard of, by number, starter and the processes that are to end
+    starter: str
+    lives: tuple[tuple[str, int], ...]
+    list: int  # the number of its list of members
+    floor: int  # it has no vote running for a holder by an older list than this
+    sick: tuple[str, ...]  # endpoints that fail here
+    well: tuple[str, ...]  # and that have served since they did
+
+
 FromHome = Hello | Pong | Offer | Withdraw | Ack | Refusal
 FromAway = Hello | Ping | Taken | Ended | Refusal
 OfDuties = DutyAsk | DutyVote | DutyRelease | Announce | Announced
-Frame = Hello | Refusal | Ping | Pong | Offer | Withdraw | Ack | Taken | Ended | OfDuties
+OfMembers = MemberProbe | MemberAck | SiteAsk | SiteTold
+Frame = Hello | Refusal | Ping | Pong | Offer | Withdraw | Ack | Taken | Ended | OfDuties | OfMembers
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
--- a/rookwood/gateway/gate.py
+++ b/rookwood/gateway/gate.py
@@ -19,7 +19,7 @@
 from rookwood.gateway.advice import Far, Near
 from rookwood.gateway.guests import Guests, accepting
 from rookwood.gateway.home import Me, Out, Outbound
-from rookwood.gateway.lending import Lender
+from rookwood.gateway.lending import LENDING, Lender
 from rookwood.gateway.routing import Prices, Router, Waiting
 from rookwood.gateway.secure import SOON, CertificateError, Secured, secured, utc_now
 from rookwood.net.decisions import Ticket
@@ -76,7 +76,7 @@
         self._near = {site.name: Near() for site in operator.sites}
         self._far, self._known_far = Far(), dict[str, str]()
         self._router = Router(core.classes, self._prices(), settings.max_jobs)
-        self._lender = Lender(settings.lend, settings.reserve, core.dispatchers)
+        self._lender = Lender(settings.lend, settings.reserve, core.tier)
         self._ways: dict[int, Way] = {}
         self._numbers = itertools.count(1)
         unsafe = core.decisions.unsafe
@@ -104,7 +104,7 @@
             stopped=core.destinations.again,
             open_=lambda: core.service.phase is Phase.SERVING,
         )
-        core.destinations.elsewhere = self._far.since
+        core.destinations.advisers.append(self._far.since)
         core.requests.abroad = self
         core.figures.more.append(self._figures)
         self._pressure: api.Pressure | None = None
@@ -235,7 +235,8 @@
                 if now >= ping_at:
                     ping_at = now + s.keepalive
                     self._pressure = self._core.decisions.pressure()
-                    self._guests.deal(self._lender.update(now, self._pressure, self._guests.slots))
+                    speaks = self._core.tier.holds(LENDING) is not False
+                    self._guests.deal(self._lender.update(now, self._pressure, self._guests.slots, speaks))
                     self._guests.ping()
                 if self._ways or now >= match_at:
                     match_at = now + s.keepalive
--- a/rookwood/gateway/lending.py
+++ b/rookwood/gateway/lending.py
@@ -14,8 +14,10 @@
 from typing import TypeVar
 
 from rookwood import interface as api
+from rookwood.net.tier import Tier
 
 H = TypeVar("H", bound=Hashable)
+LENDING = "lending"  # the duty of the one dispatcher that lends what is spare at a site, where duties are on
 RISE = timedelta(milliseconds=300)  # so long until what is lent has risen by most of a step
 LEAST_WANT = 1.0
 FADE = 0.9  # of what a home has had, from one interval to the next
@@ -31,16 +33,18 @@
 class Lender:
     lend: float  # share of the site's slots, for guests at most
     reserve: float  # share kept free for own traffic
-    dispatchers: int  # of this site, among whom its slots are shared
+    tier: Tier  # the dispatchers of this site, among whom its slots are shared
     lent: float = 0.0  # slots, guests here included
     _at: datetime | None = None
 
-    def update(self, now: datetime, told: api.Pressure, guests: float) -> float:
-        """Slots that this dispatcher lends now in all; `guests` are taken by them already."""
-        spare = told.slots * (1 - self.reserve) - told.busy - told.held * self.dispatchers
-        # All that is spare is offered by each dispatcher of the site: a part of it would often hold no large
-        # job. Where two lend the same slots at once, guests find no room, and go back after a short wait.
-        goal = max(0.0, min(self.lend * told.slots, guests + spare))
+    def update(self, now: datetime, told: api.Pressure, guests: float, speaks: bool = True) -> float:
+        """Slots that this dispatcher lends now in all; `guests` are taken by them already. Who does not
+        speak for the site keeps the guests it has and lends nothing more."""
+        spare = told.slots * (1 - self.reserve) - told.busy - told.held * self.tier.count
+        # All that is spare is offered by whoever lends: a part of it would often hold no large job. Where
+        # nobody speaks for the site each dispatcher lends, so two may lend the same slots at once; guests
+        # then find no room, and go back after a short wait.
+        goal = max(0.0, min(self.lend * told.slots, guests + spare)) if speaks else guests
         age = now - self._at if self._at else RISE
         self._at = now
         if goal < self.lent:
--- a/rookwood/gateway/link.py
+++ b/rookwood/gateway/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
 from collections.abc import AsyncIterator
 from datetime import timedelta
@@ -18,6 +19,10 @@
     """The link cannot be used any more; the text says why."""
 
 
+class GoneError(LinkError):
+    """Nobody is there: the peer's machine refuses, or the peer has closed."""
+
+
 class Channel:
     """Owns one stream pair, from its making to `close`."""
 
@@ -30,6 +35,12 @@
         self.name = name_of(secure)  # proved by the certificate; None on plaintext
         self.closed = False
 
+    @property
+    def socket(self) -> socket.socket:
+        """For whoever must be able to end it outside the event loop."""
+        found: socket.socket = self._writer.get_extra_info("socket")
+        return found
+
     @property
     def in_hand(self) -> int:
         """Bytes that are written and have not left."""
@@ -54,7 +65,7 @@
             except TimeoutError:
                 raise LinkError(f"nothing was heard for {limit.total_seconds():.1f} s") from None
             if not data:
-                raise LinkError("the peer has closed")
+                raise GoneError("the peer has closed")
             try:
                 self._ready = self._splitter.feed(data)
             except FrameError as error:
@@ -91,6 +102,8 @@
             reader, writer = await asyncio.open_connection(host, port, ssl=context, limit=CHUNK)
     except TimeoutError:
         raise LinkError(f"no connection within {limit.total_seconds():g} s") from None
+    except ConnectionRefusedError as error:
+        raise GoneError(f"no connection: {error}") from None
     except (OSError, ssl.SSLError) as error:
         raise LinkError(f"no connection: {error}") from None
     return Channel(reader, writer, max_frame, max_bytes)
--- a/rookwood/ledger/front.py
+++ b/rookwood/ledger/front.py
@@ -56,7 +56,7 @@
     def __init__(self, core: Core, settings: Settings) -> None:
         longest = max((c.give_up for c in core.classes.values()), default=0)
         window = timedelta(microseconds=longest) + settings.retry_window
-        tier = Tier(settings.tier or core.dispatchers, window)
+        tier = Tier(settings.tier or core.tier.fixed, window)
         terms = Terms(settings.lease, settings.keep)
         store, keyed = store_of(settings, tier), claimed(core.classes.values(), settings.retry_window)
         self.ledger = Ledger(core.name, store, tier, terms, core.clock, keyed)
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -202,6 +202,7 @@
                 self._number, attempt.number, attempt.uid, ending, latency, self._settled, figures_of(load)
             )
         )
+        self._door.observed(attempt.uid, end)
 
     def decided(self, action: api.Send | api.Refuse | api.Fail) -> None:
         """Called by the door alone."""
@@ -228,6 +229,7 @@
     ) -> None:
         self.clock, self._most_retry_after = clock, most_retry_after
         self.probe: Callable[[str], None] = lambda uid: None  # who carries probes out
+        self.observed: Callable[[str, End], None] = lambda uid, end: None  # how each attempt ended, and where
         self.tell: Callable[[Sequence[int], Sequence[api.Hint]], None] = lambda to, hints: None
         self.unsafe = frozenset(c.name for c in settings.classes if c.repeat is not api.Repeat.SAFE)
         self._policy = Policy(settings, seed)
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -130,7 +130,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._stopped: dict[str, datetime] = {}  # draining or gone since
         # Others know of endpoints here as well, perhaps sooner: since when, by their word.
-        self.elsewhere: Callable[[str], datetime | None] = lambda uid: None
+        self.advisers: list[Callable[[str], datetime | None]] = []
         self.revision = 0
         self.current = asyncio.Event()  # discovery has spoken since the start: the list is no longer old
 
@@ -151,7 +151,7 @@
         self._apply(DestinationSet(told.revision, told.whole, heeded), kept)
 
     def _heeded(self, endpoint: Endpoint) -> Endpoint:
-        if endpoint.state is State.UP and self.elsewhere(endpoint.uid):
+        if endpoint.state is State.UP and any(adviser(endpoint.uid) for adviser in self.advisers):
             return replace(endpoint, state=State.DRAINING)
         return endpoint
 
@@ -166,8 +166,8 @@
 
     def accepts(self, uid: str) -> bool:
         """Half the grace is kept back: what is written now arrives a little later."""
-        told = [since for since in (self._stopped.get(uid), self.elsewhere(uid)) if since]
-        stopped = min(told, default=None)
+        told = [self._stopped.get(uid), *(adviser(uid) for adviser in self.advisers)]
+        stopped = min((since for since in told if since), default=None)
         return uid in self._endpoints and (stopped is None or self._clock.now() < stopped + self._grace / 2)
 
     def start(self) -> None:
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -27,6 +27,7 @@
 from rookwood.net.probes import Probes
 from rookwood.net.request import Answer, Requests
 from rookwood.net.room import room_of
+from rookwood.net.tier import Tier
 
 log = logging.getLogger(__name__)
 
@@ -46,13 +47,16 @@
     name: str
     clock: Clock
     classes: dict[str, api.JobClass]
-    dispatchers: int
+    zone: str
+    tier: Tier
     bounds: Bounds
     decisions: Decisions
     destinations: Destinations
     requests: Requests
     figures: Figures
     service: Service
+    calls: dict[tuple[bytes, bytes], Callable[[], Answer]]  # of the second address; fronts add theirs
+    leave: Callable[[], None]  # as after SIGTERM
 
 
 class Front(Protocol):
@@ -107,23 +111,21 @@
             service=self._service,
             figures=self._figures,
         )
-        self._management = Management(
-            clock,
-            {
-                (b"GET", b"/ops/readiness"): self._readiness,
-                (b"GET", b"/ops/stats"): lambda: Answer(200, self._figures.text().encode()),
-                (b"POST", b"/ops/drain/start"): self._drain,
-                (b"POST", b"/ops/drain/stop"): self._resume,
-            },
-            room,
-        )
+        calls = {
+            (b"GET", b"/ops/readiness"): self._readiness,
+            (b"GET", b"/ops/stats"): lambda: Answer(200, self._figures.text().encode()),
+            (b"POST", b"/ops/drain/start"): self._drain,
+            (b"POST", b"/ops/drain/stop"): self._resume,
+        }
+        self._management = Management(clock, calls, room)
         self._handover = Handover(
             config.handover, self._remember, self._succeeded, alone=self._succeeds
         )
         by_name = {c.name: c for c in config.settings.classes}
         core = Core(
-            *(config.name, clock, by_name, config.settings.dispatchers, bounds),
+            *(config.name, clock, by_name, config.settings.zone, Tier(config.settings.dispatchers), bounds),
             *(self._decisions, self._destinations, self._requests, self._figures, self._service),
+            *(calls, self.leave),
         )
         self._handover.datagrams = self._peers.handle
         self._fronts = [front(core) for front in fronts]
--- /dev/null
+++ b/rookwood/net/tier.py
@@ -0,0 +1,23 @@
+"""What a dispatcher knows of the others of its site: how many there are, and who does what alone.
+
+By default a fixed number, and nobody does anything alone. Whatever knows better takes the place of these.
+Rules that all dispatchers keep together (the cold budget, the ledger's vouching) go by the fixed number in
+any case: a member that is taken for dead may live, and goes on spending its part.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Tier:
+    fixed: int  # dispatchers, by the platform's settings
+    living: Callable[[], int] | None = None
+    # Of a duty: True, it is held here; False, by another; None, nobody is known to hold it.
+    holds: Callable[[str], bool | None] = lambda duty: None
+
+    @property
+    def count(self) -> int:
+        return max(1, self.living()) if self.living else self.fixed
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -30,6 +30,7 @@
 from rookwood.gateway.lease import Granted, Held
 from rookwood.gateway.lending import Home, Lender, Turns
 from rookwood.gateway.routing import Peer, Prices, Router, Waiting
+from rookwood.net.tier import Tier
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 MS = timedelta(milliseconds=1)
@@ -253,7 +254,7 @@
 
 @given(some.lists(some.tuples(some.floats(0, 30), some.floats(0, 10)), min_size=1, max_size=30))
 def test_lending_keeps_own_traffic_first(steps: list[tuple[float, float]]) -> None:
-    lender, now = Lender(lend=0.5, reserve=0.1, dispatchers=2), START
+    lender, now = Lender(lend=0.5, reserve=0.1, tier=Tier(2)), START
     for busy, guests in steps:
         now += 100 * MS
         lent = lender.update(now, pressure(max(busy, guests)), guests)
@@ -263,7 +264,7 @@
 
 
 def test_lending_falls_at_once_and_rises_slowly() -> None:
-    lender = Lender(0.5, 0.1, 1)
+    lender = Lender(0.5, 0.1, Tier(1))
     full = lender.update(START, pressure(0.0), 0.0)
     low = lender.update(START + 10 * MS, pressure(13.0), 0.0)
     again = lender.update(START + 20 * MS, pressure(0.0), 0.0)
