Test lists that change, rolls, sick endpoints and the watchdog, and count older votes in a floor

A holder by list 1 that took list 2 and asked again kept its lease by two votes, while its voters already told a floor of 2, so the others went on to list 3. At fault was lease.floor, which looked at the newest vote alone; it now counts the last vote by an older list until that runs out.

The tests (town.py: boards, lists and rolls in simulated time; a process stopped by the kernel for the watchdog) fail without the mends: lists taken at once, votes by an older list, rolls by words from before the place, or by any place, each make two holders or take too many; without the watchdog the late act arrives.

--- a/rookwood/duties/change.py
+++ b/rookwood/duties/change.py
@@ -2,9 +2,9 @@
 
 Two lists that differ by one member have no majorities that do not meet, two that differ by two may have. So
 nobody may be holder by list n while somebody counts by n + 2. A voter with list n grants the duty to nobody
-by an older one, and lets a holder by n - 1 go on (`lease.asked`); its *floor* is the oldest list that it has
-a running vote for, or n, and never falls. A member takes list n + 1 once a majority of list n has told a
-floor of n: then no majority of n - 1 can be had any more.
+by an older one, and lets a holder by n - 1 go on (`lease.asked`). Its *floor* is the oldest list that a vote
+of its still runs for, renewed by a newer list or not, else n; it never falls. A member takes list n + 1 once
+a majority of list n has told a floor of n: then no majority of n - 1 can be had any more.
 
 A member that has started knows its own list alone. It takes part as soon as another with this list does;
 or once so many of its list have a floor of n - 1 that they meet each majority of each list that differs
--- a/rookwood/duties/lease.py
+++ b/rookwood/duties/lease.py
@@ -100,6 +100,9 @@
     term: int = 0
     granted: Ask | None = None
     until: datetime | None = None
+    # The last vote by an older list than the one above. Its holder may count on it although it asked again.
+    older: Ask | None = None
+    older_until: datetime | None = None
 
 
 def started(now: datetime, rule: Rule) -> Voter:
@@ -122,13 +125,15 @@
     if not fits:
         return voter, no
     term = max(voter.term, token.term)
+    if last and runs and last.list < ask.list:
+        voter = replace(voter, older=last, older_until=voter.until)
     return replace(voter, term=term, granted=ask, until=now + rule.length), replace(no, yes=True, term=term)
 
 
 def floor(voter: Voter, now: datetime, rule: Rule) -> int:
     """It has no vote running for a holder by an older list than this, and will never have one again."""
-    runs = voter.granted and voter.until and now < voter.until
-    return min(rule.list, voter.granted.list) if voter.granted and runs else rule.list
+    votes = ((voter.granted, voter.until), (voter.older, voter.older_until))
+    return min([rule.list, *(ask.list for ask, until in votes if ask and until and now < until)])
 
 
 def released(voter: Voter, release: Release) -> Voter:
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,345 @@
+"""Lists of members that change, rolls, sick endpoints, the watchdog; and what breaks without them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from rookwood.duties import lease
+from rookwood.duties.change import Change, Roster, Word
+from rookwood.duties.lease import Ask, Rule, Token, Vote, Voter
+from rookwood.duties.roll import Known, Roller
+from rookwood.duties.trial import FORGET, SICK, Trial
+
+from .town import DUTY, LEASE, Town
+
+ZERO = datetime(2026, 1, 1, tzinfo=UTC)
+MS = timedelta(milliseconds=1)
+ONE, TWO, THREE = "abc", "abcd", "abcde"
+
+
+# ---- lists ----
+
+
+def two_lists_at_once(town: Town) -> None:
+    """a and b stay by list 1 and do not hear the rest, which goes on to list 3 as far as it may."""
+    town.all(1, ONE)
+    town.run(4 * LEASE)
+    town.cut = {(x, y) for x in "ab" for y in "cde"} | {(y, x) for x in "ab" for y in "cde"}
+    town.wish("c", 2, TWO)
+    town.start("d", 2, TWO)
+    town.run(4 * LEASE)
+    town.start("e", 3, THREE)
+    for name in "cd":
+        if town.sites[name].change.roster.number == 2:
+            town.wish(name, 3, THREE)
+    town.run(8 * LEASE)
+
+
+def test_no_two_hold_by_lists_that_differ_by_two() -> None:
+    town = Town()
+    two_lists_at_once(town)
+    assert town.most_holders == 1
+    assert town.sites["c"].change.roster.number == 2, "a majority of list 2 has not taken it yet"
+    town.cut.clear()
+    for name in "ab":
+        town.wish(name, 2, TWO)
+    town.run(2 * LEASE)
+    for name in "ab":
+        town.wish(name, 3, THREE)
+    town.held.clear()
+    town.run(10 * LEASE)
+    assert {s.change.roster.number for s in town.sites.values()} == {3}
+    assert town.most_holders == 1 and sum(town.held.values()) > 6 * LEASE
+
+
+def test_taking_lists_without_waiting_makes_two_holders(monkeypatch: pytest.MonkeyPatch) -> None:
+    def at_once(self: Change, own_floor: int) -> Roster | None:
+        if self.wish == self.roster:
+            return None
+        self.roster = self.wish
+        return self.roster
+
+    monkeypatch.setattr(Change, "due", at_once)
+    monkeypatch.setattr(Change, "join", lambda self: setattr(self, "joined", True))
+    town = Town()
+    two_lists_at_once(town)
+    assert town.most_holders == 2
+
+
+def stale_asker(town: Town) -> None:
+    """One goes by list 1 and hears a second alone, which went on; a third and two new ones hold by list 3."""
+    town.all(1, ONE)
+    town.run(4 * LEASE)
+    third = next(iter(town.held))
+    stale, second = (name for name in ONE if name != third)
+    apart = [(stale, name) for name in third + "de"]
+    town.cut = {pair for x, y in apart for pair in ((x, y), (y, x))}
+    for name in (second, third):
+        town.wish(name, 2, TWO)
+    town.start("d", 2, TWO)
+    town.run(4 * LEASE)
+    town.start("e", 3, THREE)
+    for name in (third, "d"):
+        town.wish(name, 3, THREE)
+    town.run(4 * LEASE)
+    assert {town.sites[n].change.roster.number for n in third + "de"} == {3}
+    town.cut |= {pair for y in third + "de" for pair in ((second, y), (y, second))}
+    town.run(6 * LEASE)
+
+
+def test_voter_grants_nothing_by_an_older_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    town = Town()
+    stale_asker(town)
+    assert town.most_holders == 1
+
+    def forgiving(voter: Voter, me: str, ask: Ask, now: datetime, rule: Rule) -> tuple[Voter, Vote | None]:
+        return asked(voter, me, Ask(ask.token, ask.number, rule.list), now, rule)
+
+    asked = lease.asked
+    monkeypatch.setattr(lease, "asked", forgiving)
+    town = Town()
+    stale_asker(town)
+    assert town.most_holders == 2
+
+
+def test_holder_goes_on_while_the_others_take_the_next_list() -> None:
+    town = Town()
+    town.all(1, ONE)
+    town.run(4 * LEASE)
+    holder = next(iter(town.held))
+    town.held.clear()
+    for name in [n for n in ONE if n != holder] + [holder]:
+        town.wish(name, 2, TWO)
+        town.run(LEASE // 4)
+    town.start("d", 2, TWO)
+    town.run(4 * LEASE)
+    assert set(town.held) == {holder} and town.held[holder] >= 4 * LEASE
+
+
+@pytest.mark.parametrize(
+    ("number", "members", "told"),
+    [
+        (3, TWO, "does not follow"),
+        (2, "abd", "differs from 1 by 2"),
+        (1, TWO, "does not follow"),
+        (2, ONE, ""),
+    ],
+)
+def test_list_that_cannot_follow_is_named(number: int, members: str, told: str) -> None:
+    why = Change("a", Roster(1, frozenset(ONE))).unfit(Roster(number, frozenset(members)))
+    assert told in why and bool(told) == bool(why)
+
+
+def test_one_that_has_started_waits_for_others_of_its_list() -> None:
+    change = Change("c", Roster(3, frozenset(THREE)))
+    change.heard("d", Word(3, -1))
+    assert not change.join()
+    change.heard("e", Word(3, -1))
+    assert not change.join(), "three could be a majority of list 3 that meets none of list 1"
+    change.heard("a", Word(2, 2))
+    assert change.join()
+
+
+# ---- rolls ----
+
+
+def rolled(town: Town, names: str) -> bool:
+    assert town.sites[names[0]].roller.begin(names) == ""
+    for _ in range(200):
+        town.run(LEASE)
+        if not town.down and not any(site.roller.pending for site in town.sites.values()):
+            return True
+    return False
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("count", [1, 2])
+def test_roll_renews_everybody_and_never_takes_more_than_its_places(seed: int, count: int) -> None:
+    town = Town(seed, delay=60, loss=0.05, count=count, drain=200 * (seed % 2))
+    town.all(1, THREE)
+    town.run(4 * LEASE)
+    lives = {name: site.roller.life for name, site in town.sites.items()}
+    assert rolled(town, THREE)
+    assert all(town.sites[name].roller.life != life for name, life in lives.items())
+    assert 1 <= town.most_down <= count and town.most_holders == 1
+
+
+def test_roll_goes_on_when_who_began_it_dies_at_once() -> None:
+    town = Town(3, count=1)
+    town.all(1, THREE)
+    town.run(4 * LEASE)
+    first = town.sites["a"]
+    assert first.roller.begin(THREE) == ""
+    town.post("a", None, first.told(0, True, town.at))  # its last word
+    town.back_at["a"] = town.now + 30 * LEASE  # away for long
+    town.run(100 * LEASE)
+    assert not any(site.roller.due for site in town.sites.values()) and town.most_down == 1
+    assert all(site.roller.roll.number == 1 for site in town.sites.values())
+
+
+def took_too_many(monkeypatch: pytest.MonkeyPatch, attribute: str, broken: object) -> bool:
+    for seed in range(30):
+        with monkeypatch.context() as patched:
+            patched.setattr(Roller, attribute, broken)
+            town = Town(seed, delay=60, loss=0.05, count=2, drain=0)
+            town.all(1, THREE)
+            town.run(4 * LEASE)
+            rolled(town, THREE)
+            if town.most_down > 2:
+                return True
+    return False
+
+
+def test_roll_that_counts_words_from_before_its_place_takes_too_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    def unasked(self: Roller, members: object, now: datetime) -> list[str]:
+        known = {name: self._known.get(name, Known(0, False)) for name in members}  # type: ignore[attr-defined]
+        return [name for name, k in known.items() if name != self.me and not k.ready]
+
+    assert took_too_many(monkeypatch, "waits_for", unasked)
+
+
+def test_roll_that_lets_each_place_take_all_takes_too_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    may = Roller.may
+
+    def generous(self: Roller, place: int, members: object, now: datetime) -> bool:
+        return may(self, 3, members, now)  # type: ignore[arg-type]
+
+    assert took_too_many(monkeypatch, "may", generous)
+
+
+def test_roll_passes_over_one_that_is_down_for_long_only_while_a_majority_stays() -> None:
+    roller = Roller("a", 1, 10_000 * MS)
+    for name in "bcd":
+        roller.heard(name, 2, True, 0, roller.roll, ZERO)
+    assert "never heard: e" in roller.begin(THREE)
+    assert roller.begin(THREE, "e") == "" and roller.due
+    question = roller.ask(Token(1, "a", 1))
+    assert not roller.may(1, THREE, ZERO)
+    for name in "bcd":
+        roller.heard(name, 2, True, question, roller.roll, ZERO)
+    roller.lost("e", ZERO)
+    assert not roller.may(1, THREE, ZERO + 9_000 * MS)
+    assert roller.may(1, THREE, ZERO + 10_000 * MS)
+    roller.lost("d", ZERO)  # and a second one: without a, too few would be left
+    assert not roller.may(1, THREE, ZERO + 99_000 * MS)
+
+
+# ---- sick endpoints ----
+
+
+def failing(trials: dict[str, Trial], uid: str, now: datetime) -> None:
+    for trial in trials.values():
+        for _ in range(SICK):
+            trial.ended(uid, False, now)
+
+
+def spread(trials: dict[str, Trial], now: datetime) -> None:
+    for name, trial in trials.items():
+        for other in trials.values():
+            if other is not trial:
+                other.heard(name, *trial.word(now), now)
+
+
+def test_sick_endpoint_is_left_to_the_holder_until_it_serves_there() -> None:
+    trials = {name: Trial(name) for name in ONE}
+    failing(trials, "box", ZERO)
+    spread(trials, ZERO)
+    changed = {name: trial.update("a", ONE, 4, ZERO) for name, trial in trials.items()}
+    assert changed == {"a": set(), "b": {"box"}, "c": {"box"}}
+    assert trials["a"].since("box") is None and trials["b"].since("box") == ZERO
+    trials["a"].ended("box", True, ZERO + 500 * MS)
+    spread(trials, ZERO + 500 * MS)
+    assert trials["b"].update("a", ONE, 4, ZERO + 500 * MS) == {"box"} and trials["b"].since("box") is None
+
+
+@pytest.mark.parametrize(
+    "why", ["nobody holds it", "holder is silent", "few fail", "most are sick", "age", "start"]
+)
+def test_without_a_reason_nobody_is_held_back(why: str) -> None:
+    trials = {name: Trial(name) for name in ONE}
+    failing(trials, "box", ZERO)
+    spread(trials, ZERO)
+    b, listed, now, holder = trials["b"], 4, ZERO, "a"
+    assert b.update("a", ONE, 4, ZERO) == {"box"}
+    match why:
+        case "nobody holds it":
+            holder = ""
+        case "holder is silent":
+            b.lost("a")
+        case "few fail":
+            b = Trial("b")
+            b.heard("a", ("box",), (), ZERO)
+            b.heard("c", (), (), ZERO)
+        case "most are sick":
+            listed = 1
+        case "age":
+            now = ZERO + FORGET
+        case _:
+            assert b.started("box")
+    b.update(holder, ONE, listed, now)
+    assert b.since("box") is None
+
+
+# ---- the watchdog ----
+
+STALLED = """
+import os, signal, socket, sys
+from rookwood.duties.watchdog import Watchdog
+act = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+dog = Watchdog()
+if sys.argv[2] == "on":
+    dog.guard(act)
+dog.held_for(0.3)
+os.kill(os.getpid(), signal.SIGSTOP)  # checked its lease; stopped before the act
+try:
+    act.sendall(b"late")
+except OSError:
+    pass
+act.close()
+"""
+
+
+@pytest.mark.parametrize(("state", "arrives"), [("on", b""), ("off", b"late")])
+def test_holder_stopped_between_its_check_and_its_act_does_not_act(state: str, arrives: bytes) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = str(server.getsockname()[1])
+        process = subprocess.Popen([sys.executable, "-c", STALLED, port, state])
+        connection, _ = server.accept()
+        _, status = os.waitpid(process.pid, os.WUNTRACED)
+        assert os.WIFSTOPPED(status)
+        # The kernel's timer runs while it is stopped: pending once its signal shows in the process's status.
+        while int(pending(process.pid), 16) & 1 << (signal.SIGALRM - 1) == 0:
+            os.sched_yield()
+        process.send_signal(signal.SIGCONT)
+        connection.settimeout(20)
+        got = b""
+        while data := connection.recv(16):
+            got += data
+        connection.close()
+        process.wait(20)
+    assert got == arrives
+
+
+def pending(pid: int) -> str:
+    with open(f"/proc/{pid}/status") as lines:
+        return next(line.split()[1] for line in lines if line.startswith("ShdPnd"))
+
+
+def test_rule_of_a_list_is_kept_in_renewals() -> None:
+    rule = Rule(tuple(TWO), LEASE * MS, 0.01, 2)
+    voter = Voter(ZERO, granted=Ask(Token(1, "a", 1), 1, 1), until=ZERO + LEASE * MS)
+    assert lease.floor(voter, ZERO, rule) == 1
+    again, vote = lease.asked(voter, "b", Ask(Token(1, "a", 1), 2, 1), ZERO + MS, rule)
+    assert vote and vote.yes and lease.floor(again, ZERO + MS, rule) == 1
+    over = ZERO + 3 * LEASE * MS
+    assert lease.floor(again, over, rule) == 2
+    _, vote = lease.asked(again, "b", Ask(Token(1, "a", 1), 3, 1), over, rule)
+    assert vote and not vote.yes, "by the older list nobody becomes holder any more"
+    assert DUTY
