--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -278,20 +278,45 @@
 @experiment.command("duties", epilog=CODES)
 @click.option("--nodes", default=5, show_default=True, help="Processes.")
 @click.option("--seed", default=1, show_default=True, help="For the order of troubles.")
-@click.option("--kills", default=8, show_default=True, help="Troubles, one after the other.")
-@click.option("--faults", default="kill,stop,term,cut,one-way,partial,loss,delay", help="Of which kinds.")
+@click.option("--kills", default=11, show_default=True, help="Troubles, one after the other.")
+@click.option(
+    "--faults",
+    default="kill,stop,term,cut,one-way,half,stuck,trickle,partial,loss,delay",
+    show_default=True,
+    help="Of which kinds.",
+)
+@click.option("--hold", default=0.0, help="Seconds of loss, delay and a partial cut, at least.")
 @click.option("--lease-ms", default=400, show_default=True, help="Length of a lease.")
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
 )
-def duties(nodes: int, seed: int, kills: int, faults: str, lease_ms: int, json_file: Path | None) -> None:
+def duties(
+    nodes: int, seed: int, kills: int, faults: str, hold: float, lease_ms: int, json_file: Path | None
+) -> None:
     """Real processes that hold the duty `address` in turn, while its holder meets trouble after trouble."""
-    from rookwood.lab.ground import FAULTS, Plan, run_duties
+    from rookwood.lab.troubles import FAULTS, Plan, run_duties
 
     chosen = tuple(filter(None, faults.split(",")))
     if not chosen or not set(chosen) <= set(FAULTS):
         raise click.BadParameter(f"is not a list of {', '.join(FAULTS)}", param_hint="--faults")
-    sys.exit(run_duties(Plan(nodes, seed, kills, chosen, lease_ms), json_file))
+    sys.exit(run_duties(Plan(nodes, seed, kills, chosen, lease_ms, hold), json_file))
+
+
+@experiment.command("members", epilog=CODES)
+@click.option("--counts", default="5,20", show_default=True, help="Members, one series each.")
+@click.option("--seeds", default=3, show_default=True, help="Plays of each.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def members_(counts: str, seeds: int, json_file: Path | None) -> None:
+    """Three ways to tell who lives, in simulated time: SWIM with Lifeguard, heartbeats, phi-accrual."""
+    from rookwood.lab.detectors import Plan, run_members
+
+    try:
+        chosen = tuple(int(count) for count in counts.split(","))
+    except ValueError:
+        raise click.BadParameter("is not a list of numbers", param_hint="--counts") from None
+    sys.exit(run_members(Plan(chosen, seeds), json_file))
 
 
 @experiment.command("leases", epilog=CODES)
--- a/rookwood/lab/ground.py
+++ b/rookwood/lab/ground.py
@@ -10,28 +10,23 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import statistics
 import tempfile
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from rich.console import Console
-
 from rookwood.duties import lease
 from rookwood.duties.lease import Gate, Token
 from rookwood.gateway.frames import Announce, Announced, FrameError, Splitter, encoded
-from rookwood.lab.boxes import Discovery
+from rookwood.lab.boxes import Box, Discovery, Ledger
 from rookwood.lab.net import Relay, Server, Weather
 from rookwood.lab.nodes import LINK, LISTEN, Node, asked, figure_lines, settings_of
-from rookwood.lab.results import keep
 
 READY_LIMIT = 20.0  # seconds
 DUTIES = 7444  # port of a member's links
-FAULTS = ("kill", "stop", "term", "cut", "one-way", "partial", "loss", "delay")
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +113,15 @@
 class Ground:
     """Owns the processes, the links between them, the discovery and the witness, from `start` to `close`."""
 
-    def __init__(self, count: int, seed: int, lease_ms: int) -> None:
+    def __init__(
+        self, count: int, seed: int, lease_ms: int, boxes: int = 0, store: str = "", more: str = ""
+    ) -> None:
+        """`store`: lines of that section; `more`: of the section `duties`."""
         self.names = [f"m{n}" for n in range(count)]
-        self.seed, self.lease_ms = seed, lease_ms
+        self.seed, self.lease_ms, self._store, self._more = seed, lease_ms, store, more
+        self.ledger = Ledger()
+        self.boxes = [Box(f"b-{n}", "b", 8, 1.0, 100, self.ledger) for n in range(boxes)]
+        self.list, self.listed = 1, list(self.names)  # the members' list and its number
         self.witness, self._discovery = Witness(), Discovery()
         self._folder = tempfile.TemporaryDirectory(prefix="rookwood-ground-")
         net = (100 + os.getpid() // 250 % 100, 1 + os.getpid() % 250)  # no two grounds on one net
@@ -131,6 +132,7 @@
             self.nodes[name] = Node(name, "here", host, folder / f"{name}.json", folder / f"{name}.conf")
         self.weather = {(a, b): Weather() for a in self.names for b in self.names if a != b}  # a speaks to b
         self._relays: list[Relay] = []
+        self._links: dict[str, dict[str, str]] = {}  # by member: where it finds each
         self.stopped: set[str] = set()
 
     @property
@@ -138,10 +140,13 @@
         return Path(self._folder.name) / "members.log"
 
     async def start(self) -> None:
+        for box in self.boxes:
+            await box.server.start()
         await self._discovery.server.start()
+        self._discovery.say(*(box.entry() for box in self.boxes))
         await self.witness.server.start()
         for name, node in self.nodes.items():
-            links = {name: f"{node.host}:{DUTIES}"}
+            links = self._links[name] = {name: f"{node.host}:{DUTIES}"}
             for other, peer in self.nodes.items():
                 if other != name:
                     weather = self.weather[name, other]
@@ -149,14 +154,18 @@
                     await relay.server.start()
                     self._relays.append(relay)
                     links[other] = relay.server.address
-            self._configure(node, links)
-        for node in self.nodes.values():
-            node.start(self.log)
+        for name in self.names:
+            self.configure(name)
+        for name in self.listed:
+            self.nodes[name].start(self.log)
         async with asyncio.timeout(READY_LIMIT):
-            for node in self.nodes.values():
-                await self.ready(node)
+            for name in self.listed:
+                await self.ready(self.nodes[name])
 
-    def _configure(self, node: Node, links: dict[str, str]) -> None:
+    def configure(self, name: str) -> None:
+        """Writes its files anew, by the list as it is now."""
+        node = self.nodes[name]
+        links = {other: address for other, address in self._links[name].items() if other in self.listed}
         told: dict[str, Any] = {
             "name": node.name,
             "listen": f"{node.host}:{LISTEN}",
@@ -169,11 +178,21 @@
         assert node.conf
         lines = ["site here", "log-format json", "gateway {", f"    listen {node.host}:{LINK}"]
         lines += [f"    name {node.name}", "    plaintext yes", "}", "duties {"]
-        lines += [f"    listen {node.host}:{DUTIES}", f"    lease {self.lease_ms}ms"]
+        lines += [f"    listen {node.host}:{DUTIES}", f"    lease {self.lease_ms}ms", f"    list {self.list}"]
+        lines += [self._more] if self._more else []
         lines += [f"    member {name} {address}" for name, address in links.items()]
         lines += [f"    relay {self.witness.server.address}", f"    address {node.host}:{LISTEN}", "}"]
+        lines += [f"store {{\n{self._store}\n}}"] if self._store else []
         node.conf.write_text("\n".join(lines) + "\n")
 
+    def told(self, box: Box) -> None:
+        """Discovery tells of it again."""
+        self._discovery.say(box.entry())
+
+    async def call(self, name: str, path: str, method: str = "GET") -> tuple[int, str]:
+        node = self.nodes[name]
+        return await asked(node.host, node.mgmt, path, method)
+
     async def ready(self, node: Node) -> None:
         while True:
             if node.process and node.process.poll() is not None:
@@ -190,12 +209,34 @@
         node = self.nodes[name]
         return dict(figure_lines((await asked(node.host, node.mgmt, "/ops/stats"))[1]))
 
+    async def cost(self, seconds: float = 2.0) -> dict[str, float]:
+        """Of a member on the mean, while nothing happens: messages, and its share of a core."""
+        before = await self._spent()
+        await asyncio.sleep(seconds)
+        after = await self._spent()
+        both = [(before[name], after[name]) for name in before if name in after]
+        return {
+            "messages_a_second": round(statistics.fmean(b[0] - a[0] for a, b in both) / seconds, 1),
+            "cpu_share": round(statistics.fmean(b[1] - a[1] for a, b in both) / seconds, 4),
+        }
+
+    async def _spent(self) -> dict[str, tuple[float, float]]:
+        """Messages sent, and seconds of a core, of each process that lives."""
+        found, tick = dict[str, tuple[float, float]](), os.sysconf("SC_CLK_TCK")
+        for name, node in self.nodes.items():
+            if node.process and node.process.poll() is None:
+                fields = Path(f"/proc/{node.process.pid}/stat").read_text().rpartition(")")[2].split()
+                letters = (await self.figures(name))["duties.letters"]
+                found[name] = letters, (int(fields[11]) + int(fields[12])) / tick
+        return found
+
     async def close(self) -> None:
         for name in list(self.stopped):
             self.go_on(name)
         for node in self.nodes.values():
             node.stop()
-        for part in (self.witness.server, self._discovery.server, *(relay.server for relay in self._relays)):
+        parts: list[Box | Relay] = [*self.boxes, *self._relays]
+        for part in (self.witness.server, self._discovery.server, *(part.server for part in parts)):
             part.close()
         await asyncio.sleep(0.05)
         self._folder.cleanup()
@@ -245,116 +286,8 @@
 
     def heal(self) -> None:
         for weather in self.weather.values():
-            weather.cut, weather.loss, weather.double = False, 0.0, 0.0
-            weather.delay = weather.jitter = 0.0
+            weather.cut = weather.stuck = False
+            weather.loss = weather.double = weather.delay = weather.jitter = weather.trickle = 0.0
 
     def both_ways(self, name: str) -> list[tuple[str, str]]:
         return [pair for pair in self.weather if name in pair]
-
-
-@dataclass(slots=True)
-class Series:
-    """One play's troubles, each with what came of it."""
-
-    ground: Ground
-    rng: random.Random
-    after: dict[str, list[float]] = field(default_factory=dict)  # by fault: seconds to the next
-    schedule: list[str] = field(default_factory=list)
-
-    async def trouble(self, fault: str) -> None:
-        ground, lease_s = self.ground, self.ground.lease_ms / 1000
-        loop = asyncio.get_running_loop()
-        holder = ground.witness.holder
-        others = [name for name in ground.names if name != holder]
-        self.schedule.append(f"{fault} {holder}")
-        began = loop.time()
-        match fault:
-            case "kill":
-                ground.kill(holder)
-            case "stop":
-                ground.stop(holder)
-            case "term":
-                ground.signal(holder, signal.SIGTERM)
-            case "cut":
-                ground.cut(ground.both_ways(holder))
-            case "one-way":  # it is heard no more, and hears
-                ground.cut([(holder, other) for other in others])
-            case "partial":  # two that hear all others, and not one another
-                other = self.rng.choice(others)
-                ground.cut([(holder, other), (other, holder)])
-            case "loss":
-                for weather in ground.weather.values():
-                    weather.loss, weather.double = 0.2, 0.1
-            case "delay":
-                for weather in ground.weather.values():
-                    weather.delay, weather.jitter = 0.05 * lease_s, 0.1 * lease_s
-        if fault in ("partial", "loss", "delay"):
-            await asyncio.sleep(4 * lease_s)
-        else:
-            await ground.witness.next_holder(holder, 20 * lease_s)
-            self.after.setdefault(fault, []).append(loop.time() - began)
-        if fault == "stop":
-            await asyncio.sleep(lease_s * self.rng.random())
-            ground.go_on(holder)
-        if fault in ("kill", "term"):
-            await ground.again(holder)
-        ground.heal()
-        await asyncio.sleep(lease_s * (2 + self.rng.random()))  # the one that started may vote again
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    nodes: int
-    seed: int
-    kills: int  # troubles of all kinds
-    faults: tuple[str, ...]
-    lease_ms: int
-
-
-def run_duties(plan: Plan, place: Path | None) -> int:
-    """Exit code 3 where a rule was broken."""
-    console = Console()
-    figures = asyncio.run(_series(plan))
-    schedule = figures.pop("schedule")
-    console.print(f"seed {plan.seed}: {', '.join(schedule)}")
-    for name, value in figures.items():
-        console.print(f"{name}: {value}")
-    keep(place, "duties", asdict(plan), figures | {"schedule": schedule})
-    return 3 if figures["stale_accepted"] or figures["overlaps"] else 0
-
-
-async def _series(plan: Plan) -> dict[str, Any]:
-    ground, rng = Ground(plan.nodes, plan.seed, plan.lease_ms), random.Random(plan.seed)
-    series, loop = Series(ground, rng), asyncio.get_running_loop()
-    try:
-        await ground.start()
-        await ground.witness.next_holder("", READY_LIMIT)
-        began = loop.time()
-        chosen = [plan.faults[n % len(plan.faults)] for n in range(plan.kills)]
-        rng.shuffle(chosen)
-        for fault in chosen:
-            await series.trouble(fault)
-        minutes = (loop.time() - began) / 60
-        letters = sum([(await ground.figures(name))["duties.letters"] for name in ground.names])
-        witness = ground.witness
-        gaps = [1000 * gap for gap, _, _ in witness.gaps()]
-        handed = [1000 * s for s in series.after.get("term", [])]
-        return {
-            "acts": len(witness.accepted),
-            "refused": len(witness.acts) - len(witness.accepted),
-            "stale_accepted": witness.stale(),
-            "overlaps": witness.overlaps(),
-            "gap_ms_median": round(statistics.median(gaps), 1) if gaps else None,
-            "gap_ms_max": round(max(gaps), 1) if gaps else None,
-            "handover_ms_median": round(statistics.median(handed), 1) if handed else None,
-            "changes": len(gaps),
-            "changes_a_minute": round(len(gaps) / minutes, 1),
-            "letters_since_last_starts": letters,
-            "after_ms": {fault: [round(1000 * s) for s in spans] for fault, spans in series.after.items()},
-            "schedule": series.schedule,
-        }
-    except Exception:
-        Console(stderr=True).print(f"seed {plan.seed}, after {', '.join(series.schedule)}:\n{ground.tail()}")
-        raise
-    finally:
-        await ground.close()
--- a/rookwood/lab/net.py
+++ b/rookwood/lab/net.py
@@ -24,6 +24,8 @@
     jitter: float = 0.0  # added to some frames, so they overtake one another
     double: float = 0.0
     cut: bool = False  # everything is swallowed, and nobody is told
+    stuck: bool = False  # connections are taken and stay open, and nothing is read from them
+    trickle: float = 0.0  # seconds for each byte
     dropped: int = 0
     passed: int = 0
     offered: dict[tuple[int, int], tuple[str, float]] = field(default_factory=dict)  # when a job first was
@@ -88,6 +90,8 @@
         weather, loop = self._weather, asyncio.get_running_loop()
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
+                while weather.stuck:
+                    await asyncio.sleep(0.01)
                 head = await reader.readexactly(PREFIX.size)
                 frame = head + await reader.readexactly(PREFIX.unpack(head)[0])
                 if weather.cut or self._random.random() < weather.loss:
@@ -95,6 +99,11 @@
                     continue
                 weather.passed += 1
                 self._note(frame[PREFIX.size :])
+                if weather.trickle:
+                    for n in range(len(frame)):
+                        writer.write(frame[n : n + 1])
+                        await asyncio.sleep(weather.trickle)
+                    continue
                 for _ in range(2 if self._random.random() < weather.double else 1):
                     late = weather.delay + weather.jitter * self._random.random()
                     loop.call_later(late, self._deliver, writer, frame)
