Play rolls, lists, sick endpoints and the moving address among processes; mend rolls

Its rule counted answers from before another had used the place and passed it on. Now answers count for half a lease, and a place is used once it was held for k + 1 times that; roll.py holds the argument.

Seen: among three processes (leases of 700 ms) a member that lost the first race for a duty went on asking for 6 s, its term at 37 and the holder's chasing it. Its own vote was at a higher term than the holder's questions. The holder now goes above at once what it hears asked.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -302,6 +302,25 @@
     sys.exit(run_duties(Plan(nodes, seed, kills, chosen, lease_ms, hold), json_file))
 
 
+@experiment.command("address", epilog=CODES)
+@click.option("--nodes", default=3, show_default=True, help="Processes.")
+@click.option("--seed", default=1, show_default=True, help="For the order of troubles.")
+@click.option("--kills", default=50, show_default=True, help="Times that the holder is killed.")
+@click.option("--stops", default=20, show_default=True, help="Times that it is stopped, and goes on later.")
+@click.option("--cuts", default=20, show_default=True, help="Times that it is cut off from the others.")
+@click.option("--lease-ms", default=250, show_default=True, help="Length of a lease.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def address(
+    nodes: int, seed: int, kills: int, stops: int, cuts: int, lease_ms: int, json_file: Path | None
+) -> None:
+    """Clients of the service address while its holder meets trouble: gaps without answers, double runs."""
+    from rookwood.lab.moving import Plan, run_address
+
+    sys.exit(run_address(Plan(nodes, seed, kills, stops, cuts, lease_ms), json_file))
+
+
 @experiment.command("members", epilog=CODES)
 @click.option("--counts", default="5,20", show_default=True, help="Members, one series each.")
 @click.option("--seeds", default=3, show_default=True, help="Plays of each.")
--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
 from rookwood.duties import lease
@@ -154,6 +154,11 @@
             return []
         match what:
             case Ask(token) if token.holder == sender and self.takes_part:
+                claim = self._claims[duty]
+                if sender != self.me and claim.holds(now) and token.term > claim.term:
+                    # Whoever asks has granted itself that term and says no to a lower one: it would go on
+                    # asking for as long as it hears of the holder under that alone.
+                    self._claims[duty], self._ask_at[duty] = replace(claim, term=token.term), now
                 self._voters[duty], vote = lease.asked(self._voters[duty], self.me, what, now, self.rule)
                 return [Letter(duty, vote, sender)] if vote else []
             case Vote(voter, token=token) if voter == sender and token.holder == self.me:
--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -66,7 +66,7 @@
         news = News(me.name, me.life, 0, Standing.ALIVE, core.zone)
         self.members = Members(news, others, Pace(settings.lease / PROBES), now, seed=me.life)
         roster = Roster(settings.list, frozenset(members))
-        roller = Roller(me.name, me.life, settings.patience)
+        roller = Roller(me.name, me.life, settings.patience, settings.lease / 2, settings.places)
         change = Change(me.name, roster)
         self.site = Site(self.board, change, roller, Trial(me.name), settings.places)
         listen = Address(*settings.listen)
@@ -186,15 +186,14 @@
         self.site.silent(now)
         if roster := self.site.takes_part(now):
             self._listed(roster, now)
-        letters, question, ends = self.site.rolls(now)
+        letters, question, ends = self.site.rolls(now, often)
         self._send(letters)
         if often:
             self._links.ping()
             if not self.board.leaving:
                 self._tell(0, None)
-            if question:
-                self._links.send(None, SiteAsk(question))
         if question:
+            self._links.send(None, SiteAsk(question))
             self._tell_waits(now)
         if ends:
             self._end()
--- a/rookwood/duties/roll.py
+++ b/rookwood/duties/roll.py
@@ -4,11 +4,19 @@
 part. So nobody leads a roll and nobody keeps its state but the roll itself, which all pass on; whoever dies
 meanwhile has done its part when it is back.
 
-Who is to end first takes one of k places, each a duty with a lease. Then it asks all others how they are,
-and begins once at most `place - 1` of them are not ready. The answers were given after it had the place:
-whoever was ready then and is not any more holds another place, and there are only k. So at most k are
-down by a roll, however late the answers are. A member that is down for another reason counts as well, for
-`patience`; after that the others go on without it as long as a majority stays ready.
+Who is to end first takes one of k places, each a duty with a lease. Then it asks all others again and again
+how they are, and begins once fewer than `place` of them are not ready, by answers to questions no older than
+`fresh`, and once it has held the place for k + 1 times that. Answers were given after their questions, so
+this does not hang on how late anything is.
+
+Why at most k are down by a roll: let the last to begin be c. Whoever is down and c does not know it began
+less than `fresh` ago, so its place cannot be used by another yet. Of these and c take the one with the
+lowest place, q: it knew of fewer than q that are down, but for those that began less than `fresh` before it;
+and so on. Each round lowers q, so k rounds end it, and all who began within them still have places of their
+own, none below the last q; those before are fewer than that q. Together no more than k.
+
+A member that is down for another reason counts as well, for `patience`; after that the others go on without
+it as long as a majority stays ready.
 """
 
 from __future__ import annotations
@@ -17,7 +25,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
-from rookwood.duties.lease import Token
+KEPT = 32  # questions
 
 
 def places(count: int) -> tuple[str, ...]:
@@ -48,12 +56,16 @@
     me: str
     life: int
     patience: timedelta
+    fresh: timedelta
+    places: int = 1
     roll: Roll = Roll()
     begun: bool = False  # this process is on its way out
     _known: dict[str, Known] = field(default_factory=dict)
     _gone: dict[str, datetime] = field(default_factory=dict)  # not ready since
     _question: int = 0
-    _place: Token | None = None  # for which the question was asked
+    _asked: dict[int, datetime] = field(default_factory=dict)  # the last questions, and when
+    _place: int = 0
+    _since: datetime | None = None  # that the place is held
 
     def heard(self, name: str, life: int, ready: bool, answer: int, roll: Roll, now: datetime) -> None:
         before = self._known.get(name)
@@ -95,24 +107,32 @@
     def due(self) -> bool:
         return (self.me, self.life) in self.roll.lives
 
-    def ask(self, place: Token) -> int:
-        """The number of the question to all others that belongs to this place."""
+    def held(self, place: int, now: datetime) -> None:
+        """The place that is held, from 1; 0: none. Called so often that none comes and goes in between."""
         if place != self._place:
-            self._place, self._question = place, self._question + 1
+            self._place, self._since = place, now
+
+    def question(self, now: datetime) -> int:
+        """The number of the next question to all others."""
+        self._question += 1
+        self._asked[self._question] = now
+        self._asked.pop(self._question - KEPT, None)
         return self._question
 
     def waits_for(self, members: Iterable[str], now: datetime) -> list[str]:
-        """Who is not ready, or has not answered the last question."""
+        """Who is not ready, or has not answered a question of late."""
         found = []
         for name in members:
             known = self._known.get(name)
-            if name != self.me and not (known and known.ready and known.answer >= self._question):
+            asked = self._asked.get(known.answer) if known and known.ready else None
+            if name != self.me and (asked is None or now - asked > self.fresh):
                 found.append(name)
         return sorted(found)
 
-    def may(self, place: int, members: Iterable[str], now: datetime) -> bool:
-        """Asked with a place held, after `ask`. `place`: from 1."""
-        if not self.due or self.begun:
+    def may(self, members: Iterable[str], now: datetime) -> bool:
+        if not self.due or self.begun or not (self._place and self._since):
+            return False
+        if now - self._since < self.fresh * (self.places + 1):
             return False
         names = set(members)
         missing = self.waits_for(names, now)
@@ -120,4 +140,4 @@
         majority = len(names) // 2 + 1
         if lost and len(names) - len(missing) - 1 < majority:
             lost = set()  # too few would be left: it waits for them
-        return len(set(missing) - lost) < place
+        return len(set(missing) - lost) < self._place
--- a/rookwood/duties/site.py
+++ b/rookwood/duties/site.py
@@ -35,7 +35,7 @@
         """`number`: of the question that this answers; 0: none."""
         sick, well = self.trial.word(now)
         roll = self.roller.roll
-        voting = ready and not self.roller.begun and not self.board.muted(now)
+        voting = ready and not self.board.muted(now)
         return SiteTold(
             number, self.roller.life, voting, roll.number, roll.starter, roll.lives,
             self.change.roster.number, self.change.floor(self.board.floor(now)), sick, well,
@@ -74,18 +74,18 @@
         held = [n for n, duty in enumerate(places(self.places), 1) if self.board.token(duty, now)]
         return min(held, default=0)
 
-    def rolls(self, now: datetime) -> tuple[list[Letter], int, bool]:
+    def rolls(self, now: datetime, asks: bool) -> tuple[list[Letter], int, bool]:
         """Letters; the number of a question to all, 0 for none; and whether this one is to end now."""
         letters, at = list[Letter](), self.place(now)
         waits = self.roller.due and not self.roller.begun
         for n, duty in enumerate(places(self.places), 1):
             # One place is enough; and who is on its way out keeps it until the end.
             letters += self.board.want(duty, n == at if at else waits, now)
-        token = self.board.token(places(self.places)[at - 1], now) if at else None
-        if not (waits and token):
+        self.roller.held(at, now)
+        if not (waits and at):
             return letters, 0, False
-        question = self.roller.ask(token)
-        return letters, question, self.roller.may(at, self.board.rule.members, now)
+        question = self.roller.question(now) if asks else 0
+        return letters, question, self.roller.may(self.board.rule.members, now)
 
     # ---- endpoints ----
 
--- a/rookwood/lab/boxes.py
+++ b/rookwood/lab/boxes.py
@@ -52,6 +52,8 @@
         self.told_near: float | None = None  # since when the other site knows that it drains
         self.free = slots
         self.served = 0
+        self.fails = False  # each job, at once
+        self.came: Counter[str] = Counter()  # attempts by the first word of their request ids
         self._queue: deque[Work] = deque()
         self.server = Server(self._connection)
 
@@ -105,6 +107,10 @@
             ledger.crossed.add(request_id)
             if self.told_near is not None and came > self.told_near + GRACE:
                 ledger.late_sends += 1
+        self.came[request_id.partition("-")[0]] += 1
+        if self.fails:
+            writer.write(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n")
+            return True
         if len(self._queue) >= self._most or told["slots"] > self.slots:
             writer.write(b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
             return True
--- a/rookwood/lab/ground.py
+++ b/rookwood/lab/ground.py
@@ -13,7 +13,7 @@
 import signal
 import statistics
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -44,6 +44,7 @@
         self.server = Server(self._connection)
         self.gate, self.acts, self.address = Gate(), list[Act](), ""
         self.heard = asyncio.Event()  # an act was accepted since it was cleared
+        self.moved: Callable[[], None] = lambda: None
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         splitter = Splitter(4096)
@@ -61,8 +62,10 @@
         done = lease.accepts(self.gate, token)
         self.acts.append(Act(asyncio.get_running_loop().time(), token, frame.address, done))
         if done:
-            self.address = frame.address
+            before, self.address = self.address, frame.address
             self.heard.set()
+            if before != frame.address:
+                self.moved()
         return Announced(frame.serial, done, self.gate.seen)
 
     @property
@@ -169,6 +172,7 @@
         told: dict[str, Any] = {
             "name": node.name,
             "listen": f"{node.host}:{LISTEN}",
+            "mgmt": f"{node.host}:{node.mgmt}",
             "discovery": self._discovery.server.address,
             "seed": "1",
             "known": self._discovery.whole(),
--- a/rookwood/lab/nodes.py
+++ b/rookwood/lab/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 import os
 import subprocess
@@ -65,6 +66,26 @@
         writer.close()
 
 
+async def tried(
+    host: str, port: int, path: str, request_id: str, key: str, work: float, give_up: float
+) -> tuple[int, dict[str, str]]:
+    """One try of a keyed job over a connection of its own: status and headers."""
+    body = json.dumps({"work": work, "slots": 1}).encode()
+    head = (
+        f"POST /{path}?k={hash(key) % 40} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {request_id}\r\n"
+        f"Request-Timeout: {give_up}\r\nIdempotency-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(head.encode() + body)
+        start, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().rstrip().split("\r\n")
+        headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        return int(start.split()[1]), headers
+    finally:
+        writer.close()
+
+
 def figure_lines(text: str) -> Iterator[tuple[str, float]]:
     for line in text.splitlines():
         name, _, value = line.removeprefix("dispatcher.").partition(":")
