Tell the site what is new and not all again, and measure what holding costs

Each dispatcher told all others its word four times a lease, which grows with the square of the site.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -302,6 +302,28 @@
     sys.exit(run_duties(Plan(nodes, seed, kills, chosen, lease_ms, hold), json_file))
 
 
+def _numbers(text: str, option: str) -> tuple[int, ...]:
+    try:
+        return tuple(int(word) for word in text.split(",") if word)
+    except ValueError:
+        raise click.BadParameter("is not a list of numbers", param_hint=option) from None
+
+
+@experiment.command("holding", epilog=CODES)
+@click.option("--counts", default="3,9,50,200", show_default=True, help="Members, in simulated time.")
+@click.option("--processes", default="3,9", show_default=True, help="Members, as real processes.")
+@click.option("--seed", default=1, show_default=True, help="For random choices.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep them here, with a chart."
+)
+def holding(counts: str, processes: str, seed: int, json_file: Path | None) -> None:
+    """What duties and members cost while nothing happens, by the number of members."""
+    from rookwood.lab.holding import Plan, run_holding
+
+    chosen = _numbers(counts, "--counts"), _numbers(processes, "--processes")
+    sys.exit(run_holding(Plan(*chosen, seed), json_file))
+
+
 @experiment.command("address", epilog=CODES)
 @click.option("--nodes", default=3, show_default=True, help="Processes.")
 @click.option("--seed", default=1, show_default=True, help="For the order of troubles.")
@@ -331,11 +353,7 @@
     """Three ways to tell who lives, in simulated time: SWIM with Lifeguard, heartbeats, phi-accrual."""
     from rookwood.lab.detectors import Plan, run_members
 
-    try:
-        chosen = tuple(int(count) for count in counts.split(","))
-    except ValueError:
-        raise click.BadParameter("is not a list of numbers", param_hint="--counts") from None
-    sys.exit(run_members(Plan(chosen, seeds), json_file))
+    sys.exit(run_members(Plan(_numbers(counts, "--counts"), seeds), json_file))
 
 
 @experiment.command("leases", epilog=CODES)
--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -70,7 +70,7 @@
         change = Change(me.name, roster)
         self.site = Site(self.board, change, roller, Trial(me.name), settings.places)
         listen = Address(*settings.listen)
-        self._links = Links(me, others, listen, rule.length, core.clock, self._heard, self._gone)
+        self._links = Links(me, others, listen, rule.length, core.clock, self._heard, self._gone, self._up)
         self._watchdog = Watchdog()
         self._announcer: Announcer | None = None
         if settings.relay and settings.address:
@@ -81,6 +81,8 @@
         self._since = dict.fromkeys(duties, now)
         self._changes = Counter[str]()
         self._booted: dict[str, datetime | None] = {}  # endpoints as listed, with their starts
+        self._said: SiteTold | None = None  # to all, last
+        self._turn = list[str]()  # who is told again next, in case a word was lost
         self._waits = list[str]()  # who a roll waits for, as last logged
         self._tasks: list[asyncio.Task[None]] = []
         self._out: asyncio.Task[None] | None = None  # this one's part of a roll
@@ -183,15 +185,15 @@
             self._watch(now)
         self._probe(self.members.tick(now))
         self._tell_changes(self.members.changes)
-        self.site.silent(now)
+        self.site.gone(self.members.gone, now)
         if roster := self.site.takes_part(now):
             self._listed(roster, now)
         letters, question, ends = self.site.rolls(now, often)
         self._send(letters)
         if often:
             self._links.ping()
-            if not self.board.leaving:
-                self._tell(0, None)
+        if not self.board.leaving:
+            self._tell_news(now, often)
         if question:
             self._links.send(None, SiteAsk(question))
             self._tell_waits(now)
@@ -233,14 +235,32 @@
         for name, what in letters:
             self._links.send(name, members_wire.frame_of(what))
 
-    def _tell(self, number: int, to: str | None) -> None:
+    def _word(self, number: int) -> SiteTold:
         ready = self._core.service.phase is Phase.SERVING and not self.board.leaving
-        self._links.send(to, self.site.told(number, ready, self._clock.now()))
+        return self.site.told(number, ready, self._clock.now())
+
+    def _tell(self, number: int, to: str | None) -> None:
+        self._links.send(to, self._word(number))
+
+    def _tell_news(self, now: datetime, often: bool) -> None:
+        """To all what is new, and to one in turn what is not: the price does not grow with their number."""
+        word = self._word(0)
+        if word != self._said:
+            self._said = word
+            self._links.send(None, word)
+        elif often:
+            if not self._turn:
+                self._turn = sorted(self._links.members)
+            if self._turn:
+                self._links.send(self._turn.pop(), word)
+
+    def _up(self, name: str) -> None:
+        """Whoever is there now may be another process than the one before, and has heard nothing."""
+        if not self.board.leaving:
+            self._tell(0, name)
 
     def _tell_changes(self, changes: list[Told]) -> None:
         for change in changes:
-            if change.standing > Standing.SUSPECTED:
-                self.site.change.lost(change.name)
             log.info("member", member=change.name, standing=change.standing.name.lower(), why=change.why)
         changes.clear()
 
--- a/rookwood/duties/links.py
+++ b/rookwood/duties/links.py
@@ -46,11 +46,13 @@
         clock: Clock,
         heard: Callable[[str, Frame], None],
         gone: Callable[[str], None] = lambda name: None,
+        up: Callable[[str], None] = lambda name: None,
     ) -> None:
         """`members`: the others. `limit`: of a silence, of a connection and of a hello. `gone` is told of
-        one whose machine says that nobody is there."""
+        one whose machine says that nobody is there, `up` of one that can be spoken to from now on."""
         self._me, self._members, self._listen, self._limit = me, dict(members), listen, limit
         self._clock, self._heard, self._gone = clock, heard, gone
+        self._is_up = up
         self._speakers: dict[str, asyncio.Task[None]] = {}
         self._secured: Secured | None = None
         self._out: dict[str, Channel] = {}
@@ -60,6 +62,11 @@
         self._random = random.Random(me.life)
         self.sent = 0
 
+    @property
+    def members(self) -> Mapping[str, Address]:
+        """The others."""
+        return self._members
+
     @property
     def up(self) -> int:
         return len(self._out)
@@ -118,6 +125,7 @@
                 channel.send(self._hello())
                 self._greeted(name, await channel.receive(self._limit))
                 self._out[name], why = channel, ""
+                self._is_up(name)
                 log.info("member heard", member=name)
                 async for frame in channel.frames(self._limit):
                     if not isinstance(frame, Pong):
--- a/rookwood/duties/site.py
+++ b/rookwood/duties/site.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime
 
 from rookwood.duties.board import Board, Letter
@@ -29,7 +29,6 @@
     roller: Roller
     trial: Trial
     places: int
-    heard_at: dict[str, datetime] = field(default_factory=dict)
 
     def told(self, number: int, ready: bool, now: datetime) -> SiteTold:
         """`number`: of the question that this answers; 0: none."""
@@ -42,19 +41,17 @@
         )  # fmt: skip
 
     def heard(self, name: str, told: SiteTold, now: datetime) -> None:
-        self.heard_at[name] = now
         roll = Roll(told.roll, told.starter, told.lives)
         self.roller.heard(name, told.life, told.ready, told.number, roll, now)
         self.change.heard(name, Word(told.list, told.floor))
-        self.trial.heard(name, told.sick, told.well, now)
-
-    def silent(self, now: datetime) -> None:
-        """Who has not said anything for a lease is not ready, and knows nothing of endpoints."""
-        for name in self.board.rule.members:
-            at = self.heard_at.get(name)
-            if name != self.board.me and (at is None or now - at > self.board.rule.length):
-                self.roller.lost(name, now)
-                self.trial.lost(name)
+        self.trial.heard(name, told.sick, told.well)
+
+    def gone(self, names: Iterable[str], now: datetime) -> None:
+        """Who does not live is not ready, and knows of no endpoint; its next process says for itself."""
+        for name in names:
+            self.roller.lost(name, now)
+            self.trial.lost(name)
+            self.change.lost(name)
 
     def takes_part(self, now: datetime) -> Roster | None:
         """Whether this one votes at all; and the next list, once it may be taken."""
--- a/rookwood/duties/trial.py
+++ b/rookwood/duties/trial.py
@@ -32,9 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Word:
+    """In force until the next one, or until its speaker is lost."""
+
     sick: frozenset[str]
     well: frozenset[str]
-    at: datetime
 
 
 @dataclass(slots=True)
@@ -60,7 +61,7 @@
         """Discovery has told of a later start: what was known is of another process."""
         self._own.pop(uid, None)
         for name, word in self._words.items():
-            self._words[name] = Word(word.sick - {uid}, word.well - {uid}, word.at)
+            self._words[name] = Word(word.sick - {uid}, word.well - {uid})
         return self._held_back.pop(uid, None) is not None
 
     def word(self, now: datetime) -> tuple[tuple[str, ...], tuple[str, ...]]:
@@ -72,8 +73,8 @@
         well = sorted(u for u, own in self._own.items() if own.served_at and not own.failed)
         return tuple(sick[:MOST]), tuple(well[:MOST])
 
-    def heard(self, name: str, sick: Iterable[str], well: Iterable[str], now: datetime) -> None:
-        self._words[name] = Word(frozenset(sick), frozenset(well), now)
+    def heard(self, name: str, sick: Iterable[str], well: Iterable[str]) -> None:
+        self._words[name] = Word(frozenset(sick), frozenset(well))
 
     def lost(self, name: str) -> None:
         self._words.pop(name, None)
@@ -85,9 +86,9 @@
         if holder in ("", self.me) or holder not in self._words:
             self._held_back.clear()
             return before
-        words = {n: w for n, w in self._words.items() if n in set(alive) and now - w.at < FORGET}
+        words = {name: word for name, word in self._words.items() if name in set(alive)}
         own_sick, own_well = self.word(now)
-        words[self.me] = Word(frozenset(own_sick), frozenset(own_well), now)
+        words[self.me] = Word(frozenset(own_sick), frozenset(own_well))
         for uid in set[str]().union(*(word.sick for word in words.values())):
             if 2 * sum(uid in word.sick for word in words.values()) > len(words) > 1:
                 self._held_back.setdefault(uid, now)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -276,7 +276,7 @@
     for name, trial in trials.items():
         for other in trials.values():
             if other is not trial:
-                other.heard(name, *trial.word(now), now)
+                other.heard(name, *trial.word(now))
 
 
 def test_sick_endpoint_is_left_to_the_holder_until_it_serves_there() -> None:
@@ -307,8 +307,8 @@
             b.lost("a")
         case "few fail":
             b = Trial("b")
-            b.heard("a", ("box",), (), ZERO)
-            b.heard("c", (), (), ZERO)
+            b.heard("a", ("box",), ())
+            b.heard("c", (), ())
         case "most are sick":
             listed = 1
         case "age":
--- a/tests/town.py
+++ b/tests/town.py
@@ -105,7 +105,7 @@
         if name in self.back_at:
             return
         self.letters(name, site.board.tick(self.at))
-        site.silent(self.at)
+        site.gone(self.back_at, self.at)
         site.takes_part(self.at)
         if not site.board.muted(self.at) and not site.roller.begun:
             self.down.pop(name, None)
