--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -314,7 +314,7 @@
 @click.option("--processes", default="3,9", show_default=True, help="Members, as real processes.")
 @click.option("--seed", default=1, show_default=True, help="For random choices.")
 @click.option(
-    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep them here, with a chart."
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep figures, and a chart."
 )
 def holding(counts: str, processes: str, seed: int, json_file: Path | None) -> None:
     """What duties and members cost while nothing happens, by the number of members."""
