Bring split votes together, and let clients of the lab back off

The lab's clients tried again every 20 ms while nobody held the address, and after a second of that the one process of the lab carried no links any more (two of two living members heard nobody for 20 s): they back off now.

--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import random
 from collections.abc import Iterable, Iterator
@@ -26,6 +27,12 @@
     to: str | None = None
 
 
+@functools.lru_cache(1 << 12)
+def turn_of(duty: str, name: str) -> bytes:
+    """The same at every member, and another for each duty."""
+    return hashlib.blake2b(f"{duty} {name}".encode()).digest()
+
+
 class Board:
     """A member asks once the lease that it has granted to another has run out, in its turn: turns differ
     from duty to duty, so that these spread, and whoever is after the first finds the duty taken. A holder
@@ -83,9 +90,12 @@
         return max(timedelta(0), until - now) if until else timedelta(0)
 
     def _turn(self, duty: str) -> timedelta:
-        members = self.rule.members
-        order = sorted(members, key=lambda name: hashlib.blake2b(f"{duty} {name}".encode()).digest())
-        return self.rule.length * STEP * (order.index(self.me) + self._random.random() / 2)
+        before = sum(self._first(duty, name) for name in self.rule.members)
+        return self.rule.length * STEP * (before + self._random.random() / 2)
+
+    def _first(self, duty: str, name: str) -> bool:
+        """Whether this one's turn comes before the own."""
+        return turn_of(duty, name) < turn_of(duty, self.me)
 
     def token(self, duty: str, now: datetime) -> Token | None:
         """Asked right before each act. None: it is not ours now."""
@@ -154,13 +164,9 @@
             return []
         match what:
             case Ask(token) if token.holder == sender and self.takes_part:
-                claim = self._claims[duty]
-                if sender != self.me and claim.holds(now) and token.term > claim.term:
-                    # Whoever asks has granted itself that term and says no to a lower one: it would go on
-                    # asking for as long as it hears of the holder under that alone.
-                    self._claims[duty], self._ask_at[duty] = replace(claim, term=token.term), now
+                letters = self._met(duty, token, now) if sender != self.me else []
                 self._voters[duty], vote = lease.asked(self._voters[duty], self.me, what, now, self.rule)
-                return [Letter(duty, vote, sender)] if vote else []
+                return [*letters, Letter(duty, vote, sender)] if vote else letters
             case Vote(voter, token=token) if voter == sender and token.holder == self.me:
                 claim = self._claims[duty] = lease.counted(self._claims[duty], what, self.rule)
                 if claim.holds(now):
@@ -175,6 +181,22 @@
                     self._ask_at[duty] = max(now + self._turn(duty), self._rests.get(duty, now))
         return []
 
+    def _met(self, duty: str, token: Token, now: datetime) -> list[Letter]:
+        """Another one asks for what is asked for, or held, here."""
+        claim = self._claims[duty]
+        if claim.holds(now):
+            # It has granted itself that term and says no to a lower one: it would go on asking for as long as
+            # it hears of the holder under that alone.
+            if token.term > claim.term:
+                self._claims[duty], self._ask_at[duty] = replace(claim, term=token.term), now
+        elif claim.asked_at and self._first(duty, token.holder):
+            self._ask_at[duty] = now + self.rule.length * ANSWER + self._turn(duty)
+            return list(self._give_up(duty, now))  # votes that are split would help neither
+        elif claim.asked_at and claim.token and token.term >= claim.token.term:
+            self._claims[duty] = replace(claim, term=max(claim.term, token.term))
+            return self._ask(duty, now)  # above its term: it gives up for this one, and may grant that then
+        return []
+
     def behind(self, duty: str, seen: int, now: datetime) -> None:
         """A receiver has seen a term not below ours: the holder goes on above it."""
         self._claims[duty] = lease.bumped(self._claims[duty], seen, now)
--- a/rookwood/lab/moving.py
+++ b/rookwood/lab/moving.py
@@ -168,9 +168,9 @@
                 how = "refused"
             if status in (200, 500, 502, 504) or loop.time() > last:
                 break
-            # A broken connection is tried anew at once; who is refused comes back when it was told to. Without
-            # that, a moment of refusals grew into a storm that kept this process from carrying the links.
-            wait = min(1.0, float(headers.get("retry-after", 0.1))) if status else 0.02
+            # Who is refused comes back when it was told to, who is cut off tries less and less often: else a
+            # second without a holder grows into a storm that keeps this process from carrying the links.
+            wait = min(1.0, float(headers.get("retry-after", 0.1))) if status else min(0.5, 0.02 * 2**attempt)
             await asyncio.sleep(wait * self._random.uniform(1.0, 1.5))
         self._ends[how] += 1
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -161,6 +161,18 @@
     assert len({site.board.holder(DUTY, town.at) for site in town.sites.values()}) == 1
 
 
+@pytest.mark.parametrize("seed", [0, 5, 9, 24, 39])  # two ask at once; the third is dead
+def test_votes_that_two_split_are_brought_together(seed: int) -> None:
+    town = Town(seed, delay=40)
+    town.all(1, ONE)
+    town.run(6 * LEASE)
+    [holder] = [name for name, site in town.sites.items() if site.board.token(DUTY, town.at)]
+    del town.sites[holder]
+    town.held.clear()
+    town.run(17 * LEASE // 10)
+    assert town.held
+
+
 # ---- rolls ----
 
 
