Keep saying where the address is after the link to the relay broke

Checked: the witness answers, the board holds, the task that speaks had died: StreamReader.read raises ConnectionError where a link was reset or shut down by the watchdog, and Channel.receive passed on anything but a LinkError. At fault was Channel.receive (and the gateway's other callers caught OSError by themselves); it now raises GoneError, and the announcer survives whatever else goes wrong. The log names a member that is not heard once, though refusals and resets alternate.

Test: a relay that resets, answers garbage, or a watchdog that barks; the first two fail without the mend.

--- a/rookwood/duties/address.py
+++ b/rookwood/duties/address.py
@@ -59,6 +59,10 @@
                     log.info("the relay is not reached", why=str(error))
                     self._cut(channel)
                     channel = None
+                except Exception:  # nobody else would say where the address is
+                    log.exception("a word to the relay failed")
+                    self._cut(channel)
+                    channel = None
                 held = self._board.token(DUTY, self._clock.now())
                 await asyncio.sleep((self._step if held else self._step * SOON).total_seconds())
         finally:
--- a/rookwood/duties/links.py
+++ b/rookwood/duties/links.py
@@ -131,11 +131,13 @@
                     if not isinstance(frame, Pong):
                         raise LinkError("something else than a sign of life")
             except (LinkError, OSError, ssl.SSLError) as error:
-                if isinstance(error, GoneError):
+                gone = isinstance(error, GoneError)
+                if gone:
                     self._gone(name)
-                if str(error) != why:  # once, however long it lasts
-                    why = str(error)
-                    log.warning("member not heard", member=name, why=why)
+                kind = "nobody is there" if gone else str(error)
+                if kind != why:  # once, however long it lasts
+                    why = kind
+                    log.warning("member not heard", member=name, why=str(error))
             except Exception:
                 log.exception("link failed", member=name)
             finally:
--- a/rookwood/gateway/link.py
+++ b/rookwood/gateway/link.py
@@ -64,6 +64,8 @@
                     data = await self._reader.read(CHUNK)
             except TimeoutError:
                 raise LinkError(f"nothing was heard for {limit.total_seconds():.1f} s") from None
+            except (OSError, ssl.SSLError) as error:
+                raise GoneError(f"the link broke: {error}") from None
             if not data:
                 raise GoneError("the peer has closed")
             try:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 from collections.abc import Iterable
@@ -13,10 +15,16 @@
 import pytest
 
 from rookwood.duties import lease
+from rookwood.duties.address import Announcer
+from rookwood.duties.board import Board
 from rookwood.duties.change import Change, Roster, Word
 from rookwood.duties.lease import Ask, Rule, Token, Vote, Voter
 from rookwood.duties.roll import Roller
 from rookwood.duties.trial import FORGET, SICK, Trial
+from rookwood.duties.watchdog import Watchdog
+from rookwood.gateway.frames import Announce, Announced, Splitter, encoded
+from rookwood.net.clock import Clock
+from rookwood.net.destinations import Address
 
 from .town import DUTY, LEASE, Town
 
@@ -376,6 +384,47 @@
         return next(line.split()[1] for line in lines if line.startswith("ShdPnd"))
 
 
+@pytest.mark.parametrize("how", ["reset", "watchdog", "garbage"])
+def test_holder_goes_on_saying_so_after_its_link_to_the_relay_broke(how: str) -> None:
+    async def story() -> None:
+        clock, came, watchdog = Clock(), asyncio.Queue[Announce](), Watchdog()
+        board = Board("a", 1, Rule(("a",), 200 * MS), (DUTY,), clock.now() - timedelta(seconds=9), 1)
+
+        async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            splitter = Splitter(4096)
+            while data := await reader.read(4096):
+                for frame in splitter.feed(data):
+                    assert isinstance(frame, Announce)
+                    came.put_nowait(frame)
+                    if how == "reset" and came.qsize() == 2:
+                        linger = struct.pack("ii", 1, 0)
+                        writer.get_extra_info("socket").setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, linger
+                        )
+                        writer.transport.abort()
+                        return
+                    good = encoded(Announced(frame.serial, True, frame.term))
+                    writer.write(b"\0\0\0\1x" if how == "garbage" and came.qsize() == 2 else good)
+
+        server = await asyncio.start_server(relay, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        announcer = Announcer(board, address, "here:1", clock, watchdog)
+        task = asyncio.create_task(announcer.run())
+        while came.qsize() < 12:
+            board.tick(clock.now())
+            if how == "watchdog" and came.qsize() == 3:
+                os.kill(os.getpid(), signal.SIGALRM)
+            assert not task.done()
+            await asyncio.sleep(0.002)
+        assert announcer.counts["broken"] >= 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        watchdog.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(story(), 30))
+
+
 def test_rule_of_a_list_is_kept_in_renewals() -> None:
     rule = Rule(tuple(TWO), LEASE * MS, 0.01, 2)
     voter = Voter(ZERO, granted=Ask(Token(1, "a", 1), 1, 1), until=ZERO + LEASE * MS)
