--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -237,7 +237,10 @@
 @click.option("--skew", default=0.78, show_default=True, help="Share of the jobs that come to the busy site.")
 @click.option("--cuts/--no-cuts", default=False, help="Cut and heal the links meanwhile.")
 @click.option("--restarts", default=0, show_default=True, help="Dispatchers killed, upgraded and so on.")
-@click.option("--plays", default="off,on,pooled", show_default=True, help="Which of off, on and pooled.")
+@click.option(
+    "--plays", default="off,on,pooled", show_default=True, help="Which of off, on, on+duties and pooled."
+)
+@click.option("--dispatchers", default=2, show_default=True, help="Of each site.")
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
 )
@@ -252,15 +255,17 @@
     cuts: bool,
     restarts: int,
     plays: str,
+    dispatchers: int,
     json_file: Path | None,
 ) -> None:
     """Play the same traffic at two sites without the gateway, with it, and with all boxes as one site."""
     from rookwood.lab.experiment import Plan, run_gateway
 
     chosen = tuple(plays.split(","))
-    if not set(chosen) <= {"off", "on", "pooled"}:
-        raise click.BadParameter("is not a list of off, on and pooled", param_hint="--plays")
-    plan = Plan(seed, seconds, loss / 100, delay_ms / 1000, rate, load, skew, cuts, restarts, chosen)
+    if not set(chosen) <= {"off", "on", "on+duties", "pooled"}:
+        raise click.BadParameter("is not a list of off, on, on+duties and pooled", param_hint="--plays")
+    more = (cuts, restarts, chosen, dispatchers)
+    plan = Plan(seed, seconds, loss / 100, delay_ms / 1000, rate, load, skew, *more)
     sys.exit(run_gateway(plan, json_file))
 
 
--- a/rookwood/lab/experiment.py
+++ b/rookwood/lab/experiment.py
@@ -35,6 +35,7 @@
     cuts: bool
     restarts: int  # of dispatchers: killed, upgraded, asked to end, or told to read their files again
     plays: tuple[str, ...]
+    dispatchers: int = 2  # of each site
 
     @property
     def jobs_a_second(self) -> float:
@@ -75,7 +76,8 @@
 
 
 async def play(plan: Plan, mode: str, tick: Callable[[World, float], None] | None = None) -> dict[str, Any]:
-    world = World(plan.seed, mode, plan.loss, plan.delay)
+    mode, _, more = mode.partition("+")
+    world = World(plan.seed, mode, plan.loss, plan.delay, plan.dispatchers, duties=more == "duties")
     arrivals = traffic(plan.seed, plan.seconds, plan.jobs_a_second, plan.skew)
     world.kinds = {arrival.job: arrival.kind.name for arrival in arrivals}
     try:
@@ -111,6 +113,10 @@
     def total(suffix: str) -> float:
         return sum(value for one in told.values() for name, value in one.items() if name.endswith(suffix))
 
+    guests = {
+        name: sum(v for one in told.values() for n, v in one.items() if n == f"gateway.guests.{name}")
+        for name in ("borrowed", "served", "promised_back", "declined")
+    }
     return {
         "jobs": jobs,
         "service": round(score.service, 4),
@@ -134,6 +140,7 @@
                 v for one in told.values() for n, v in one.items() if "gateway" in n and n.endswith("failed")
             )
         },
+        "guests": guests,
         "messages": {"passed": world.weather.passed, "dropped": world.weather.dropped},
     }
 
@@ -171,6 +178,7 @@
             f"service of {name}",
             *(str(results[m]["classes"].get(name, {}).get("service")) for m in plan.plays),
         )
+    table.add_row("returned", *(f"{results[mode]['gateway']['returned']:g}" for mode in plan.plays))
     for name in ("crossing_ms", "crossed_ms", "home_ms"):
         table.add_row(
             f"{name} p50 / p99",
--- a/rookwood/lab/ground.py
+++ b/rookwood/lab/ground.py
@@ -23,10 +23,9 @@
 from rookwood.gateway.frames import Announce, Announced, FrameError, Splitter, encoded
 from rookwood.lab.boxes import Box, Discovery, Ledger
 from rookwood.lab.net import Relay, Server, Weather
-from rookwood.lab.nodes import LINK, LISTEN, Node, asked, figure_lines, settings_of
+from rookwood.lab.nodes import DUTIES, LINK, LISTEN, Node, asked, figure_lines, settings_of
 
 READY_LIMIT = 20.0  # seconds
-DUTIES = 7444  # port of a member's links
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,6 +283,18 @@
         async with asyncio.timeout(READY_LIMIT):
             await self.ready(node)
 
+    async def upgrade(self, name: str) -> None:
+        """The next process is started beside the running one, which is told to end once that one serves."""
+        node = self.nodes[name]
+        node.old, node.mgmt = node.process, node.mgmt + 1
+        self.configure(name)
+        node.start(self.log)
+        async with asyncio.timeout(READY_LIMIT):
+            await self.ready(node)
+        if node.old:
+            node.old.terminate()
+            await asyncio.to_thread(node.old.wait, READY_LIMIT)
+
     def cut(self, pairs: Iterator[tuple[str, str]] | list[tuple[str, str]]) -> None:
         for pair in pairs:
             self.weather[pair].cut = True
--- a/rookwood/lab/nodes.py
+++ b/rookwood/lab/nodes.py
@@ -15,7 +15,7 @@
 
 from rookwood.lab.traffic import CLASSES, MOST_WAIT, STRETCH
 
-LISTEN, MGMT, LINK = 3000, 9901, 7443  # ports of every node
+LISTEN, MGMT, LINK, DUTIES = 3000, 9901, 7443, 7444  # ports of every node
 
 
 @dataclass(slots=True, eq=False)
--- a/rookwood/lab/world.py
+++ b/rookwood/lab/world.py
@@ -20,7 +20,7 @@
 
 from rookwood.lab.boxes import Box, Discovery, Ledger
 from rookwood.lab.net import Relay, Weather
-from rookwood.lab.nodes import LINK, LISTEN, Node, asked, figure_lines, settings_of
+from rookwood.lab.nodes import DUTIES, LINK, LISTEN, Node, asked, figure_lines, settings_of
 from rookwood.lab.traffic import (
     BOXES,
     CLASSES,
@@ -59,7 +59,10 @@
         gateway: str = "",
         store: str = "",
         give_up: float = math.inf,
+        duties: bool = False,
     ) -> None:
+        """`duties`: one dispatcher of a site lends for it, by a lease."""
+        self._duties = duties
         self.mode, self._seed, self._each, self._boxes_each = mode, seed, dispatchers, boxes
         self._more = gateway  # further lines of the gateway section
         self._store = store  # lines of the store section
@@ -143,6 +146,11 @@
             return
         lines = [f"site {node.site}", "log-format json", "gateway {", f"    listen {node.host}:{LINK}"]
         lines += [f"    name {node.name}", "    plaintext yes", self._more, "}"]
+        if self._duties:
+            members = [peer for peer in self.nodes if peer.site == node.site]
+            lines += ["duties {", f"    listen {node.host}:{DUTIES}"]
+            lines += [f"    member {peer.name} {peer.host}:{DUTIES}" for peer in members]
+            lines += ["}"]
         for site in SITES:
             if site == node.site:
                 continue
--- a/tests/test_ground.py
+++ b/tests/test_ground.py
@@ -247,6 +247,35 @@
     asyncio.run(asyncio.wait_for(story(), 4 * LIMIT))
 
 
+def test_holder_that_drains_or_is_upgraded_hands_its_duty_on_and_comes_back() -> None:
+    async def story() -> None:
+        async with ground() as (g, w):
+            first = w.holder
+            assert (await g.call(first, "/ops/drain/start", "POST"))[0] == 200
+            second = await w.next_holder(first, LIMIT)
+            assert (await g.call(first, "/ops/drain/stop", "POST"))[0] == 200
+            await g.serves(second, acts=8)
+            old = json.loads((await g.call(second, "/ops/members"))[1])["members"][0]["life"]
+            await g.upgrade(second)
+            third = await w.next_holder(second, LIMIT) if w.holder == second else w.holder
+            await g.serves(third, acts=8)
+            told = json.loads((await g.call(second, "/ops/members"))[1])
+            assert told["me"] == second and told["members"][0]["life"] != old
+            await until(lambda: all_alive(g))
+            await until(lambda: all_vote(g))
+            await until(lambda: lives_agree(g))
+            g.kill(third)  # the new process votes: without it there would be no majority
+            assert await w.next_holder(third, LIMIT) != third
+
+    asyncio.run(asyncio.wait_for(story(), 5 * LIMIT))
+
+
+async def lives_agree(g: Ground) -> bool:
+    told = [json.loads((await g.call(name, "/ops/members"))[1])["members"] for name in g.names]
+    own = {rows[0]["name"]: rows[0]["life"] for rows in told}
+    return all({row["name"]: row["life"] for row in rows} == own for rows in told)
+
+
 async def all_alive(g: Ground) -> bool:
     told = [json.loads((await g.call(name, "/ops/members"))[1]) for name in g.names]
     return all(row["standing"] == "alive" and row["life"] for one in told for row in one["members"])
