Remind who has not answered a holder's question, and keep the figures of the duties

Seen: 20% loss and a partial cut for two minutes each (5 processes, leases of 400 ms, beside other work): ten changes of holder where two at most were wanted. A renewal went out three times a lease, and each time three of five had to hear and be heard. A holder now reminds those whose answer is missing, with the same question, so that the lease counts from when it was first asked; a voter that has answered says the same again.

--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -16,6 +16,7 @@
 RENEWALS = 3  # questions within one lease: two may be lost
 ANSWER = 0.25  # of a lease: by then a majority has answered, or what was got is given back
 STEP = 0.05  # of a lease, between the members that may ask once a duty is free
+AGAIN = 0.08  # of a lease, until who has not answered a holder's question is asked it once more
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
         self._ask_at = {duty: now + rule.mute + self._turn(duty) for duty in self._voters}
         self._noes: dict[str, set[str]] = {duty: set() for duty in self._voters}  # to its last question
         self._lost = dict.fromkeys(self._voters, 0)  # questions in a row that did not win
+        self._again_at: dict[str, datetime] = {}
         self._wanted, self._rests = set(self._voters), dict[str, datetime]()
         self.takes_part = True  # asks and votes; else it is silent, since its list may not count yet
         self.leaving = False
@@ -124,6 +126,8 @@
                     if claim.token and claim.term > claim.token.term:  # else who has heard of it says no
                         self._claims[duty] = lease.bumped(claim, claim.term, now)
                     found += self._ask(duty, now)
+                elif claim.asked_at and claim.until != claim.asked_at + self.rule.held:
+                    found += self._remind(duty, claim, now)
             elif claim.asked_at:
                 if now - claim.asked_at >= self.rule.length * ANSWER:
                     found += self._lose(duty, now)
@@ -140,9 +144,19 @@
         self._voters[duty], vote = lease.asked(self._voters[duty], self.me, ask, now, self.rule)
         self._claims[duty] = lease.counted(claim, vote, self.rule) if vote else claim
         self._ask_at[duty] = now + self.rule.held / RENEWALS
+        self._again_at[duty] = now + self.rule.length * AGAIN
         self._noes[duty].clear()
         return [Letter(duty, ask)]
 
+    def _remind(self, duty: str, claim: Claim, now: datetime) -> Iterator[Letter]:
+        """The same question: whenever its answer comes, the lease counts from when it was first asked."""
+        if claim.token and now >= self._again_at[duty]:
+            self._again_at[duty] = now + self.rule.length * AGAIN
+            question = Ask(claim.token, claim.number, self.rule.list)
+            for name in self.rule.members:
+                if name not in claim.votes and name != self.me:
+                    yield Letter(duty, question, name)
+
     def _give_up(self, duty: str, now: datetime) -> Iterator[Letter]:
         self._claims[duty], release = lease.given_up(self._claims[duty])
         if release:
--- a/rookwood/duties/lease.py
+++ b/rookwood/duties/lease.py
@@ -116,6 +116,8 @@
     token, last = ask.token, voter.granted
     no = Vote(me, ask.number, token, False, voter.term)
     runs = voter.until is not None and now < voter.until
+    if ask == last and runs:  # the answer was lost: the vote is what it was, and runs no longer
+        return voter, replace(no, yes=True)
     if last and (token.holder, token.life) == (last.token.holder, last.token.life):
         fits = ask.number > last.number and token.term >= last.token.term
         # A holder may go on by the list before this one, and nobody becomes holder by it any more.
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -181,6 +181,16 @@
     assert town.held
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_messages_unseat_no_holder(seed: int) -> None:
+    town = Town(seed, delay=20, loss=0.25)
+    town.all(1, THREE)
+    town.run(10 * LEASE)
+    town.held.clear()
+    town.run(150 * LEASE)
+    assert len(town.held) == 1 and sum(town.held.values()) >= 149 * LEASE
+
+
 # ---- rolls ----
 
 
@@ -435,6 +445,8 @@
     assert vote and vote.yes
     end = ZERO + MS + LEASE * MS  # of the vote before: the holder may still count on that one
     assert [lease.floor(newer, at, rule) for at in (end - MS, end)] == [1, 2]
+    same, vote = lease.asked(newer, "b", Ask(Token(1, "a", 1), 3, 2), ZERO + 9 * MS, rule)
+    assert vote and vote.yes and same == newer, "a reminder gets the vote again, and prolongs nothing"
     over = ZERO + 3 * LEASE * MS
     assert lease.floor(again, over, rule) == 2
     _, vote = lease.asked(again, "b", Ask(Token(1, "a", 1), 3, 1), over, rule)
