Begin replicated state: registers on a majority without a disk, explored, and ask above the vote

The first question after a release was at the asker's own term, below what all had voted for, so all said no and it asked again after a pause by chance. The test fails without it.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -373,6 +373,18 @@
     sys.exit(run_leases(json_file, wide))
 
 
+@experiment.command("registers", epilog=CODES)
+@click.option("--most", default=400_000, show_default=True, help="States of each part, at most.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def registers(most: int, json_file: Path | None) -> None:
+    """Explore the replicated registers of a site, and check that broken variants of them are caught."""
+    from rookwood.lab.modelcheck import run_registers
+
+    sys.exit(run_registers(json_file, most))
+
+
 @experiment.command("rest", epilog=CODES)
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
--- a/rookwood/duties/board.py
+++ b/rookwood/duties/board.py
@@ -140,7 +140,9 @@
         return found
 
     def _ask(self, duty: str, now: datetime) -> list[Letter]:
-        claim, ask = lease.ask(self._claims[duty], now, self.rule.list)
+        # Above what the own vote has seen: the others have seen that as well, and would say no to less.
+        known = replace(self._claims[duty], term=self.term(duty))
+        claim, ask = lease.ask(known, now, self.rule.list)
         self._voters[duty], vote = lease.asked(self._voters[duty], self.me, ask, now, self.rule)
         self._claims[duty] = lease.counted(claim, vote, self.rule) if vote else claim
         self._ask_at[duty] = now + self.rule.held / RENEWALS
--- a/rookwood/lab/modelcheck.py
+++ b/rookwood/lab/modelcheck.py
@@ -1,9 +1,10 @@
-"""`rookwood experiment handoff` and `leases`: the explorations, their mutants and their figures."""
+"""`rookwood experiment handoff`, `leases` and `registers`: explorations, their mutants and their figures."""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -15,6 +16,7 @@
 from rookwood.duties import explore as leases
 from rookwood.gateway.explore import MUTANTS, BrokenError, explore
 from rookwood.lab.results import keep
+from rookwood.replicas import explore as registers
 
 
 def mutants(plays: Mapping[str, Callable[[], object]], status: Status) -> dict[str, Any]:
@@ -28,7 +30,7 @@
             play()
             caught[name] = None
             table.add_row(name, "[red]not caught[/]", "", "")
-        except (BrokenError, leases.BrokenError) as broken:
+        except (BrokenError, leases.BrokenError, registers.BrokenError) as broken:
             caught[name] = {"why": broken.why, "trace": broken.trace}
             table.add_row(name, broken.why, str(len(broken.trace)), f"{time.perf_counter() - began:.2f}")
     status.console.print(table)
@@ -55,6 +57,27 @@
     return 0 if all(caught.values()) else 1
 
 
+def run_registers(json_file: Path | None, most: int) -> int:
+    """`most`: states of each part, after which it ends unfinished, and says so."""
+    console, found = Console(), dict[str, Any]()
+    with console.status("exploring") as status:
+        for name, bounds in registers.PARTS.items():
+            status.update(f"exploring: {name}")
+            try:
+                report = registers.Explorer(replace(bounds, most=most)).explore()
+            except registers.BrokenError as broken:
+                console.print(f"[red]broken:[/] {name}: {broken}")
+                return 3
+            found[name] = {"states": report.states, "all": report.whole, "led": report.led}
+            found[name]["seconds"] = round(report.seconds, 1)
+            told = "all of them" if report.whole else "not all"
+            console.print(f"{name}: {report.states} states ({told}), all sound, in {report.seconds:.1f} s")
+        plays = {n: registers.Explorer(m.bounds, m.make).explore for n, m in registers.MUTANTS.items()}
+        caught = mutants(plays, status)
+    keep(json_file, "registers", {"members": 3, "most": most}, {"explored": found, "mutants": caught})
+    return 0 if all(caught.values()) else 1
+
+
 def run(json_file: Path | None) -> int:
     console = Console()
     with console.status("exploring") as status:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -191,6 +191,18 @@
     assert len(town.held) == 1 and sum(town.held.values()) >= 149 * LEASE
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_released_duty_is_taken_with_the_first_question(seed: int) -> None:
+    town = Town(seed, delay=10)
+    town.all(1, THREE)
+    town.run(6 * LEASE)
+    [holder] = [name for name, site in town.sites.items() if site.board.token(DUTY, town.at)]
+    town.letters(holder, town.sites[holder].board.leave(town.at))
+    town.held.clear()
+    town.run(LEASE // 5)
+    assert town.held, "who asks must be above the term that it has voted for"
+
+
 # ---- rolls ----
 
 
