--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,7 +9,7 @@
 
 from rookwood.duties.lease import Token
 from rookwood.replicas.explore import MUTANTS, Bounds, BrokenError, Explorer
-from rookwood.replicas.group import Bucket, Entry, Group, Message, Stamp, Write
+from rookwood.replicas.group import Bucket, Entry, Group, Message, Prepare, Refused, Stamp, Write
 
 SLOW = {"the forgetful is counted", "the forgetful is read", "who has started counts at once"}
 SLOW |= {"a new beginning does not say so"}  # to the command alone
@@ -128,15 +128,42 @@
     old, new = Token(1, "a", 1), Token(2, "b", 1)
     a.whole = b.whole = a.leads = b.leads = True
     a.promised, b.promised = old, new  # a has not heard of b yet; c had promised b, and has forgotten it
+    kept = Entry("other", Stamp(new, 1), b"served")
+    b._take([kept])
     [(_, question)] = c.again()
     [(_, stale)] = a.heard("c", question)
     assert c.heard("a", stale) == [] and not c.whole
     [(_, fresh)] = b.heard("c", question)
-    c.heard("b", fresh)
-    assert c.whole and c.promised == new
+    [(leader, fetch)] = c.heard("b", fresh)
+    assert leader == "b" and not c.whole
+    [(_, bucket)] = b.heard("c", fetch)
+    c.heard("b", bucket)
+    assert c.whole and c.promised == new and c.entries == {"other": kept}
     entry = Entry("k", Stamp(old, 1), b"claim")
     [(_, answer)] = c.heard("a", Write(old, 1, (entry,)))
-    assert not c.entries and "Refused" in type(answer).__name__
+    assert "k" not in c.entries and isinstance(answer, Refused)
+
+
+def test_what_one_alone_has_is_written_to_a_majority_before_its_leader_leads() -> None:
+    nodes = {name: Group(name, "abcde", 0) for name in "abcde"}
+    for node in nodes.values():
+        node.whole = True
+    entry, token = Entry("k", Stamp(Token(1, "a", 1), 1), b"claim"), Token(2, "c", 1)
+    nodes["a"]._take([entry])
+    nodes["c"].lead(token)
+    for name in "ab":
+        [(_, promise)] = nodes[name].heard("c", Prepare(token))
+        letters = nodes["c"].heard(name, promise)
+    [(_, fetch)] = letters
+    [(_, bucket)] = nodes["a"].heard("c", fetch)
+    written = nodes["c"].heard("a", bucket)
+    assert {to for to, _ in written} == set("abde") and not nodes["c"].leads
+    assert all(isinstance(m, Write) and m.entries == (entry,) for _, m in written)
+    for name in "bd":
+        [(_, ack)] = nodes[name].heard("c", written[0][1])
+        assert not nodes["c"].leads
+        nodes["c"].heard(name, ack)
+    assert nodes["c"].leads and nodes["d"].entries == {"k": entry}
 
 
 def test_minority_that_is_whole_leads_nothing_until_it_begins_anew() -> None:
