--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -336,16 +336,24 @@
 @click.option("--stops", default=20, show_default=True, help="Times that it is stopped, and goes on later.")
 @click.option("--cuts", default=20, show_default=True, help="Times that it is cut off from the others.")
 @click.option("--lease-ms", default=250, show_default=True, help="Length of a lease.")
+@click.option("--store", type=click.Choice(["redis", "peers"]), default="redis", show_default=True)
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
 )
 def address(
-    nodes: int, seed: int, kills: int, stops: int, cuts: int, lease_ms: int, json_file: Path | None
+    nodes: int,
+    seed: int,
+    kills: int,
+    stops: int,
+    cuts: int,
+    lease_ms: int,
+    store: str,
+    json_file: Path | None,
 ) -> None:
     """Clients of the service address while its holder meets trouble: gaps without answers, double runs."""
     from rookwood.lab.moving import Plan, run_address
 
-    sys.exit(run_address(Plan(nodes, seed, kills, stops, cuts, lease_ms), json_file))
+    sys.exit(run_address(Plan(nodes, seed, kills, stops, cuts, lease_ms, store), json_file))
 
 
 @experiment.command("members", epilog=CODES)
--- a/rookwood/conf/read.py
+++ b/rookwood/conf/read.py
@@ -263,8 +263,10 @@
         """What no single directive can tell."""
         gateway, store = operator.gateway, operator.store
         place = {b.path: b.origin for b in self.blocks}
-        if store and sum(map(bool, (store.redis, store.file, store.memory))) != 1:
-            self.fault(place["store"], "store", "needs one of 'redis', 'file' and 'memory'")
+        if store and sum(map(bool, (store.redis, store.file, store.memory, store.peers))) != 1:
+            self.fault(place["store"], "store", "needs one of 'redis', 'file', 'memory' and 'peers'")
+        if store and store.peers and not operator.duties:
+            self.fault(place["store"], "peers", "needs the section 'duties', for its members", "duties {")
         if store and store.password_file and not store.password_file.is_file():
             at = self.origins["store.password-file"]
             self.fault(at, "password-file", f"{store.password_file} is no file", "a path that can be read")
--- a/rookwood/conf/schema.py
+++ b/rookwood/conf/schema.py
@@ -57,11 +57,12 @@
 
 
 class Store(Struct, frozen=True):
-    """Where keyed unsafe jobs are claimed. One of `redis`, `file` and `memory`."""
+    """Where keyed unsafe jobs are claimed. One of `redis`, `file`, `memory` and `peers`."""
 
     redis: tuple[str, int] | None = None
     file: Path | None = None
     memory: bool = False
+    peers: bool = False  # on the dispatchers of the site, over the links of `duties`
     user: str = ""
     password_file: Path | None = None
     authority: Path | None = None  # with it, TLS
@@ -165,6 +166,7 @@
         "redis": _one(units.address, "host:port"),
         "file": _one(units.path, "a path"),
         "memory": _one(units.switch, "yes or no"),
+        "peers": _one(units.switch, "yes or no"),
         "user": _one(units.name, "a name"),
         "password-file": _one(units.path, "a path"),
         "authority": _one(units.path, "a path of a PEM file"),
--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -17,7 +17,7 @@
 from rookwood.duties.address import DUTY, Announcer
 from rookwood.duties.board import Board, Letter
 from rookwood.duties.change import Change, Roster
-from rookwood.duties.lease import Rule
+from rookwood.duties.lease import Rule, Token
 from rookwood.duties.links import Links, Self
 from rookwood.duties.roll import Roller, places
 from rookwood.duties.site import TRIAL, Site
@@ -47,6 +47,22 @@
 DRAINED_LIMIT = timedelta(seconds=30)  # so long a roll waits for jobs in hand
 
 
+class Seat:
+    """Where a store that lives on the members sits (`replicas.peers.Place`)."""
+
+    def __init__(self, board: Board, duty: str, send: Callable[[str | None, Frame], None]) -> None:
+        self._board, self._duty, self.me, self.send = board, duty, board.me, send
+
+    def token(self, now: datetime) -> Token | None:
+        return self._board.token(self._duty, now)
+
+    def holder(self, now: datetime) -> str:
+        return self._board.holder(self._duty, now)
+
+    def behind(self, term: int, now: datetime) -> None:
+        self._board.behind(self._duty, term, now)
+
+
 class DutiesFront:
     def __init__(self, core: Core, operator: Operator, place: Path) -> None:
         settings, gateway = operator.duties, operator.gateway
@@ -59,6 +75,8 @@
             raise FaultyKeyError(str(place), f"duties: {me.name!r}, this dispatcher, is none of the members")
         duties = [*places(settings.places)]
         duties += [DUTY] * bool(settings.relay) + [TRIAL] * settings.trial
+        self._rider = core.tier.rider
+        duties += [self._rider.duty] if self._rider else []
         duties += [LENDING] * (settings.lending and bool(operator.sites))
         rule = Rule(tuple(sorted(members)), settings.lease, settings.drift, settings.list)
         self.board = Board(me.name, me.life, rule, duties, now, seed=me.life)
@@ -70,7 +88,11 @@
         change = Change(me.name, roster)
         self.site = Site(self.board, change, roller, Trial(me.name), settings.places)
         listen = Address(*settings.listen)
-        self._links = Links(me, others, listen, rule.length, core.clock, self._heard, self._gone, self._up)
+        hooks = (self._heard, self._gone, self._up)
+        self._links = Links(me, others, listen, rule.length, core.clock, *hooks, large=bool(self._rider))
+        if self._rider:
+            core.figures.more.append(self._rider.figures)
+            self._rider.bind(Seat(self.board, self._rider.duty, self._links.send), rule.members)
         self._watchdog = Watchdog()
         self._announcer: Announcer | None = None
         if settings.relay and settings.address:
@@ -183,6 +205,8 @@
         self._send(self.board.tick(now))
         if DUTY in self._holders:
             self._watch(now)
+        if self._rider:
+            self._rider.tick(now)
         self._probe(self.members.tick(now))
         self._tell_changes(self.members.changes)
         self.site.gone(self.members.gone, now)
@@ -223,6 +247,8 @@
                 self._tell(frame.number, sender)
         elif isinstance(frame, SiteTold):
             self.site.heard(sender, frame, now)
+        elif self._rider:
+            self._rider.heard(sender, frame)
 
     def _gone(self, name: str) -> None:
         self.members.closed(name, self._clock.now())
--- a/rookwood/duties/links.py
+++ b/rookwood/duties/links.py
@@ -26,6 +26,7 @@
 log = structlog.stdlib.get_logger(__name__)
 
 MAX_FRAME, MAX_BYTES = 4096, 64 << 10  # letters are under 200 bytes
+RIDER_FRAME, RIDER_BYTES = 1 << 20, 8 << 20  # where a store's registers go along
 MOST_LINKS = 4  # that one member may have open here: the newest counts
 
 
@@ -47,12 +48,14 @@
         heard: Callable[[str, Frame], None],
         gone: Callable[[str], None] = lambda name: None,
         up: Callable[[str], None] = lambda name: None,
+        large: bool = False,
     ) -> None:
         """`members`: the others. `limit`: of a silence, of a connection and of a hello. `gone` is told of
         one whose machine says that nobody is there, `up` of one that can be spoken to from now on."""
         self._me, self._members, self._listen, self._limit = me, dict(members), listen, limit
         self._clock, self._heard, self._gone = clock, heard, gone
         self._is_up = up
+        self._frame, self._bytes = (RIDER_FRAME, RIDER_BYTES) if large else (MAX_FRAME, MAX_BYTES)
         self._speakers: dict[str, asyncio.Task[None]] = {}
         self._secured: Secured | None = None
         self._out: dict[str, Channel] = {}
@@ -118,7 +121,7 @@
             channel = None
             try:
                 channel = await connected(
-                    address.host, address.port, self._limit, context, MAX_FRAME, MAX_BYTES
+                    address.host, address.port, self._limit, context, self._frame, self._bytes
                 )
                 if channel.name not in (None, name):
                     raise LinkError(f"the certificate names {channel.name!r}")
@@ -156,7 +159,7 @@
         task = asyncio.current_task()
         assert task
         self._tasks.add(task)
-        channel, name = Channel(reader, writer, MAX_FRAME, MAX_BYTES), ""
+        channel, name = Channel(reader, writer, self._frame, self._bytes), ""
         try:
             hello = await channel.receive(self._limit)
             if not isinstance(hello, Hello) or hello.version != VERSION:
--- a/rookwood/gateway/frames.py
+++ b/rookwood/gateway/frames.py
@@ -195,10 +195,29 @@
     well: tuple[str, ...]  # and that have served since they did
 
 
+class GroupWord(Struct, frozen=True, array_like=True, tag="group-word"):
+    """Of the registers that a site keeps: `rookwood.replicas.wire` reads it."""
+
+    body: bytes
+
+
+class StoreCall(Struct, frozen=True, array_like=True, tag="store-call"):
+    """A step of the ledger's store, to whoever leads."""
+
+    number: int
+    body: bytes
+
+
+class StoreSaid(Struct, frozen=True, array_like=True, tag="store-said"):
+    number: int
+    body: bytes
+    why: str  # empty: it was taken
+
+
 FromHome = Hello | Pong | Offer | Withdraw | Ack | Refusal
 FromAway = Hello | Ping | Taken | Ended | Refusal
 OfDuties = DutyAsk | DutyVote | DutyRelease | Announce | Announced
-OfMembers = MemberProbe | MemberAck | SiteAsk | SiteTold
+OfMembers = MemberProbe | MemberAck | SiteAsk | SiteTold | GroupWord | StoreCall | StoreSaid
 Frame = Hello | Refusal | Ping | Pong | Offer | Withdraw | Ack | Taken | Ended | OfDuties | OfMembers
 
 _encoder = msgspec.msgpack.Encoder()
--- a/rookwood/ledger/front.py
+++ b/rookwood/ledger/front.py
@@ -11,12 +11,17 @@
 from rookwood.ledger.guard import Ledger, Terms
 from rookwood.ledger.memory import MemoryStore
 from rookwood.ledger.store import Store, Tier
+from rookwood.net.clock import Clock
 from rookwood.net.destinations import DestinationSet
 from rookwood.net.dispatcher import Core
 
 
-def store_of(settings: Settings, tier: Tier) -> Store:
+def store_of(settings: Settings, tier: Tier, clock: Clock) -> Store:
     """Imports only the backend that is asked for."""
+    if settings.peers:
+        from rookwood.replicas.peers import PeersStore
+
+        return PeersStore(tier, clock.now)
     if settings.redis:
         from rookwood.ledger.redis import RedisStore, Server
 
@@ -58,7 +63,10 @@
         window = timedelta(microseconds=longest) + settings.retry_window
         tier = Tier(settings.tier or core.tier.fixed, window)
         terms = Terms(settings.lease, settings.keep)
-        store, keyed = store_of(settings, tier), claimed(core.classes.values(), settings.retry_window)
+        store = store_of(settings, tier, core.clock)
+        if settings.peers:
+            core.tier.rider = store
+        keyed = claimed(core.classes.values(), settings.retry_window)
         self.ledger = Ledger(core.name, store, tier, terms, core.clock, keyed)
         core.requests.claims = self.ledger
         core.figures.more.append(self.ledger.figures)
--- a/rookwood/net/tier.py
+++ b/rookwood/net/tier.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 
 @dataclass(slots=True)
@@ -17,6 +18,8 @@
     living: Callable[[], int] | None = None
     # Of a duty: True, it is held here; False, by another; None, nobody is known to hold it.
     holds: Callable[[str], bool | None] = lambda duty: None
+    # A store that lives on the dispatchers of the site, and takes their links: `replicas.peers.PeersStore`.
+    rider: Any = None
 
     @property
     def count(self) -> int:
--- /dev/null
+++ b/rookwood/replicas/wire.py
@@ -0,0 +1,114 @@
+"""Messages of a group, and steps of a store, as bytes of the links' frames, and back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from rookwood.gateway.frames import FrameError
+from rookwood.ledger.life import Ask, Phase, Record
+from rookwood.ledger.store import Reply
+from rookwood.ledger.watch import Mark, Member, Watch
+from rookwood.replicas.group import (
+    Ack,
+    Bucket,
+    Fetch,
+    Message,
+    Prepare,
+    Promise,
+    Recover,
+    Recovery,
+    Refused,
+    Write,
+)
+
+KINDS: tuple[type[Any], ...] = (*(Prepare, Promise, Refused, Fetch, Bucket, Write, Ack, Recover, Recovery),)
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True):
+    """One step of a store; of the arguments those that it takes."""
+
+    step: str
+    seen: Watch | None = None
+    key: str = ""
+    token: int = 0
+    ask: Ask | None = None
+    lease: float = 0.0  # seconds
+    phase: Phase | None = None
+    result: bytes = b""
+    generation: str = ""
+    known: int = 0
+    was: str = ""
+    trusted: bool = False
+    member: Member | None = None
+    records: dict[str, Record] = {}  # noqa: RUF012 - msgspec copies it
+
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def _decoded(data: bytes | msgspec.Raw, kind: Any) -> Any:
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise FrameError(f"not what it should be: {error}") from None
+
+
+def message_of(message: Message) -> bytes:
+    return _encode((KINDS.index(type(message)), message))
+
+
+def message_from(data: bytes) -> Message:
+    """Raises `FrameError`."""
+    number, rest = _decoded(data, tuple[int, msgspec.Raw])
+    if not 0 <= number < len(KINDS):
+        raise FrameError(f"no message of kind {number}")
+    found: Message = _decoded(rest, KINDS[number])
+    return found
+
+
+def call_of(call: Call) -> bytes:
+    return _encode(call)
+
+
+def call_from(data: bytes) -> Call:
+    found: Call = _decoded(data, Call)
+    return found
+
+
+def reply_of(reply: Reply) -> bytes:
+    return _encode(reply)
+
+
+def reply_from(data: bytes) -> Reply:
+    found: Reply = _decoded(data, Reply)
+    return found
+
+
+def record_of(record: Record | None) -> bytes:
+    """Empty: there is none any more."""
+    return _encode(record) if record else b""
+
+
+def record_from(data: bytes) -> Record | None:
+    found: Record | None = _decoded(data, Record) if data else None
+    return found
+
+
+def mark_of(mark: Mark) -> bytes:
+    return _encode(mark)
+
+
+def mark_from(data: bytes) -> Mark:
+    found: Mark = _decoded(data, Mark)
+    return found
+
+
+def members_of(members: dict[str, Member]) -> bytes:
+    return _encode(members)
+
+
+def members_from(data: bytes) -> dict[str, Member]:
+    found: dict[str, Member] = _decoded(data, dict[str, Member])
+    return found
