Hold a roll up until who has started remembers the registers again

A member that has started votes for duties a lease later, and may still be without the registers; the next one to end could then take their last majority. It tells that it is ready once it is whole. The test fails without that.

--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -92,6 +92,7 @@
         self._links = Links(me, others, listen, rule.length, core.clock, *hooks, large=bool(self._rider))
         if self._rider:
             core.figures.more.append(self._rider.figures)
+            self.site.remembers = self._rider.whole
             self._rider.bind(Seat(self.board, self._rider.duty, self._links.send), rule.members)
         self._watchdog = Watchdog()
         self._announcer: Announcer | None = None
--- a/rookwood/duties/site.py
+++ b/rookwood/duties/site.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import datetime
 
@@ -29,12 +29,13 @@
     roller: Roller
     trial: Trial
     places: int
+    remembers: Callable[[], bool] = lambda: True  # what it must have recovered before it may be counted on
 
     def told(self, number: int, ready: bool, now: datetime) -> SiteTold:
         """`number`: of the question that this answers; 0: none."""
         sick, well = self.trial.word(now)
         roll = self.roller.roll
-        voting = ready and not self.board.muted(now)
+        voting = ready and not self.board.muted(now) and self.remembers()
         return SiteTold(
             number, self.roller.life, voting, roll.number, roll.starter, roll.lives,
             self.change.roster.number, self.change.floor(self.board.floor(now)), sick, well,
--- a/rookwood/replicas/peers.py
+++ b/rookwood/replicas/peers.py
@@ -109,6 +109,10 @@
     def bind(self, place: Place, members: tuple[str, ...]) -> None:
         self._place, self.group = place, Group(place.me, members, secrets.randbits(60), BUCKETS)
 
+    def whole(self) -> bool:
+        """Whether this member counts in a majority: it has recovered what it may have acknowledged."""
+        return self.group is not None and self.group.whole
+
     # ---- the group ----
 
     def _send(self, letters: list[Letter]) -> None:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -261,6 +261,20 @@
     assert took_too_many(monkeypatch, "may", generous)
 
 
+def test_who_has_not_recovered_its_memory_holds_a_roll_up() -> None:
+    town = Town()
+    town.all(1, ONE)
+    town.run(4 * LEASE)
+    town.sites["b"].remembers = lambda: False
+    assert not town.sites["b"].told(0, True, town.at).ready and town.sites["a"].told(0, True, town.at).ready
+    assert town.sites["a"].roller.begin(ONE) == ""
+    town.run(20 * LEASE)
+    assert not any(town.sites[name].roller.begun for name in "ac") and not town.back_at
+    town.sites["b"].remembers = lambda: True
+    town.run(40 * LEASE)
+    assert not any(site.roller.pending for site in town.sites.values()) and town.most_down == 1
+
+
 def test_place_is_used_once_whoever_had_it_before_is_known_to_be_down() -> None:
     roller = Roller("a", 1, 10_000 * MS, 200 * MS, places=2)
     for name in "bcde":
