Write an outcome again where the history changed on its way, and end when cancelled

Two causes, both in the ledger, neither in the test:

- guard._settle sent an outcome under the old history, so the store did not take it; by the time the reply was judged the tick had joined the new one, and _sure found the reply to be of that: the outcome was held for written and was lost to every retry, which was told 409 and, after the lease, 502.
- A ledger that was closed could wait for its tick for good. redis-py sends within asyncio.wait_for, which in Python 3.11 loses a cancellation that comes while bytes go out (cpython 37658): 544 of 1,090 cancelled looks came back with a reply.
Ruled out: asyncio.timeout, the pool, the stand-in.

--- a/rookwood/ledger/guard.py
+++ b/rookwood/ledger/guard.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
+from functools import partial
 
 import structlog
 
@@ -144,8 +145,9 @@
 
     async def _claim(self, ask: Ask) -> Said:
         for _ in range(ROUNDS):
-            reply = await self._call(lambda: self._store.claim(self._watch, ask))
-            if not await self._sure(reply):
+            seen = self._watch
+            reply = await self._call(partial(self._store.claim, seen, ask))
+            if not await self._sure(reply, seen):
                 continue
             said = reply.said or Said(Verdict.UNSURE)
             if said.verdict is Verdict.GRANTED:
@@ -164,8 +166,9 @@
         until, pause = self._clock.now() + self._tier.window, 0.02
         while self._clock.now() < until:
             try:
-                reply = await self._call(lambda: self._write(held))
-                if await self._sure(reply):
+                seen = self._watch
+                reply = await self._call(partial(self._write, seen, held))
+                if await self._sure(reply, seen):
                     break
             except StoreError:
                 await asyncio.sleep(pause)
@@ -176,11 +179,11 @@
         elif self._held.get(held.key) is held:
             del self._held[held.key]
 
-    def _write(self, held: Held) -> Awaitable[Reply]:
+    def _write(self, seen: Watch, held: Held) -> Awaitable[Reply]:
         token = held.record.token
         if held.outcome:
-            return self._store.settle(self._watch, held.key, token, *held.outcome)
-        return self._store.release(self._watch, held.key, token)
+            return self._store.settle(seen, held.key, token, *held.outcome)
+        return self._store.release(seen, held.key, token)
 
     # ---- the store's history ----
 
@@ -204,9 +207,10 @@
     def _judged(self, reply: Reply) -> History:
         return History.BROKEN if reply.mark is None else self._watch.judge(reply.run_id, reply.mark)
 
-    async def _sure(self, reply: Reply) -> bool:
-        """True: the reply is of the history that is known here. If not, this dispatcher joins the new one."""
-        if reply.mark and self._judged(reply) is History.SAME:
+    async def _sure(self, reply: Reply, seen: Watch) -> bool:
+        """True: the reply is of the history that is known here, as it was when the step was sent (`seen`).
+        If not, this dispatcher joins the new one, or has meanwhile: the step is to be made again."""
+        if reply.mark and seen is self._watch and self._judged(reply) is History.SAME:
             self._watch.saw(reply.mark)
             return True
         async with self._joining:
@@ -214,11 +218,11 @@
             if reply.mark and self._judged(reply) is History.SAME:
                 return False  # joined meanwhile by another request
             if self._judged(reply) is History.BROKEN:
-                seen = reply.mark.generation if reply.mark else ""
+                before = reply.mark.generation if reply.mark else ""
                 log.warning("store went back in time", was=self._watch.generation, count=self._watch.count)
                 self.counts["histories"] += 1
                 generation, known = secrets.token_hex(8), max(self._known, self._watch.count)
-                reply = await self._call(lambda: self._store.begin(generation, known, seen, False))
+                reply = await self._call(lambda: self._store.begin(generation, known, before, False))
             if reply.mark is None or reply.mark.run_id != reply.run_id:
                 return False
             fresh = Watch()
@@ -246,7 +250,7 @@
             await asyncio.sleep(TICK.total_seconds())
             try:
                 reply = await self._call(self._store.look)
-                await self._sure(reply)
+                await self._sure(reply, self._watch)
                 now = self._clock.now()
                 if now - renewed >= self._terms.lease / 3:
                     renewed = now
--- a/rookwood/ledger/redis.py
+++ b/rookwood/ledger/redis.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -81,6 +82,8 @@
     async def _run(self, step: str, seen: str, known: int, key: str = "", *more: object) -> Reply:
         keys = (self._mark, self._members, self._record + key)
         words = (*keys, step, seen, known, *more)
+        task = asyncio.current_task()
+        before = task.cancelling() if task else 0
         try:
             try:
                 found = await self._asked(step, words)
@@ -88,6 +91,11 @@
                 found = await self._asked(step, words)
         except (RedisError, OSError, TimeoutError) as error:
             raise StoreError(f"{self._server}: {type(error).__name__}: {error}") from None
+        finally:
+            # The client sends within `asyncio.wait_for`, which in Python 3.11 loses a cancellation that comes
+            # while the bytes go out (cpython issue 37658). Whoever cancels waits for the end of it.
+            if task and task.cancelling() > before:
+                raise asyncio.CancelledError
         return reply_of(found)
 
     async def _asked(self, step: str, words: tuple[object, ...]) -> list[Any]:
