--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -381,6 +381,17 @@
     sys.exit(run_leases(json_file, wide))
 
 
+@experiment.command("claims", epilog=CODES)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def claims(json_file: Path | None) -> None:
+    """Explore the ledger of claims exhaustively, and check that broken variants of it are caught."""
+    from rookwood.lab.modelcheck import run_claims
+
+    sys.exit(run_claims(json_file))
+
+
 @experiment.command("registers", epilog=CODES)
 @click.option("--most", default=400_000, show_default=True, help="States of each part, at most.")
 @click.option(
--- a/rookwood/lab/modelcheck.py
+++ b/rookwood/lab/modelcheck.py
@@ -1,4 +1,4 @@
-"""`rookwood experiment handoff`, `leases` and `registers`: explorations, their mutants and their figures."""
+"""`rookwood experiment handoff`, `claims`, `leases`, `registers`: explorations, mutants and figures."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from rookwood.duties import explore as leases
 from rookwood.gateway.explore import MUTANTS, BrokenError, explore
 from rookwood.lab.results import keep
+from rookwood.ledger import explore as claims
 from rookwood.replicas import explore as registers
 
 
@@ -33,6 +34,9 @@
         except (BrokenError, leases.BrokenError, registers.BrokenError) as broken:
             caught[name] = {"why": broken.why, "trace": broken.trace}
             table.add_row(name, broken.why, str(len(broken.trace)), f"{time.perf_counter() - began:.2f}")
+        except claims.SpentTwiceError as broken:
+            caught[name] = {"why": "ran twice", "trace": broken.trace}
+            table.add_row(name, "ran twice", str(len(broken.trace)), f"{time.perf_counter() - began:.2f}")
     status.console.print(table)
     return caught
 
@@ -57,6 +61,25 @@
     return 0 if all(caught.values()) else 1
 
 
+def run_claims(json_file: Path | None) -> int:
+    """A fault of the store beside a death of either dispatcher; two faults; some two minutes."""
+    console, found = Console(), dict[str, Any]()
+    with console.status("exploring") as status:
+        for faults, deaths in ((1, 1), (2, 0)):
+            name = f"faults {faults}, deaths {deaths}"
+            status.update(f"exploring: {name}")
+            try:
+                report = claims.explore(faults=faults, deaths=deaths)
+            except claims.SpentTwiceError as broken:
+                console.print(f"[red]ran twice:[/] {name}: {broken}")
+                return 3
+            found[name] = {"states": report.states, "seconds": round(report.seconds, 1)}
+            console.print(f"{name}: {report.states} states, all sound, in {report.seconds:.1f} s")
+        caught = mutants({n: partial(claims.explore, rules) for n, rules in claims.MUTANTS.items()}, status)
+    keep(json_file, "claims", {"dispatchers": 2}, {"explored": found, "mutants": caught})
+    return 0 if all(caught.values()) else 1
+
+
 def run_registers(json_file: Path | None, most: int) -> int:
     """`most`: states of each part, after which it ends unfinished, and says so."""
     console, found = Console(), dict[str, Any]()
