Take claims back whose reply was lost, and spread those who are refused for the store

Followed: the claim was made, its reply came too late or no majority had it in time; the client was told 503, came back with its key, was told 409 for the lease and then that an earlier try may have run. Now the dispatcher that asked asks once more in the background, finds the claim by its nonce, and releases it. A test fails without it.

The time to come back was what the breaker had left, often 20 ms and the same for all, so a second without a leader grew into a storm that starved the leases of their time. A step that certainly was not taken, and was refused at once (`NotTakenError`), no longer opens the breaker: it costs nobody a wait.

--- a/rookwood/ledger/guard.py
+++ b/rookwood/ledger/guard.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
@@ -17,10 +18,10 @@
 
 import structlog
 
-from rookwood.ledger.health import Breaker, Circuit, claim_limit
+from rookwood.ledger.health import FIRST_PAUSE, Breaker, Circuit, claim_limit
 from rookwood.ledger.keys import UnsoundKeyError, fingerprint, key_of
 from rookwood.ledger.life import Ask, Phase, Record, Said, Verdict
-from rookwood.ledger.store import Reply, Store, StoreError, Tier
+from rookwood.ledger.store import NotTakenError, Reply, Store, StoreError, Tier
 from rookwood.ledger.watch import History, Member, Watch
 from rookwood.net.clock import Clock
 from rookwood.net.request import Answer, Course, InboundRequest
@@ -30,6 +31,7 @@
 Run = Callable[[Course], Awaitable[Answer]]
 TICK = timedelta(milliseconds=100)  # the store is looked at so often, also while nothing is asked of it
 SETTLE_LIMIT = timedelta(milliseconds=150)  # so long a result waits until it is written; nothing else waits
+MOST_TASKS = 200  # claims that are taken back, and outcomes that are written, at a time
 ROUNDS = 3  # of asking for a claim, with the history made sure of in between
 
 
@@ -57,7 +59,7 @@
     ) -> None:
         self._name, self._store, self._tier, self._terms = name, store, tier, terms
         self._clock, self._unsafe = clock, unsafe
-        self._watch, self._breaker = Watch(), Breaker()
+        self._watch, self._breaker, self._random = Watch(), Breaker(), random.Random()
         self._held: dict[str, Held] = {}
         self._since: datetime | None = None  # this life's start, by the store's clock
         self._begun = clock.now()
@@ -99,10 +101,14 @@
             async with asyncio.timeout(claim_limit(left).total_seconds()):
                 said = await self._claim(ask)
         except (StoreError, TimeoutError) as error:
-            # Nothing has run. A claim that was made all the same is found unknown by a retry: never twice.
+            # Nothing has run. A claim that was made all the same is taken back, or found unknown by a retry.
             self.counts["unreachable"] += 1
+            if not isinstance(error, NotTakenError) and len(self._tasks) < MOST_TASKS:
+                self._spawn(self._withdraw(ask))
             log.warning("no claim", request_id=request.outgoing.request_id, why=str(error) or "too slow")
-            return Answer(503, b"the store does not answer\n", self._breaker.wait(self._clock.now()))
+            # Each a time of its own: those who are refused together must not be back together.
+            wait = max(FIRST_PAUSE, self._breaker.wait(self._clock.now())) * self._random.uniform(1, 3)
+            return Answer(503, b"the store does not answer\n", wait)
         self.counts[said.verdict.value] += 1
         match said.verdict:
             case Verdict.GRANTED:
@@ -151,16 +157,36 @@
                 continue
             said = reply.said or Said(Verdict.UNSURE)
             if said.verdict is Verdict.GRANTED:
-                ends = reply.now + ask.runs
-                record = Record(
-                    *(ask.fingerprint, ask.nonce, said.token, Phase.CLAIMED),
-                    *(reply.now + ask.lease, ends, ends + ask.kept),
-                )
                 self._known = max(self._known, said.token)
-                self._held[ask.key] = Held(ask.key, record)
+                self._held[ask.key] = Held(ask.key, self._granted(ask, reply, said))
             return said
         return Said(Verdict.UNSURE)
 
+    async def _withdraw(self, ask: Ask) -> None:
+        """A claim that nobody knows of would keep its key from retries, and in the end make it unknown. Asked
+        for again, it finds itself by its nonce, and is released."""
+        until, pause = self._clock.now() + ask.lease, 0.02
+        while self._clock.now() < until:
+            try:
+                seen = self._watch
+                reply = await self._call(partial(self._store.claim, seen, ask))
+                if await self._sure(reply, seen):
+                    if reply.said and reply.said.verdict is Verdict.GRANTED:
+                        self.counts["withdrawn"] += 1
+                        await self._settle(Held(ask.key, self._granted(ask, reply, reply.said), open=False))
+                    return
+            except StoreError:
+                await asyncio.sleep(pause)
+                pause = min(0.5, 2 * pause)
+
+    @staticmethod
+    def _granted(ask: Ask, reply: Reply, said: Said) -> Record:
+        ends = reply.now + ask.runs
+        return Record(
+            *(ask.fingerprint, ask.nonce, said.token, Phase.CLAIMED),
+            *(reply.now + ask.lease, ends, ends + ask.kept),
+        )
+
     async def _settle(self, held: Held) -> None:
         """Writes an outcome, or that there is none, again and again until the store has it."""
         until, pause = self._clock.now() + self._tier.window, 0.02
@@ -190,9 +216,13 @@
     async def _call(self, step: Callable[[], Awaitable[Reply]]) -> Reply:
         now = self._clock.now()
         if not self._breaker.lets(now):
-            raise StoreError("the store is given a rest")
+            raise NotTakenError("the store is given a rest")
         try:
             reply = await step()
+        except NotTakenError:
+            if self._breaker.circuit is not Circuit.CLOSED:
+                self._breaker.failed(self._clock.now())
+            raise  # it cost nobody a wait, and ends as suddenly as it began
         except StoreError:
             self._breaker.failed(self._clock.now())
             raise
@@ -275,6 +305,7 @@
         for verdict in Verdict:
             yield f"ledger.{verdict.value}:{self.counts[verdict.value]}|c"
         yield f"ledger.unreachable:{self.counts['unreachable']}|c"
+        yield f"ledger.withdrawn:{self.counts['withdrawn']}|c"
         yield f"ledger.histories:{self.counts['histories']}|c"
         yield f"ledger.open:{sum(held.open for held in self._held.values())}|g"
         yield f"ledger.circuit:{self._breaker.circuit.value}|g"
--- a/rookwood/ledger/store.py
+++ b/rookwood/ledger/store.py
@@ -20,6 +20,10 @@
     """The store did not take the step, or nobody knows whether it did; the text names the store and why."""
 
 
+class NotTakenError(StoreError):
+    """It is certain that the step was not taken, and that was known at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     run_id: str
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -20,7 +20,7 @@
 from rookwood.ledger.health import FAILURES, LONGEST_PAUSE, Breaker, Circuit
 from rookwood.ledger.life import Phase
 from rookwood.ledger.memory import MemoryStore
-from rookwood.ledger.store import Reply, Tier
+from rookwood.ledger.store import Reply, StoreError, Tier
 from rookwood.net.clock import Clock
 from rookwood.net.endpoints import Outgoing
 from rookwood.net.request import Answer, Course, InboundRequest
@@ -291,6 +291,40 @@
     play(story())
 
 
+def test_claim_whose_reply_was_lost_is_taken_back_and_a_retry_runs() -> None:
+    class Losing(MemoryStore):
+        lost = False
+
+        async def claim(self, *words: Any) -> Reply:
+            reply = await super().claim(*words)
+            if not self.lost:
+                self.lost = True
+                raise StoreError("its answer was lost")
+            return reply
+
+    async def story() -> None:
+        clock, tier = Clock(), Tier(1, timedelta(seconds=9))
+        store = Losing(tier, clock.now)
+        await store.begin("first", 0, "", True)
+        ledger = Ledger("n0", store, tier, Terms(), clock, frozenset({"unlock"}))
+        await ledger.start()
+        await until(lambda: ledger._watch.generation == "first")
+        ends = clock.now() + timedelta(seconds=9)
+        outgoing = Outgoing("r1", b"/unlock?k=7", "api", None, b"hello")
+        request = InboundRequest("unlock", ends, 1.0, None, "7", False, outgoing, '"k1"')
+
+        async def run(course: Course) -> Answer:
+            return Answer(200, b"page")
+
+        refused = await ledger.served(request, run)
+        assert refused.status == 503 and store.book.records["k1"].phase is Phase.CLAIMED
+        await until(lambda: "k1" not in store.book.records)
+        assert (await ledger.served(request, run)).status == 200
+        await ledger.close()
+
+    play(story())
+
+
 def test_new_store_grants_once_the_window_is_over(tmp_path: Path) -> None:
     async def story() -> None:
         box = Endpoint(st.served)
