Find what copies differ in without a walk over them, and play replicated claims among processes

Cause: a recovering member asked for all 256 buckets at once, again every 40 ms, and `Group._of` hashed every key for each of them; `digests` hashed every entry. Now (`registers.py`) sums are kept as entries change, a bucket is found by itself, eight are asked for at a time, each with the marks of what is there, so only what differs travels.

Also: the leader tells its digests each second, so a member that missed a write or has what nobody acknowledged finds it (before, nothing did until the next takeover); it alone lets go of old records and says so; a takeover writes only what somebody lacks; a new beginning travels in parts (before, over some 4,000 records it was a frame too large). A step that meets no leader waits for one within its limit. Ruled out as causes: the duty's lease (its holder did not change in that time).

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -381,6 +381,43 @@
     sys.exit(run_leases(json_file, wide))
 
 
+@experiment.command("replicas", epilog=CODES)
+@click.option("--nodes", default=5, show_default=True, help="Processes.")
+@click.option("--unlocks", default=10_000, show_default=True, help="Unlocks, each with a key of its own.")
+@click.option("--rate", default=120.0, show_default=True, help="Unlocks a second.")
+@click.option("--seed", default=1, show_default=True, help="For troubles and clients.")
+@click.option(
+    "--faults",
+    default="kill,stop,term,cut,one-way,half,partial,loss,delay",
+    show_default=True,
+    help="Of which kinds, one after the other; empty: none.",
+)
+@click.option("--lease-ms", default=200, show_default=True, help="Length of a lease.")
+@click.option("--store", default="peers", show_default=True, help="peers, redis (a stand-in) or sqlite.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def replicas(
+    nodes: int,
+    unlocks: int,
+    rate: float,
+    seed: int,
+    faults: str,
+    lease_ms: int,
+    store: str,
+    json_file: Path | None,
+) -> None:
+    """Keyed unlocks at real processes that keep their claims among themselves, amid trouble after trouble."""
+    from rookwood.lab.copies import FAULTS, STORES, Plan, run_replicas
+
+    chosen = tuple(filter(None, faults.split(",")))
+    if not set(chosen) <= set(FAULTS):
+        raise click.BadParameter(f"is not a list of {', '.join(FAULTS)}", param_hint="--faults")
+    if store not in STORES:
+        raise click.BadParameter(f"is none of {', '.join(STORES)}", param_hint="--store")
+    sys.exit(run_replicas(Plan(nodes, unlocks, rate, seed, chosen, lease_ms, store), json_file))
+
+
 @experiment.command("claims", epilog=CODES)
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
--- a/rookwood/lab/boxes.py
+++ b/rookwood/lab/boxes.py
@@ -136,7 +136,7 @@
         self.served += 1
         ledger.box_time[request_id] = loop.time() - came
         line = (
-            json.dumps({"id": request_id, "from": self.uid, "state": "done", "result": self.uid}).encode()
+            json.dumps({"id": request_id, "from": self.uid, "state": "done", "result": request_id}).encode()
             + b"\n"
         )
         writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
--- a/rookwood/lab/ground.py
+++ b/rookwood/lab/ground.py
@@ -119,8 +119,9 @@
         self, count: int, seed: int, lease_ms: int, boxes: int = 0, store: str = "", more: str = ""
     ) -> None:
         """`store`: lines of that section; `more`: of the section `duties`."""
+        self.give_up = 1.0  # seconds, of a client
         self.names = [f"m{n}" for n in range(count)]
-        self.seed, self.lease_ms, self._store, self._more = seed, lease_ms, store, more
+        self.seed, self.lease_ms, self.store, self._more = seed, lease_ms, store, more
         self.ledger = Ledger()
         self.boxes = [Box(f"b-{n}", "b", 8, 1.0, 100, self.ledger) for n in range(boxes)]
         self.list, self.listed = 1, list(self.names)  # the members' list and its number
@@ -175,7 +176,7 @@
             "discovery": self._discovery.server.address,
             "seed": "1",
             "known": self._discovery.whole(),
-            "settings": settings_of(len(self.nodes), "here", give_up=1.0),
+            "settings": settings_of(len(self.nodes), "here", give_up=self.give_up),
         }
         node.config.write_text(json.dumps(told))
         assert node.conf
@@ -185,7 +186,7 @@
         lines += [self._more] if self._more else []
         lines += [f"    member {name} {address}" for name, address in links.items()]
         lines += [f"    relay {self.witness.server.address}", f"    address {node.host}:{LISTEN}", "}"]
-        lines += [f"store {{\n{self._store}\n}}"] if self._store else []
+        lines += [f"store {{\n{self.store}\n}}"] if self.store else []
         node.conf.write_text("\n".join(lines) + "\n")
 
     def told(self, box: Box) -> None:
--- a/rookwood/lab/net.py
+++ b/rookwood/lab/net.py
@@ -28,6 +28,7 @@
     trickle: float = 0.0  # seconds for each byte
     dropped: int = 0
     passed: int = 0
+    octets: int = 0  # of frames that passed
     offered: dict[tuple[int, int], tuple[str, float]] = field(default_factory=dict)  # when a job first was
     carried: dict[str, float] = field(
         default_factory=dict
@@ -98,6 +99,7 @@
                     weather.dropped += 1
                     continue
                 weather.passed += 1
+                weather.octets += len(frame)
                 self._note(frame[PREFIX.size :])
                 if weather.trickle:
                     for n in range(len(frame)):
--- a/rookwood/lab/nodes.py
+++ b/rookwood/lab/nodes.py
@@ -70,6 +70,14 @@
     host: str, port: int, path: str, request_id: str, key: str, work: float, give_up: float
 ) -> tuple[int, dict[str, str]]:
     """One try of a keyed job over a connection of its own: status and headers."""
+    status, headers, _ = await answered(host, port, path, request_id, key, work, give_up)
+    return status, headers
+
+
+async def answered(
+    host: str, port: int, path: str, request_id: str, key: str, work: float, give_up: float
+) -> tuple[int, dict[str, str], str]:
+    """The same, and the body."""
     body = json.dumps({"work": work, "slots": 1}).encode()
     head = (
         f"POST /{path}?k={hash(key) % 40} HTTP/1.1\r\nHost: lab\r\nRequest-Id: {request_id}\r\n"
@@ -80,8 +88,8 @@
         writer.write(head.encode() + body)
         start, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().rstrip().split("\r\n")
         headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
-        await reader.readexactly(int(headers.get("content-length", 0)))
-        return int(start.split()[1]), headers
+        text = await reader.readexactly(int(headers.get("content-length", 0)))
+        return int(start.split()[1]), headers, text.decode()
     finally:
         writer.close()
 
--- a/rookwood/replicas/explore.py
+++ b/rookwood/replicas/explore.py
@@ -38,6 +38,7 @@
     restarts: int = 1
     settles: bool = False
     foundings: bool = False
+    compares: int = 0  # times that a leader tells what it has
     led: bool = True  # by the first token, from the start
     most: int = 400_000  # states, then it ends
 
@@ -64,11 +65,12 @@
     served: bool = False  # acknowledged
     restarts: int = 0
     founded: int = 0
+    compares: int = 0
 
     def frozen(self) -> tuple[Any, ...]:
         nodes = tuple(node.frozen() for node in self.nodes.values())
         ghosts = (self.asked, self.claimed, self.settled, self.runs, self.served, self.restarts, self.founded)
-        return nodes, frozenset(self.net), ghosts
+        return nodes, frozenset(self.net), ghosts, self.compares
 
     def copied(self, changes: str) -> State:
         """With a copy of the one member that will change."""
@@ -76,7 +78,7 @@
         nodes[changes] = nodes[changes].copied()
         return State(
             nodes, self.net, self.asked, self.claimed, self.settled,
-            self.runs, self.served, self.restarts, self.founded,
+            self.runs, self.served, self.restarts, self.founded, self.compares,
         )  # fmt: skip
 
 
@@ -168,6 +170,10 @@
                 after = state.copied(name)
                 after.settled |= {name}
                 yield f"{name} settles", self._sent(after, name, "put", {KEY: SERVED}, SETTLES)
+            if node.leads and state.compares < self.bounds.compares:
+                after = state.copied(name)
+                after.compares += 1
+                yield f"{name} compares", self._sent(after, name, "compare")
             if state.restarts < self.bounds.restarts and name == MEMBERS[2]:
                 after = state.copied(name)
                 after.restarts += 1
@@ -219,7 +225,7 @@
 
 def _at_once(self: Group, number: int) -> None:
     pending = self._pending[number]
-    pending.acks |= set(MEMBERS)
+    pending.acks |= {name: set(range(len(pending.writes))) for name in MEMBERS}
     Group._counted(self, number)
 
 
@@ -241,7 +247,7 @@
 
 def _overwrites(self: Group, entries: Any) -> None:
     for entry in entries:
-        self.entries[entry.key] = entry
+        self._kept.put(entry)
 
 
 def _takes_older(self: Group, sender: str, write: group.Write) -> list[Letter]:
@@ -262,9 +268,9 @@
     """Acknowledges a write without taking it, as one that trusts the snapshot to come would."""
     if write.token < self.promised or not self.whole:
         return Group._written(self, sender, write)
-    kept = dict(self.entries)
+    kept = self._kept.copied()
     letters = Group._written(self, sender, write)
-    self.entries = kept
+    self._kept = kept
     return letters
 
 
@@ -284,6 +290,7 @@
     "b takes over": Bounds(restarts=0),
     "b takes over, an outcome": Bounds(restarts=0, settles=True),
     "both from the start": Bounds(restarts=0, led=False),
+    "what was missed is found": Bounds(restarts=0, compares=1),
     "c forgets": Bounds(),
     "c forgets, a new beginning": Bounds(foundings=True),
 }
--- a/rookwood/replicas/group.py
+++ b/rookwood/replicas/group.py
@@ -13,7 +13,9 @@
 and leads from then on. Where no majority is whole any more, memory may have been lost: `found` begins anew
 with what is left, and says so, and whoever uses the registers must not trust that what is missing never was.
 
-Copies are compared by digests of buckets of keys; only buckets that differ are shipped.
+Copies are compared by digests of buckets of keys (`registers.py`), and what differs is shipped by itself, a
+few buckets at a time. The leader tells its digests now and then: whoever has missed a write, or has what
+nobody acknowledged, takes over what the leader has. That is safe since all that counts is at the leader.
 """
 
 from __future__ import annotations
@@ -22,33 +24,16 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from blake3 import blake3
-
 from rookwood.duties.lease import Token
+from rookwood.replicas.registers import Entry, Registers, Stamp
 
 BUCKETS = 64
+WINDOW = 8  # buckets that are asked of one member at a time; parts of a write on their way to one
+PART = 500  # entries that travel in one part of a write
+REMINDED = 32  # writes that are said once more at a time, the oldest first
 NOBODY = Token(0, "", 0)
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Stamp:
-    token: Token
-    serial: int
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A register. `value` empty: it holds nothing any more."""
-
-    key: str
-    stamp: Stamp
-    value: bytes
-
-
-def bucket_of(key: str, buckets: int) -> int:
-    return int(blake3(key.encode()).digest(length=1)[0]) % buckets
-
-
 # ---- messages; `round` ties answers to what was asked ----
 
 
@@ -78,13 +63,16 @@
 class Fetch:
     token: Token
     bucket: int
+    have: tuple[int, ...] = ()  # the marks of what is here
 
 
 @dataclass(frozen=True, slots=True)
 class Bucket:
     token: Token
     bucket: int
-    entries: tuple[Entry, ...]
+    entries: tuple[Entry, ...]  # that the asker does not have
+    gone: tuple[int, ...] = ()  # marks of what it has and the asked does not
+    serial: int = 0  # of the leader's last write by then; 0: it does not lead
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,13 +80,33 @@
     token: Token
     number: int  # of this write
     entries: tuple[Entry, ...]
-    found: bool = False  # a new beginning: whoever takes it is whole
+    found: bool = False  # a new beginning: whoever takes all of it is whole
+    part: int = 0
+    parts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
 class Ack:
     token: Token
     number: int
+    part: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Tally:
+    """Of the leader: what it has, for whoever has missed some of it."""
+
+    token: Token
+    digests: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Of the leader: registers that nobody will ask for any more."""
+
+    token: Token
+    serial: int  # of its last write
+    keys: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +125,7 @@
     digests: tuple[bytes, ...] = ()  # of the leader
 
 
-Message = Prepare | Promise | Refused | Fetch | Bucket | Write | Ack | Recover | Recovery
+Message = Prepare | Promise | Refused | Fetch | Bucket | Write | Ack | Recover | Recovery | Tally | Drop
 Letter = tuple[str | None, Message]  # None: to all others
 
 
@@ -125,16 +133,21 @@
 class Pending:
     """A write that is not on a majority yet."""
 
-    write: Write
-    acks: set[str]
+    writes: tuple[Write, ...]  # its parts
+    acks: dict[str, set[int]]  # by member: parts that it has
     ticket: int  # of whoever waits for it; 0: nobody
 
+    def missing(self, name: str) -> list[Write]:
+        have = self.acks.get(name, ())
+        return [write for write in self.writes if write.part not in have]
+
 
 @dataclass(slots=True)
 class Takeover:
     promises: dict[str, Promise] = field(default_factory=dict)
     reading: set[str] = field(default_factory=set)  # the majority that is read
     wanted: set[tuple[str, int]] = field(default_factory=set)  # buckets that are still to come
+    changed: set[str] = field(default_factory=set)  # keys that one of those who are read does not share
     confirming: int = 0  # the write of what was read
     founds: dict[str, bytes] | None = None  # a new beginning, and what is written with it
 
@@ -151,7 +164,7 @@
     def __init__(self, me: str, members: Iterable[str], nonce: int, buckets: int = BUCKETS) -> None:
         """`nonce`: another one for each process. `buckets`: 256 at most, the same at all."""
         self.me, self.members, self._buckets = me, tuple(sorted(members)), buckets
-        self.entries: dict[str, Entry] = {}
+        self._kept = Registers(buckets)
         self.promised, self.whole, self.leads = NOBODY, False, False
         self.done: list[
             tuple[int, bool]
@@ -162,6 +175,12 @@
         self._pending: dict[int, Pending] = {}
         self._takeover: Takeover | None = None
         self._recovering: Recovering | None = None
+        self._mirror: set[int] = set()  # buckets in which the leader differs, still to come
+        self._parts: tuple[Token, int, frozenset[int]] = (NOBODY, 0, frozenset())  # of a new beginning
+
+    @property
+    def entries(self) -> dict[str, Entry]:
+        return self._kept.entries
 
     @property
     def majority(self) -> int:
@@ -170,34 +189,42 @@
     # ---- what is here ----
 
     def digests(self) -> tuple[bytes, ...]:
-        hashes = [blake3() for _ in range(self._buckets)]
-        for key in sorted(self.entries):
-            e = self.entries[key]
-            t = e.stamp.token
-            told = f"{key} {t.term} {t.holder} {t.life} {e.stamp.serial} ".encode()
-            hashes[self._bucket_of(key)].update(len(told).to_bytes(4, "big") + told)
-            hashes[self._bucket_of(key)].update(len(e.value).to_bytes(4, "big") + e.value)
-        return tuple(h.digest(length=8) for h in hashes)
-
-    def _bucket_of(self, key: str) -> int:
-        return bucket_of(key, self._buckets)
-
-    def _of(self, bucket: int) -> tuple[Entry, ...]:
-        return tuple(e for key, e in sorted(self.entries.items()) if self._bucket_of(key) == bucket)
+        return self._kept.digests()
 
     def _take(self, entries: Iterable[Entry]) -> None:
         """The newest stamp wins, in whichever order they come."""
         for entry in entries:
             old = self.entries.get(entry.key)
             if old is None or entry.stamp > old.stamp:
-                self.entries[entry.key] = entry
+                self._kept.put(entry)
             elif entry.stamp == old.stamp and entry.value != old.value:
                 self.differ.append((old, entry))
 
-    def drop(self, keys: Iterable[str]) -> None:
-        """Registers that nobody will ask for any more: by their age, which their owner knows."""
+    def drop(self, keys: Iterable[str]) -> list[Letter]:
+        """Registers that nobody will ask for any more: by their age, which their owner knows. Only while it
+        leads: the others drop what they are told to."""
+        assert self.leads
+        gone = tuple(keys)
+        for key in gone:
+            self._kept.drop(key)
+        return [(None, Drop(self.promised, self._serial, gone))] if gone else []
+
+    def _drop_older(self, keys: Iterable[str], stamp: Stamp) -> None:
+        """What was written since the leader said so stays."""
         for key in keys:
-            self.entries.pop(key, None)
+            if (entry := self.entries.get(key)) and entry.stamp <= stamp:
+                self._kept.drop(key)
+
+    def _differing(self, digests: tuple[bytes, ...]) -> set[int]:
+        return {n for n, (a, b) in enumerate(zip(self.digests(), digests, strict=False)) if a != b}
+
+    def _fetches(self, token: Token, name: str, buckets: Iterable[int]) -> list[Letter]:
+        """A few at a time, each with what is here: the answers must not keep anybody from its work."""
+        return [(name, Fetch(token, n, self._kept.marks(n))) for n in sorted(buckets)[:WINDOW]]
+
+    def _next(self, token: Token, name: str, buckets: Iterable[int]) -> list[Letter]:
+        """One has come: the one that the window has moved on to is asked for."""
+        return self._fetches(token, name, buckets)[WINDOW - 1 :]
 
     # ---- leading ----
 
@@ -215,7 +242,7 @@
         if self.me not in take.promises:
             take.promises[self.me] = Promise(token, self.whole, self.digests())
         letters: list[Letter] = [(name, Prepare(token)) for name in self.members if name not in take.promises]
-        letters += [(name, Fetch(token, bucket)) for name, bucket in sorted(take.wanted)]
+        letters += self._wanted(token, take)
         if take.confirming and (pending := self._pending.get(take.confirming)):
             letters += self._to_missing(pending)
         return letters + self._read(token)
@@ -229,6 +256,12 @@
         self.done += [(pending.ticket, False) for pending in self._pending.values() if pending.ticket]
         self._pending.clear()
 
+    def _wanted(self, token: Token, take: Takeover) -> list[Letter]:
+        letters = list[Letter]()
+        for name in sorted({name for name, _ in take.wanted}):
+            letters += self._fetches(token, name, (n for other, n in take.wanted if other == name))
+        return letters
+
     def found(self, token: Token, values: Mapping[str, bytes]) -> list[Letter]:
         """No majority is whole, for so long that none will be: begins anew with what is left, in the
         knowledge that something may be missing, which `values` say. Only while taking over, with a majority
@@ -236,14 +269,8 @@
         take = self._takeover
         if take is None or token != self.promised or take.reading or len(take.promises) < self.majority:
             return []
-        take.founds, take.reading = dict(values), set(take.promises)
-        take.wanted = {
-            (name, bucket)
-            for name, promise in take.promises.items()
-            for bucket in range(self._buckets)
-            if name != self.me and promise.digests[bucket] != take.promises[self.me].digests[bucket]
-        }
-        return [(name, Fetch(token, bucket)) for name, bucket in sorted(take.wanted)] + self._confirm()
+        take.founds = dict(values)
+        return self._asks(token, take, set(take.promises))
 
     def _read(self, token: Token) -> list[Letter]:
         """Once a majority of whole members has promised: what differs from here is fetched."""
@@ -253,14 +280,13 @@
         whole = {name for name, promise in take.promises.items() if promise.whole}
         if len(whole) < self.majority:
             return []
-        take.reading, own = whole, take.promises[self.me].digests
-        take.wanted = {
-            (name, bucket)
-            for name in whole - {self.me}
-            for bucket in range(self._buckets)
-            if take.promises[name].digests[bucket] != own[bucket]
-        }
-        return [(name, Fetch(token, bucket)) for name, bucket in sorted(take.wanted)] + self._confirm()
+        return self._asks(token, take, whole)
+
+    def _asks(self, token: Token, take: Takeover, reading: set[str]) -> list[Letter]:
+        take.reading = reading
+        others = reading - {self.me}
+        take.wanted = {(name, n) for name in others for n in self._differing(take.promises[name].digests)}
+        return self._wanted(token, take) + self._confirm()
 
     def _confirm(self) -> list[Letter]:
         """All is read: what the majority that was read does not share is written to one before it counts."""
@@ -269,11 +295,8 @@
             return []
         if take.founds is not None:
             self._take(self._stamped(take.founds))
-        own, told = self.digests(), [take.promises[name].digests for name in take.reading - {self.me}]
-        told += [take.promises[self.me].digests] if self.me in take.reading else []
-        differ = {b for b in range(self._buckets) if any(digests[b] != own[b] for digests in told)}
         new = take.founds is not None
-        entries = [e for key, e in sorted(self.entries.items()) if new or self._bucket_of(key) in differ]
+        entries = [e for key, e in sorted(self.entries.items()) if new or key in take.changed]
         self.whole, self._recovering = True, None
         return self._write(entries, ticket=0, found=new, confirms=True)
 
@@ -288,15 +311,20 @@
         self, entries: Iterable[Entry], ticket: int, found: bool = False, confirms: bool = False
     ) -> list[Letter]:
         self._number += 1
-        write = Write(self.promised, self._number, tuple(entries), found)
-        pending = self._pending[self._number] = Pending(write, {self.me}, ticket)
+        every = tuple(entries)
+        pieces = [every[at : at + PART] for at in range(0, len(every), PART)] or [()]
+        writes = tuple(
+            Write(self.promised, self._number, piece, found, n, len(pieces))
+            for n, piece in enumerate(pieces)
+        )
+        pending = self._pending[self._number] = Pending(writes, {self.me: set(range(len(writes)))}, ticket)
         if confirms and self._takeover:
             self._takeover.confirming = self._number
         self._counted(self._number)
         return [] if self.majority == 1 else self._to_missing(pending)
 
     def _to_missing(self, pending: Pending) -> list[Letter]:
-        return [(name, pending.write) for name in self.members if name not in pending.acks]
+        return [(name, write) for name in self.members for write in pending.missing(name)[:WINDOW]]
 
     def put(self, values: Mapping[str, bytes], ticket: int) -> list[Letter]:
         """Only while it leads. `done` tells the ticket once the values count, or that nobody knows."""
@@ -307,14 +335,15 @@
 
     def again(self) -> list[Letter]:
         """Says what has no majority yet once more, and goes on recovering: links lose messages."""
-        letters = [letter for pending in self._pending.values() for letter in self._to_missing(pending)]
+        oldest = list(self._pending.values())[:REMINDED]
+        letters = [letter for pending in oldest for letter in self._to_missing(pending)]
         if not self.whole and not self._takeover:
             letters += self._recover()
         return letters
 
     def _counted(self, number: int) -> None:
         pending = self._pending[number]
-        if len(pending.acks) < self.majority:
+        if sum(not pending.missing(name) for name in self.members) < self.majority:
             return
         del self._pending[number]
         if pending.ticket:
@@ -330,7 +359,7 @@
             self._recovering = Recovering(self._nonce)
         r = self._recovering
         if r.leader:
-            return [(r.leader, Fetch(r.answers[r.leader].promised, bucket)) for bucket in sorted(r.wanted)]
+            return self._fetches(r.answers[r.leader].promised, r.leader, r.wanted)
         return [(None, Recover(r.nonce))]
 
     def _recovered(self, sender: str, told: Recovery) -> list[Letter]:
@@ -347,9 +376,8 @@
             r.answers.clear()  # asked again; meanwhile somebody may lead
             return []
         r.leader, self.promised = leaders[0], highest
-        own = self.digests()
-        r.wanted = {b for b in range(self._buckets) if r.answers[r.leader].digests[b] != own[b]}
-        return self._caught_up() or [(r.leader, Fetch(highest, bucket)) for bucket in sorted(r.wanted)]
+        r.wanted = self._differing(r.answers[r.leader].digests)
+        return self._caught_up() or self._fetches(highest, r.leader, r.wanted)
 
     def _caught_up(self) -> list[Letter]:
         r = self._recovering
@@ -377,45 +405,75 @@
                 if token == self.promised and (self.leads or self._takeover):
                     self._stop()
                     self.promised = max(self.promised, promised)
-            case Fetch(token, bucket):
+            case Fetch(token, bucket, have):
                 if token == self.promised and 0 <= bucket < self._buckets:
-                    return [(sender, Bucket(token, bucket, self._of(bucket)))]
-            case Bucket(token, bucket, entries):
-                return self._bucket(sender, token, bucket, entries)
+                    entries, gone = self._kept.beyond(bucket, have)
+                    serial = self._serial if self.leads else 0
+                    return [(sender, Bucket(token, bucket, entries, gone, serial))]
+            case Bucket():
+                return self._bucket(sender, message)
             case Write(token):
                 return self._written(sender, message)
-            case Ack(token, number):
+            case Ack(token, number, part):
                 if token == self.promised and (pending := self._pending.get(number)):
-                    pending.acks.add(sender)
+                    pending.acks.setdefault(sender, set()).add(part)
                     self._counted(number)
+                    return [(sender, write) for write in pending.missing(sender)[WINDOW - 1 : WINDOW]]
             case Recover(nonce):
                 digests = self.digests() if self.leads else ()
                 return [(sender, Recovery(nonce, self.whole, self.promised, self.leads, digests))]
             case Recovery():
                 return self._recovered(sender, message)
+            case Tally(token, digests):
+                if token == self.promised and sender == token.holder and self.whole:
+                    self._mirror = self._differing(digests)
+                    return self._fetches(token, sender, self._mirror)
+            case Drop(token, serial, keys):
+                if token == self.promised and sender == token.holder:
+                    self._drop_older(keys, Stamp(token, serial))
         return []
 
     def _promise(self, token: Token) -> None:
         if token != self.promised:
             self._stop()
             self.promised = token
+            self._mirror.clear()
             if self._recovering:  # its leader leads no more
                 self._recovering = None
 
-    def _bucket(self, sender: str, token: Token, bucket: int, entries: tuple[Entry, ...]) -> list[Letter]:
+    def compare(self) -> list[Letter]:
+        """Of the leader, now and then: the others find what they have missed."""
+        return [(None, Tally(self.promised, self.digests()))] if self.leads else []
+
+    def _bucket(self, sender: str, told: Bucket) -> list[Letter]:
+        token, bucket = told.token, told.bucket
         if token != self.promised:
             return []
         r, take = self._recovering, self._takeover
         if take and (sender, bucket) in take.wanted:
-            self._take(entries)
+            mine = {key for mark in told.gone if (key := self._kept.key(bucket, mark))}
+            take.changed |= mine | {entry.key for entry in told.entries}
+            self._take(told.entries)
             take.wanted.discard((sender, bucket))
-            return self._confirm()
+            rest = self._next(token, sender, (n for name, n in take.wanted if name == sender))
+            return rest + self._confirm()
         if r and r.leader == sender and bucket in r.wanted:
-            self._take(entries)
+            self._follow(told)
             r.wanted.discard(bucket)
-            return self._caught_up()
+            return self._caught_up() or self._next(token, sender, r.wanted)
+        if sender == token.holder and bucket in self._mirror:
+            self._follow(told)
+            self._mirror.discard(bucket)
+            return self._next(token, sender, self._mirror)
         return []
 
+    def _follow(self, told: Bucket) -> None:
+        """As the leader has it: what it lacks was never acknowledged, or is no longer asked for."""
+        if told.serial:
+            keys = [key for mark in told.gone if (key := self._kept.key(told.bucket, mark))]
+            self._drop_older(keys, Stamp(told.token, told.serial))
+        self._take(told.entries)
+
     def _written(self, sender: str, write: Write) -> list[Letter]:
         if write.token < self.promised:
             return [(sender, Refused(write.token, self.promised))]
@@ -424,10 +482,14 @@
         self._promise(write.token)
         self._take(write.entries)
         if write.found:
-            self.whole, self._recovering = True, None
-        if not self.whole:
+            token, number, parts = self._parts
+            known = parts if (token, number) == (write.token, write.number) else frozenset()
+            self._parts = (write.token, write.number, known | {write.part})
+            if len(self._parts[2]) == write.parts:
+                self.whole, self._recovering = True, None
+        elif not self.whole:
             return []  # it has forgotten what it acknowledged: nobody may count on it yet
-        return [(sender, Ack(write.token, write.number))]
+        return [(sender, Ack(write.token, write.number, write.part))]
 
     # ---- for whoever looks ----
 
@@ -437,12 +499,17 @@
     def copied(self) -> Group:
         """For whoever explores what may come of it."""
         other = copy.copy(self)
-        other.entries, other.done, other.differ = dict(self.entries), list(self.done), list(self.differ)
-        other._pending = {n: replace(p, acks=set(p.acks)) for n, p in self._pending.items()}
+        other._kept, other.done, other.differ = self._kept.copied(), list(self.done), list(self.differ)
+        other._mirror = set(self._mirror)
+        other._pending = {
+            n: replace(p, acks={name: set(parts) for name, parts in p.acks.items()})
+            for n, p in self._pending.items()
+        }
         if take := self._takeover:
             other._takeover = replace(
-                take, promises=dict(take.promises), reading=set(take.reading), wanted=set(take.wanted)
-            )
+                take, promises=dict(take.promises), reading=set(take.reading), wanted=set(take.wanted),
+                changed=set(take.changed),
+            )  # fmt: skip
         if r := self._recovering:
             other._recovering = replace(r, answers=dict(r.answers), wanted=set(r.wanted))
         return other
@@ -453,14 +520,19 @@
         return (
             tuple(sorted(self.entries.items())), self.promised, self.whole, self.leads,
             self._serial, self._number,
-            tuple((n, p.write, tuple(sorted(p.acks)), p.ticket) for n, p in sorted(self._pending.items())),
+            tuple(
+                (n, p.writes, tuple((name, tuple(parts)) for name, parts in sorted(p.acks.items())), p.ticket)
+                for n, p in sorted(self._pending.items())
+            ),
+            tuple(sorted(self._mirror)), self._parts,
             take and (
                 tuple(sorted((n, p.whole, p.digests) for n, p in take.promises.items())),
-                tuple(sorted(take.reading)), tuple(sorted(take.wanted)), take.confirming,
+                tuple(sorted(take.reading)), tuple(sorted(take.wanted)), tuple(sorted(take.changed)),
+                take.confirming,
                 tuple((take.founds or {}).items()), take.founds is None,
             ),
             r and (r.nonce, tuple(sorted(r.answers)), r.leader, tuple(sorted(r.wanted))),
         )  # fmt: skip
 
 
-__all__ = ["Ack", "Bucket", "Entry", "Group", "Message", "Prepare", "Write"]
+__all__ = ["Ack", "Bucket", "Entry", "Group", "Message", "Prepare", "Stamp", "Write"]
--- a/rookwood/replicas/peers.py
+++ b/rookwood/replicas/peers.py
@@ -15,6 +15,7 @@
 import asyncio
 import itertools
 import secrets
+import zlib
 from collections.abc import Callable, Iterator, Mapping
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -25,7 +26,7 @@
 from rookwood.gateway.frames import Frame, FrameError, GroupWord, StoreCall, StoreSaid
 from rookwood.ledger import life
 from rookwood.ledger.life import Ask, Phase, Record
-from rookwood.ledger.store import Reply, Steps, StoreError, Tier
+from rookwood.ledger.store import NotTakenError, Reply, Steps, StoreError, Tier
 from rookwood.ledger.watch import Mark, Member, Watch, new_mark
 from rookwood.replicas import wire
 from rookwood.replicas.group import Group, Letter
@@ -38,8 +39,12 @@
 MARK, MEMBERS, RECORD = "mark", "members", "r:"
 AGAIN = timedelta(milliseconds=40)  # until what has no majority yet is said once more
 LIMIT = timedelta(milliseconds=400)  # of a step, its way to the leader and back included
+WAIT = timedelta(milliseconds=15)  # until a step that met no leader is tried again
+NOT_TAKEN = b"not taken"  # beside the reason why a step failed, where that is certain
 ALONE = timedelta(seconds=1)  # a majority answers and is not whole: then the group begins anew
+COMPARED = timedelta(seconds=1)  # between two looks for what a member has missed
 OLD = timedelta(seconds=10)  # between two looks for records that nobody asks for any more
+MOST_OLD = 5_000  # that are let go of at one look
 
 
 class Place(Protocol):
@@ -101,7 +106,7 @@
         self._writes: dict[int, asyncio.Future[bool]] = {}  # here, by ticket
         self._busy: dict[str, asyncio.Future[bool]] = {}  # keys whose last write does not count yet
         self._tasks: set[asyncio.Task[None]] = set()
-        self._again = self._swept = now()
+        self._again = self._swept = self._compared = now()
         self._leading: Token | None = None
         self._since = now()  # that it leads, or tries to
         self.begun = 0  # new beginnings
@@ -138,9 +143,13 @@
         if again:
             self._again = now
             self._send(self.group.again())
+        if now - self._compared >= COMPARED:
+            self._compared = now
+            self._send(self.group.compare())
         if now - self._swept >= OLD:
             self._swept = now
-            self._sweep(now)
+            if self.group.leads and token:
+                self._sweep(now)
         self._settle()
 
     def _found(self, token: Token, now: datetime) -> None:
@@ -162,7 +171,7 @@
         for key, entry in self.group.entries.items():
             if key.startswith(RECORD) and entry.value and not life.live(book.get(key[len(RECORD) :]), now):
                 old.append(key)
-        self.group.drop(old)
+        self._send(self.group.drop(old[:MOST_OLD]))
 
     def _settle(self) -> None:
         """Whoever waits for a write hears of it."""
@@ -193,9 +202,11 @@
                 if waiting and not waiting.done():
                     try:
                         if why:
-                            raise StoreError(why)
+                            raise (NotTakenError if body == NOT_TAKEN else StoreError)(f"{sender}: {why}")
                         waiting.set_result(wire.reply_from(body))
-                    except (StoreError, FrameError) as error:
+                    except StoreError as error:
+                        waiting.set_exception(error)
+                    except FrameError as error:
                         waiting.set_exception(StoreError(f"{sender}: {error}"))
             case _:
                 return False
@@ -206,7 +217,8 @@
         try:
             said = StoreSaid(number, wire.reply_of(await self._step(wire.call_from(body))), "")
         except (StoreError, FrameError) as error:
-            said = StoreSaid(number, b"", str(error) or "failed")
+            sure = NOT_TAKEN if isinstance(error, NotTakenError) else b""
+            said = StoreSaid(number, sure, str(error) or "failed")
         except Exception:
             log.exception("a step failed")
             said = StoreSaid(number, b"", "failed")
@@ -218,27 +230,40 @@
             yield f"replicas.leads:{int(self.group.leads)}|g"
             yield f"replicas.registers:{len(self.group.entries)}|g"
             yield f"replicas.pending:{self.group.pending()}|g"
+            yield f"replicas.digest:{zlib.crc32(b''.join(self.group.digests()))}|g"
             yield f"replicas.begun:{self.begun}|c"
             yield f"replicas.unexplained:{len(self.group.differ)}|c"
 
     # ---- steps ----
 
     async def _call(self, call: wire.Call) -> Reply:
+        """While nobody leads it waits: that is over in a lease or two, and whoever is refused comes back."""
+        waited: NotTakenError | None = None
         try:
             async with asyncio.timeout(LIMIT.total_seconds()):
-                return await self._routed(call)
+                while True:
+                    try:
+                        return await self._routed(call)
+                    except NotTakenError as error:
+                        waited = error
+                        await asyncio.sleep(WAIT.total_seconds())
+                        waited = None if self._led() else error
         except TimeoutError:
-            raise StoreError("peers: no answer in time") from None
+            raise (waited or StoreError("peers: no answer in time")) from None
+
+    def _led(self) -> bool:
+        now = self._now()
+        return bool(self._place and (self._place.token(now) or self._place.holder(now)))
 
     async def _routed(self, call: wire.Call) -> Reply:
         if self._place is None or self.group is None:
-            raise StoreError("peers: there is no section 'duties'")
+            raise NotTakenError("peers: there is no section 'duties'")
         now = self._now()
         if self._place.token(now):
             return await self._step(call)
         holder = self._place.holder(now)
         if not holder or holder == self._place.me:
-            raise StoreError("peers: nobody leads")
+            raise NotTakenError("peers: nobody leads")
         number = next(self._numbers)
         waiting: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._asked[number] = waiting
@@ -258,7 +283,7 @@
         # The lease may go on under a higher token than the one by which the group was taken over: who leads
         # it is settled there, and the lease only has to run.
         if not self.group.leads or self._place.token(now) is None:
-            raise StoreError("peers: the leader is not ready")
+            raise NotTakenError("peers: the leader is not ready")
         book = GroupBook(self.group)
         reply = self._taken(Steps(book, self._tier, now), call)
         if not book.changes:
--- a/rookwood/replicas/wire.py
+++ b/rookwood/replicas/wire.py
@@ -13,6 +13,7 @@
 from rookwood.replicas.group import (
     Ack,
     Bucket,
+    Drop,
     Fetch,
     Message,
     Prepare,
@@ -20,10 +21,13 @@
     Recover,
     Recovery,
     Refused,
+    Tally,
     Write,
 )
 
-KINDS: tuple[type[Any], ...] = (*(Prepare, Promise, Refused, Fetch, Bucket, Write, Ack, Recover, Recovery),)
+KINDS: tuple[type[Any], ...] = (
+    *(Prepare, Promise, Refused, Fetch, Bucket, Write, Ack, Recover, Recovery, Tally, Drop),
+)
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -3,13 +3,28 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 
 from rookwood.duties.lease import Token
 from rookwood.replicas.explore import MUTANTS, Bounds, BrokenError, Explorer
-from rookwood.replicas.group import Bucket, Entry, Group, Message, Prepare, Refused, Stamp, Write
+from rookwood.replicas.group import (
+    PART,
+    WINDOW,
+    Bucket,
+    Entry,
+    Fetch,
+    Group,
+    Letter,
+    Message,
+    Prepare,
+    Refused,
+    Stamp,
+    Write,
+)
+from rookwood.replicas.registers import mark_of
 
 SLOW = {"the forgetful is counted", "the forgetful is read", "who has started counts at once"}
 SLOW |= {"a new beginning does not say so"}  # to the command alone
@@ -179,7 +194,7 @@
     assert net.until_led().entries["new"].value == b"2"
 
 
-def test_only_buckets_that_differ_are_shipped_and_the_newest_wins() -> None:
+def test_only_what_differs_is_shipped_and_the_newest_wins() -> None:
     one, other = Group("a", "ab", 0), Group("b", "ab", 0)
     entries = [Entry(f"k{n}", Stamp(Token(1, "a", 1), n), b"x") for n in range(500)]
     for group in (one, other):
@@ -188,14 +203,99 @@
     newer = Entry("k7", Stamp(Token(2, "b", 1), 1), b"y")
     other._take([newer])
     differ = [n for n, (a, b) in enumerate(zip(one.digests(), other.digests(), strict=True)) if a != b]
-    assert len(differ) == 1 and newer in other._of(differ[0])
-    one._take(other._of(differ[0]))
+    assert len(differ) == 1
+    marks = one._kept.marks(differ[0])
+    assert other._kept.beyond(differ[0], marks) == ((newer,), (mark_of(entries[7]),)), "it alone"
+    one._take([newer])
     one._take([entries[7]])  # late
     assert one.entries["k7"] == newer and one.digests() == other.digests()
     one._take([replace(newer, value=b"z")])
     assert one.differ == [(newer, replace(newer, value=b"z"))], "one stamp, two values: kept as evidence"
 
 
+def told(
+    groups: dict[str, Group],
+    sender: str,
+    letters: list[Letter],
+    lost: Callable[[str, Message], bool] = lambda name, message: False,
+) -> int:
+    """All is heard, in order, but for what is lost. Returns the most that were asked for at once."""
+    mail, most = [(sender, letter) for letter in letters], 0
+    while mail:
+        most = max(most, sum(isinstance(m, Fetch) for _, (_, m) in mail))
+        sender, (to, message) = mail.pop(0)
+        for name in [to] if to else [n for n in groups if n != sender]:
+            if not lost(name, message):
+                mail += [(name, letter) for letter in groups[name].heard(sender, message)]
+    return most
+
+
+def deaf(who: str) -> Callable[[str, Message], bool]:
+    return lambda name, message: name == who
+
+
+def led(buckets: int = 64) -> dict[str, Group]:
+    groups = {name: Group(name, "abc", 0, buckets) for name in "abc"}
+    for group in groups.values():
+        group.whole = True
+    told(groups, "a", groups["a"].lead(Token(1, "a", 1)))
+    assert groups["a"].leads
+    return groups
+
+
+def test_who_missed_writes_and_drops_finds_them_and_keeps_what_is_newer() -> None:
+    groups = led()
+    a, c = groups["a"], groups["c"]
+    told(groups, "a", a.put({f"k{n}": b"x" for n in range(300)}, 1))
+    told(groups, "a", a.put({f"k{n}": b"y" for n in range(100, 400)}, 2), deaf("c"))
+    told(groups, "a", a.drop([f"k{n}" for n in range(50)]), deaf("c"))
+    stray = Entry("stray", Stamp(Token(0, "b", 1), 9), b"never acknowledged")
+    c._take([stray])
+    question = a.compare()
+    late = a.put({"late": b"z", "k7": b"back"}, 3)  # c hears of these before it is told what the leader had
+    for _, write in late:
+        c.heard("a", write)
+    assert told(groups, "a", question) <= 2 * WINDOW
+    assert c.entries == a.entries and "k0" not in c.entries and "stray" not in c.entries
+    assert c.entries["k7"].value == b"back" and a.digests() == c.digests()
+
+
+def test_who_takes_over_writes_only_what_somebody_lacks() -> None:
+    groups = led()
+    a, b = groups["a"], groups["b"]
+    told(groups, "a", a.put({f"k{n}": b"x" for n in range(300)}, 1))
+    told(groups, "a", a.put({"k7": b"y"}, 2), deaf("b"))
+    told(groups, "a", a.put({"k9": b"y"}, 3), deaf("c"))
+    written = list[Entry]()
+    take = Group._write
+
+    def noted(self: Group, entries: list[Entry], *words: object, **more: bool) -> list[Letter]:
+        written.extend(entries)
+        return take(self, entries, *words, **more)  # type: ignore[arg-type]
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Group, "_write", noted)
+        told(groups, "b", b.lead(Token(2, "b", 1)))
+    assert b.leads and {entry.key for entry in written} <= {"k7", "k9"}
+    assert {"k7", "k9"} & {entry.key for entry in written} and b.entries["k7"].value == b"y"
+
+
+def test_new_beginning_travels_in_parts_and_whoever_has_all_of_them_counts() -> None:
+    groups = led()
+    told(groups, "a", groups["a"].put({f"k{n}": b"x" for n in range(3 * PART)}, 1))
+    for name in "bc":
+        groups[name] = Group(name, "abc", 7)
+    a, b, token = groups["a"], groups["b"], Token(2, "a", 1)
+    told(groups, "a", a.lead(token))
+    assert not a.leads
+    told(groups, "a", a.found(token, {"new": b"1"}), lambda name, m: isinstance(m, Write) and m.part != 2)
+    assert not b.whole and not a.leads and len(b.entries) == PART, "one part of four"
+    told(groups, "a", a.again(), lambda name, m: isinstance(m, Write) and m.part == 0)
+    assert not b.whole and not a.leads, "three of four"
+    told(groups, "a", a.again())
+    assert b.whole and a.leads and b.entries == a.entries
+
+
 def test_strangers_and_what_nobody_asked_for_are_nothing() -> None:
     group = Group("a", "abc", 0)
     write = Write(Token(1, "b", 1), 1, (Entry("k", Stamp(Token(1, "b", 1), 1), b"v"),))
