Keep the peers' store on a clock of its own, so that no wall clock frees a key

Records of the peers' store carried the leader's wall clock: a member that is two hours ahead and leads next found every kept outcome expired and granted the key again, so an unlock could run twice. The store's time now goes on from what the last leader wrote (a register, written with each change and each second) by the monotonic clock of who leads; while nobody leads it stands still, so records only live longer.

Old records are looked at 200 a tick, not all at once, which at 100,000 would halt a member for longer than a lease.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -383,16 +383,16 @@
 
 @experiment.command("replicas", epilog=CODES)
 @click.option("--nodes", default=5, show_default=True, help="Processes.")
-@click.option("--unlocks", default=10_000, show_default=True, help="Unlocks, each with a key of its own.")
-@click.option("--rate", default=120.0, show_default=True, help="Unlocks a second.")
+@click.option("--unlocks", default=3_000, show_default=True, help="Unlocks, each with a key of its own.")
+@click.option("--rate", default=50.0, show_default=True, help="Unlocks a second.")
 @click.option("--seed", default=1, show_default=True, help="For troubles and clients.")
 @click.option(
     "--faults",
-    default="kill,stop,term,cut,one-way,half,partial,loss,delay",
+    default="kill,stop,term,cut,one-way,half,partial,loss,delay,clock",
     show_default=True,
     help="Of which kinds, one after the other; empty: none.",
 )
-@click.option("--lease-ms", default=200, show_default=True, help="Length of a lease.")
+@click.option("--lease-ms", default=400, show_default=True, help="Length of a lease.")
 @click.option("--store", default="peers", show_default=True, help="peers, redis (a stand-in) or sqlite.")
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
--- a/rookwood/lab/nodes.py
+++ b/rookwood/lab/nodes.py
@@ -18,6 +18,19 @@
 LISTEN, MGMT, LINK, DUTIES = 3000, 9901, 7443, 7444  # ports of every node
 
 
+# The one place where the program reads the wall clock for what it decides.
+AHEAD = """
+import datetime, runpy
+from rookwood.net import clock
+class Wrong(datetime.datetime):
+    @classmethod
+    def now(cls, tz=None):
+        return datetime.datetime.now(tz) + datetime.timedelta(seconds={})
+clock.datetime = Wrong
+runpy.run_module("rookwood", run_name="__main__")
+"""
+
+
 @dataclass(slots=True, eq=False)
 class Node:
     """One dispatcher process."""
@@ -31,6 +44,7 @@
     mgmt: int = MGMT
     old: subprocess.Popen[bytes] | None = None  # amid an upgrade: the process before
     dead_until: float = 0.0  # by the event loop's clock
+    ahead: float = 0.0  # seconds that its wall clock is, from its next start on
 
     def start(self, log: Path) -> None:
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("PROXY_", "ROOKWOOD_", "TMPDIR"))}
@@ -41,7 +55,7 @@
             environ["ROOKWOOD_CONF"] = str(self.conf)
         with log.open("ab") as out:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "rookwood"],
+                [sys.executable, *(["-c", AHEAD.format(self.ahead)] if self.ahead else ["-m", "rookwood"])],
                 env=environ,
                 stdout=out,
                 stderr=out,
--- a/rookwood/replicas/peers.py
+++ b/rookwood/replicas/peers.py
@@ -36,7 +36,7 @@
 DUTY = "claims"
 BUCKETS = 256  # of keys: what differs is shipped by these
 RUN_ID = "peers"  # there is no server whose restart could lose anything: a generation tells of that
-MARK, MEMBERS, RECORD = "mark", "members", "r:"
+MARK, MEMBERS, CLOCK, RECORD = "mark", "members", "clock", "r:"
 AGAIN = timedelta(milliseconds=40)  # until what has no majority yet is said once more
 LIMIT = timedelta(milliseconds=400)  # of a step, its way to the leader and back included
 WAIT = timedelta(milliseconds=15)  # until a step that met no leader is tried again
@@ -44,7 +44,7 @@
 ALONE = timedelta(seconds=1)  # a majority answers and is not whole: then the group begins anew
 COMPARED = timedelta(seconds=1)  # between two looks for what a member has missed
 OLD = timedelta(seconds=10)  # between two looks for records that nobody asks for any more
-MOST_OLD = 5_000  # that are let go of at one look
+LOOKED = 200  # records that are looked at in one tick
 
 
 class Place(Protocol):
@@ -107,6 +107,8 @@
         self._busy: dict[str, asyncio.Future[bool]] = {}  # keys whose last write does not count yet
         self._tasks: set[asyncio.Task[None]] = set()
         self._again = self._swept = self._compared = now()
+        self._to_look: list[str] = []  # records, for their age
+        self._base: tuple[Token, bool, datetime, datetime] | None = None  # whose, here, and the store's time
         self._leading: Token | None = None
         self._since = now()  # that it leads, or tries to
         self.begun = 0  # new beginnings
@@ -146,10 +148,15 @@
         if now - self._compared >= COMPARED:
             self._compared = now
             self._send(self.group.compare())
-        if now - self._swept >= OLD:
-            self._swept = now
-            if self.group.leads and token:
-                self._sweep(now)
+            if self.group.leads and token:  # so that it goes on from here, whoever leads next
+                time = wire.time_of(self._time(now))
+                self._send(self.group.put({CLOCK: time}, next(self._numbers)))
+        if not (self.group.leads and token):
+            self._to_look.clear()
+        elif self._to_look:
+            self._sweep(self._time(now))
+        elif now - self._swept >= OLD:
+            self._swept, self._to_look = now, [key for key in self.group.entries if key.startswith(RECORD)]
         self._settle()
 
     def _found(self, token: Token, now: datetime) -> None:
@@ -157,7 +164,7 @@
         old = GroupBook(self.group).mark()
         values = {}
         if old:
-            mark = new_mark(old, secrets.token_hex(8), RUN_ID, old.count, now)
+            mark = new_mark(old, secrets.token_hex(8), RUN_ID, old.count, self._time(now))
             values = {MARK: wire.mark_of(mark), MEMBERS: wire.members_of({})}
         letters = self.group.found(token, values)
         if letters or self.group.leads:
@@ -165,13 +172,26 @@
             log.warning("no majority remembers: the registers begin anew", token=token.term)
         self._send(letters)
 
-    def _sweep(self, now: datetime) -> None:
+    def _time(self, now: datetime) -> datetime:
+        """The store's own clock: it goes on from when a leader last wrote, by the monotonic clock of who
+        leads, so wall clocks may be wrong. While nobody leads it stands, so records only live longer."""
         assert self.group
-        book, old = GroupBook(self.group), list[str]()
-        for key, entry in self.group.entries.items():
-            if key.startswith(RECORD) and entry.value and not life.live(book.get(key[len(RECORD) :]), now):
-                old.append(key)
-        self._send(self.group.drop(old[:MOST_OLD]))
+        token, leads, base = self.group.promised, self.group.leads, self._base
+        if base is None or base[:2] != (token, leads):
+            last = self.group.entries.get(CLOCK)
+            time = wire.time_from(last.value) if last else now
+            if base and base[0] == token:
+                time = max(time, base[3] + (now - base[2]))
+            base = self._base = (token, leads, now, time)
+        return base[3] + (now - base[2])
+
+    def _sweep(self, time: datetime) -> None:
+        """A few at a time: all of a hundred thousand would halt it for longer than a lease."""
+        assert self.group
+        some, self._to_look = self._to_look[:LOOKED], self._to_look[LOOKED:]
+        entries = [entry for key in some if (entry := self.group.entries.get(key)) and entry.value]
+        old = [e.key for e in entries if not life.live(wire.record_from(e.value), time)]
+        self._send(self.group.drop(old))
 
     def _settle(self) -> None:
         """Whoever waits for a write hears of it."""
@@ -285,9 +305,11 @@
         if not self.group.leads or self._place.token(now) is None:
             raise NotTakenError("peers: the leader is not ready")
         book = GroupBook(self.group)
-        reply = self._taken(Steps(book, self._tier, now), call)
+        time = self._time(now)
+        reply = self._taken(Steps(book, self._tier, time), call)
         if not book.changes:
             return reply
+        book.changes[CLOCK] = wire.time_of(time)
         ticket = next(self._numbers)
         waiting = self._writes[ticket] = asyncio.get_running_loop().create_future()
         if key:
--- a/rookwood/replicas/wire.py
+++ b/rookwood/replicas/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import datetime
 from typing import Any
 
 import msgspec
@@ -100,6 +101,15 @@
     return found
 
 
+def time_of(time: datetime) -> bytes:
+    return _encode(time)
+
+
+def time_from(data: bytes) -> datetime:
+    found: datetime = _decoded(data, datetime)
+    return found
+
+
 def mark_of(mark: Mark) -> bytes:
     return _encode(mark)
 
