Tell which copies of the claims differ, verify them by a command, and measure catching up

`rookwood replicas` and `replicas verify` (exit 3 where one write has two values): a member counts the parts in which it differs from the leader each time the leader tells its digests, in order with the writes, so the answer holds amid traffic too. Among three processes: a kept result outlives the leader that kept it, at both others, run once, and who returns is found equal.

A takeover no longer sorts all registers to write the few that somebody lacks.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -216,6 +216,28 @@
     _site("members", places, watch)
 
 
+@main.group("replicas", epilog=CODES, invoke_without_command=True)
+@AT
+@WATCH
+@click.pass_context
+def replicas_(context: click.Context, places: tuple[str, ...], watch: float) -> None:
+    """Who keeps which copy of the claims (`store { peers yes }`), and what differs from the leader's.
+
+    Ends with 3 where a member has met two values of one write.
+    """
+    context.obj = places
+    if context.invoked_subcommand is None:
+        _site("replicas", places, watch)
+
+
+@replicas_.command("verify", epilog=CODES)
+@click.option("--seconds", default=5.0, show_default=True, help="Until copies that differ must be equal.")
+@click.pass_obj
+def verify(places: tuple[str, ...], seconds: float) -> None:
+    """Ask all members and wait until each finds its copy equal to the leader's; tell what differs."""
+    _site("verify", places, seconds)
+
+
 @main.group(epilog=CODES)
 def experiment() -> None:
     """Measure something; --json FILE keeps the figures with settings and version."""
@@ -418,6 +440,19 @@
     sys.exit(run_replicas(Plan(nodes, unlocks, rate, seed, chosen, lease_ms, store), json_file))
 
 
+@experiment.command("catch-up", epilog=CODES)
+@click.option("--records", default=100_000, show_default=True, help="Registers of each member.")
+@click.option("--differ", default=1_000, show_default=True, help="Registers that one has missed.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def catch_up(records: int, differ: int, json_file: Path | None) -> None:
+    """What it costs to bring a member's registers up to date: cut off, started anew, and about to lead."""
+    from rookwood.lab.catchup import run_catchup
+
+    sys.exit(run_catchup(records, differ, json_file))
+
+
 @experiment.command("claims", epilog=CODES)
 @click.option(
     "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
--- a/rookwood/cli/site.py
+++ b/rookwood/cli/site.py
@@ -142,6 +142,76 @@
     return code
 
 
+def replicas(places: Sequence[str], watch: float) -> int:
+    return _again(watch, lambda: _replicas(places))
+
+
+def _copies(places: Sequence[str]) -> tuple[list[dict[str, Any]], int]:
+    found, code = list[dict[str, Any]](), 0
+    for place, answer in _asked(places, "/ops/replicas"):
+        if isinstance(answer, str):
+            click.echo(f"{place}: {answer.replace('duties', 'store on its peers')}", err=True)
+            code = FAILED
+        else:
+            found.append(answer)
+    return found, code
+
+
+def _replicas(places: Sequence[str]) -> int:
+    found, code = _copies(places)
+    head = ("MEMBER", "COUNTS", "LEADER", "TERM", "REGISTERS", "PENDING", "DIFFER", "DIGEST", "BEGUN")
+    rows: list[Sequence[object]] = [head]
+    for a in found:
+        leader = f"{a['leader']}{' (here)' if a['leads'] else ''}" or "-"
+        counts = "yes" if a["whole"] else "not yet"
+        behind = "-" if a["leads"] else a["behind"]
+        row = (a["me"], counts, leader, a["term"], a["registers"], a["pending"], behind, a["digest"])
+        rows.append((*row, a["begun"]))
+    if found:
+        click.echo(table(rows))
+    return max(code, _unexplained(found))
+
+
+def _unexplained(found: Sequence[dict[str, Any]]) -> int:
+    for a in found:
+        for one in a["unexplained"]:
+            both = " and ".join(value[:40] for value in one["values"])
+            click.echo(f"{a['me']}: {one['key']} at {one['stamp']} has two values: {both}", err=True)
+    return BROKEN if any(a["unexplained"] for a in found) else 0
+
+
+def verify(places: Sequence[str], seconds: float) -> int:
+    """Each member must find itself equal to the leader at a look that comes after the question."""
+    first, code = _copies(places)
+    if code or not first:
+        return FAILED
+    before = {a["me"]: a["compared"] for a in first}
+    until = time.monotonic() + seconds
+    while True:
+        found, code = _copies(places)
+        late = [a for a in found if not a["leads"] and not (a["compared"] > before.get(a["me"], 0))]
+        differ = [a for a in found if not a["leads"] and a["behind"]]
+        unsound = [a for a in found if not a["whole"]]
+        leaders = sum(a["leads"] for a in found)
+        if code or (leaders == 1 and not (late or differ or unsound)) or time.monotonic() > until:
+            break
+        time.sleep(0.2)
+    for a in unsound:
+        click.echo(f"{a['me']} does not count: it has not recovered yet", err=True)
+    for a in differ:
+        click.echo(f"{a['me']} differs from {a['leader']} in {a['behind']} of 256 buckets", err=True)
+    for a in (a for a in late if a not in unsound):
+        click.echo(f"{a['me']} has not heard what the leader has", err=True)
+    if leaders != 1:
+        click.echo(f"{leaders or 'none'} of those asked lead", err=True)
+    worst = _unexplained(found)
+    if not worst and (code or late or differ or unsound or leaders != 1):
+        return code or FAILED
+    if not worst:
+        click.echo(f"{len(found)} members have the same {found[0]['registers']} registers")
+    return worst
+
+
 def release(places: Sequence[str], name: str) -> int:
     """Whoever of them holds it."""
     told = "nobody was asked"
--- a/rookwood/duties/front.py
+++ b/rookwood/duties/front.py
@@ -116,6 +116,8 @@
         core.destinations.advisers.append(self.site.trial.since)
         core.calls[b"GET", b"/ops/duties"] = self._told_duties
         core.calls[b"GET", b"/ops/members"] = self._told_members
+        if self._rider:
+            core.calls[b"GET", b"/ops/replicas"] = self._told_replicas
         core.calls[b"POST", b"/ops/roll/start"] = self._roll
         core.calls[b"POST", b"/ops/roll/stop"] = self._roll_stop
         for duty in duties:
@@ -409,6 +411,9 @@
         told = {"me": self.board.me, "health": self.members.health, "members": rows}
         return Answer(200, json.dumps(told).encode() + b"\n")
 
+    def _told_replicas(self) -> Answer:
+        return Answer(200, json.dumps(self._rider.told()).encode() + b"\n")
+
     def _figures(self) -> Iterator[str]:
         now = self._clock.now()
         yield f"duties.members_heard:{self._links.up}|g"
--- a/rookwood/replicas/group.py
+++ b/rookwood/replicas/group.py
@@ -170,6 +170,7 @@
             tuple[int, bool]
         ] = []  # tickets, and whether their writes count; taken out by the owner
         self.differ: list[tuple[Entry, Entry]] = []  # one stamp, two values: no rule explains it
+        self.compared, self.behind = 0, 0  # times that the leader's digests came; buckets that differed last
         self._nonce = nonce
         self._serial = self._number = 0
         self._pending: dict[int, Pending] = {}
@@ -296,7 +297,8 @@
         if take.founds is not None:
             self._take(self._stamped(take.founds))
         new = take.founds is not None
-        entries = [e for key, e in sorted(self.entries.items()) if new or key in take.changed]
+        keys = sorted(self.entries) if new else sorted(take.changed & self.entries.keys())
+        entries = [self.entries[key] for key in keys]
         self.whole, self._recovering = True, None
         return self._write(entries, ticket=0, found=new, confirms=True)
 
@@ -427,6 +429,7 @@
             case Tally(token, digests):
                 if token == self.promised and sender == token.holder and self.whole:
                     self._mirror = self._differing(digests)
+                    self.compared, self.behind = self.compared + 1, len(self._mirror)
                     return self._fetches(token, sender, self._mirror)
             case Drop(token, serial, keys):
                 if token == self.promised and sender == token.holder:
--- a/rookwood/replicas/peers.py
+++ b/rookwood/replicas/peers.py
@@ -18,7 +18,7 @@
 import zlib
 from collections.abc import Callable, Iterator, Mapping
 from datetime import datetime, timedelta
-from typing import Protocol
+from typing import Any, Protocol
 
 import structlog
 
@@ -244,6 +244,29 @@
             said = StoreSaid(number, b"", "failed")
         self._place.send(sender, said)
 
+    def told(self) -> dict[str, Any]:
+        """For the second address: this member's copy."""
+        group = self.group
+        if group is None:
+            return {}
+        return {
+            "me": group.me,
+            "whole": group.whole,
+            "leads": group.leads,
+            "leader": group.promised.holder,
+            "term": group.promised.term,
+            "registers": len(group.entries),
+            "pending": group.pending(),
+            "compared": group.compared,
+            "behind": group.behind,
+            "digest": f"{zlib.crc32(b''.join(group.digests())):08x}",
+            "begun": self.begun,
+            "unexplained": [
+                {"key": one.key, "stamp": str(one.stamp), "values": [one.value.hex(), other.value.hex()]}
+                for one, other in group.differ
+            ],
+        }
+
     def figures(self) -> Iterator[str]:
         if self.group:
             yield f"replicas.whole:{int(self.group.whole)}|g"
--- a/tests/test_ground.py
+++ b/tests/test_ground.py
@@ -15,18 +15,18 @@
 from rookwood.cli import site
 from rookwood.conf import ConfError, load
 from rookwood.lab.ground import Ground, Witness
-from rookwood.lab.nodes import LISTEN, tried
+from rookwood.lab.nodes import LISTEN, answered, tried
 
 LIMIT = 30.0  # seconds until a step is called hung
 
 
 @contextlib.asynccontextmanager
 async def ground(
-    count: int = 3, lease_ms: int = 1500, boxes: int = 0, listed: int = 0
+    count: int = 3, lease_ms: int = 1500, boxes: int = 0, listed: int = 0, store: str = ""
 ) -> AsyncIterator[tuple[Ground, Witness]]:
     """A lease is far longer than a busy machine halts a process. `listed`: members at first, if not all."""
     made = Ground(count, seed=1, lease_ms=lease_ms, boxes=boxes)
-    made.listed = made.names[: listed or count]
+    made.listed, made.store = made.names[: listed or count], store
     try:
         await made.start()
         await made.witness.next_holder("", LIMIT)
@@ -247,6 +247,54 @@
     asyncio.run(asyncio.wait_for(story(), 4 * LIMIT))
 
 
+def test_kept_result_outlives_the_leader_of_its_copies_and_who_returns_has_it(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def story() -> None:
+        async with ground(boxes=1, store="peers yes\nlease 2s\nretry-window 1s") as (g, _):
+            places = [f"{node.host}:{node.mgmt}" for node in g.nodes.values()]
+            found, leader, tries = (0, dict[str, str](), ""), "", itertools.count()
+
+            async def unlocked(name: str, job: str) -> bool:
+                """Amid a new beginning or a change of leader it is refused, and asked for again."""
+                nonlocal found
+                words = (f"{job}.{next(tries)}", f'"{job}"', 0.01, 1.0)
+                found = await answered(g.nodes[name].host, LISTEN, "chapter-unlock", *words)
+                return found[0] == 200
+
+            async def leading() -> bool:
+                nonlocal leader
+                for name in g.names:
+                    if await figure(g, name, "replicas.leads") == 1:
+                        leader = name
+                return bool(leader)
+
+            await until(lambda: unlocked(g.names[0], "one"))
+            first = found[2]
+            await until(leading)
+            others = [name for name in g.names if name != leader]
+            g.kill(leader)
+            for name in others:
+                await until(lambda name=name: unlocked(name, "one"))  # type: ignore[misc]
+                assert found[2] == first and found[1]["idempotency-replayed"] == "true"
+            assert g.ledger.runs["one"] == 1
+            assert await asyncio.to_thread(site.verify, places, 0.0) == 1
+            gone = leader
+            await g.again(gone)
+            await until(lambda: whole(g, gone))
+            assert await asyncio.to_thread(site.verify, places, LIMIT) == 0
+            assert "3 members have the same" in capsys.readouterr().out
+            assert await asyncio.to_thread(site.replicas, places, 0.0) == 0
+            rows = [line.split() for line in capsys.readouterr().out.splitlines()]
+            assert [row[1] for row in rows] == ["COUNTS", "yes", "yes", "yes"]
+
+    asyncio.run(asyncio.wait_for(story(), 5 * LIMIT))
+
+
+async def whole(g: Ground, name: str) -> bool:
+    return await figure(g, name, "replicas.whole") == 1
+
+
 def test_holder_that_drains_or_is_upgraded_hands_its_duty_on_and_comes_back() -> None:
     async def story() -> None:
         async with ground() as (g, w):
