Say that the registers began anew also where who begins them has nothing of its own

Found by reading, then by a test on the stores: a claim acknowledged by a and b; a dies, b starts anew with everything forgotten, leads and, since no majority is whole, begins the registers anew with what c has left. The mark of a new history was made from b's own copy, which was empty, before c's was read, so c's old mark stayed: trusted, its window long over. The claim's key was free at once, and the unlock could run twice. `replicas.md` promised that keys without a record are refused for the window.

The exploration missed it since its beginning always says that it is new; the hole was in the store's use of it.

--- a/rookwood/replicas/explore.py
+++ b/rookwood/replicas/explore.py
@@ -26,6 +26,10 @@
 CLAIMS, SETTLES = 1, 2  # tickets
 
 
+def _new() -> dict[str, bytes]:
+    return {NEW: b"1"}
+
+
 class BrokenError(Exception):
     def __init__(self, why: str, trace: list[str]) -> None:
         super().__init__(f"{why} after: {' > '.join(trace)}")
@@ -148,7 +152,7 @@
                     yield f"{name} leads by {token.term}", self._sent(after, name, "lead", token)
             elif node.promised == token and not node.leads and self.bounds.foundings and not state.founded:
                 after = state.copied(name)
-                letters = after.nodes[name].found(token, {NEW: b"1"})
+                letters = after.nodes[name].found(token, _new)
                 if letters:
                     after.founded += 1
                     yield f"{name} founds", self._posted(after, name, letters)
@@ -283,7 +287,7 @@
 
 
 def _old_beginning(self: Group, token: Token, values: Any) -> list[Letter]:
-    return Group.found(self, token, {})
+    return Group.found(self, token, dict)
 
 
 PARTS = {
--- a/rookwood/replicas/group.py
+++ b/rookwood/replicas/group.py
@@ -21,7 +21,7 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from rookwood.duties.lease import Token
@@ -149,7 +149,7 @@
     wanted: set[tuple[str, int]] = field(default_factory=set)  # buckets that are still to come
     changed: set[str] = field(default_factory=set)  # keys that one of those who are read does not share
     confirming: int = 0  # the write of what was read
-    founds: dict[str, bytes] | None = None  # a new beginning, and what is written with it
+    founds: Callable[[], Mapping[str, bytes]] | None = None  # a new beginning, and what is written with it
 
 
 @dataclass(slots=True)
@@ -263,14 +263,14 @@
             letters += self._fetches(token, name, (n for other, n in take.wanted if other == name))
         return letters
 
-    def found(self, token: Token, values: Mapping[str, bytes]) -> list[Letter]:
+    def found(self, token: Token, values: Callable[[], Mapping[str, bytes]]) -> list[Letter]:
         """No majority is whole, for so long that none will be: begins anew with what is left, in the
-        knowledge that something may be missing, which `values` say. Only while taking over, with a majority
-        that answers."""
+        knowledge that something may be missing, which `values` say. They are asked for once all that is left
+        has been read, since who begins may have nothing. Only while taking over, a majority answering."""
         take = self._takeover
         if take is None or token != self.promised or take.reading or len(take.promises) < self.majority:
             return []
-        take.founds = dict(values)
+        take.founds = values
         return self._asks(token, take, set(take.promises))
 
     def _read(self, token: Token) -> list[Letter]:
@@ -295,7 +295,7 @@
         if take is None or not take.reading or take.wanted or take.confirming:
             return []
         if take.founds is not None:
-            self._take(self._stamped(take.founds))
+            self._take(self._stamped(take.founds()))
         new = take.founds is not None
         keys = sorted(self.entries) if new else sorted(take.changed & self.entries.keys())
         entries = [self.entries[key] for key in keys]
@@ -532,7 +532,7 @@
                 tuple(sorted((n, p.whole, p.digests) for n, p in take.promises.items())),
                 tuple(sorted(take.reading)), tuple(sorted(take.wanted)), tuple(sorted(take.changed)),
                 take.confirming,
-                tuple((take.founds or {}).items()), take.founds is None,
+                take.founds is None,
             ),
             r and (r.nonce, tuple(sorted(r.answers)), r.leader, tuple(sorted(r.wanted))),
         )  # fmt: skip
--- a/rookwood/replicas/peers.py
+++ b/rookwood/replicas/peers.py
@@ -161,11 +161,15 @@
 
     def _found(self, token: Token, now: datetime) -> None:
         assert self.group
-        old = GroupBook(self.group).mark()
-        values = {}
-        if old:
-            mark = new_mark(old, secrets.token_hex(8), RUN_ID, old.count, self._time(now))
-            values = {MARK: wire.mark_of(mark), MEMBERS: wire.members_of({})}
+        generation, self._base = secrets.token_hex(8), None
+
+        def values() -> dict[str, bytes]:
+            assert self.group
+            if (old := GroupBook(self.group).mark()) is None:
+                return {}  # nobody has anything: the first history begins, untrusted
+            mark = new_mark(old, generation, RUN_ID, old.count, self._time(self._now()))
+            return {MARK: wire.mark_of(mark), MEMBERS: wire.members_of({})}
+
         letters = self.group.found(token, values)
         if letters or self.group.leads:
             self.begun += 1
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -109,7 +109,8 @@
     def send(self, to: str | None, frame: Frame) -> None:
         [frame] = Splitter(1 << 20).feed(encoded(frame))
         for name in [to] if to else [name for name in "abc" if name != self.me]:
-            self._peers.stores[name].heard(self.me, frame)
+            if name in self._peers.stores:
+                self._peers.stores[name].heard(self.me, frame)
 
 
 @contextlib.asynccontextmanager
@@ -296,6 +297,42 @@
     play(story())
 
 
+@pytest.mark.parametrize("hours", [-2, 0, 2])
+def test_who_begins_anew_with_nothing_of_its_own_frees_no_key(hours: int) -> None:
+    """A claim that c has not heard of ends with a and the first b; the next b reads only c."""
+
+    async def story() -> None:
+        peers = Peers(Now())
+        watch = await begun(peers.stores["a"])
+        group = peers.stores["c"].group
+        assert group
+        kept, digests = dict(group.entries), group.digests()
+        claimed = (await peers.stores["a"].claim(watch, ask())).said
+        assert claimed and claimed.verdict is Verdict.GRANTED
+        for key in set(group.entries) - set(kept):
+            group._kept.drop(key)
+        for entry in kept.values():
+            group._kept.put(entry)
+        assert group.digests() == digests  # as if it had not heard
+        del peers.stores["a"]
+        peers.ahead["b"] = timedelta(hours=hours)
+        peers.stores["b"] = PeersStore(TIER, partial(peers.at, "b"))
+        peers.stores["b"].bind(Seat(peers, "b"), ("a", "b", "c"))
+        peers.token = Token(9, "b", 2)
+        for _ in range(40):
+            peers.now.at += SECOND / 10
+            peers.tick()
+        assert peers.stores["b"].begun == 1 and peers.stores["b"].whole()
+        reply = await peers.stores["b"].look()
+        assert reply.mark and reply.mark.generation != "g1" and not reply.mark.trusted
+        again = Watch()
+        again.saw(reply.mark)
+        said = (await peers.stores["b"].claim(again, ask(nonce="n2"))).said
+        assert said and said.verdict is Verdict.UNSURE and said.wait > 20 * SECOND
+
+    play(story())
+
+
 @pytest.mark.parametrize("hours", [-2, 2])
 def test_wall_clock_of_who_leads_next_frees_no_key(hours: int) -> None:
     async def story() -> None:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -92,7 +92,7 @@
         for _ in range(200):
             self.run(5)
             node = self.nodes["m0"]
-            self.send("m0", node.found(node.promised, {"new": b"1"}))
+            self.send("m0", node.found(node.promised, lambda: {"new": b"1"}))
             if node.leads and all(n.whole for n in self.nodes.values()):
                 return
         raise AssertionError("no beginning")
@@ -190,7 +190,7 @@
     net.take_over("m1")
     net.run(100)
     assert not net.nodes["m1"].leads and not net.nodes["m2"].whole
-    net.send("m1", net.nodes["m1"].found(net.nodes["m1"].promised, {"new": b"2"}))
+    net.send("m1", net.nodes["m1"].found(net.nodes["m1"].promised, lambda: {"new": b"2"}))
     assert net.until_led().entries["new"].value == b"2"
 
 
@@ -288,7 +288,8 @@
     a, b, token = groups["a"], groups["b"], Token(2, "a", 1)
     told(groups, "a", a.lead(token))
     assert not a.leads
-    told(groups, "a", a.found(token, {"new": b"1"}), lambda name, m: isinstance(m, Write) and m.part != 2)
+    letters = a.found(token, lambda: {"new": b"1"})
+    told(groups, "a", letters, lambda name, m: isinstance(m, Write) and m.part != 2)
     assert not b.whole and not a.leads and len(b.entries) == PART, "one part of four"
     told(groups, "a", a.again(), lambda name, m: isinstance(m, Write) and m.part == 0)
     assert not b.whole and not a.leads, "three of four"
