Judge a reply by what was known when it was asked for, so that no overtaken look begins a history

Ruled out: the lease (handed on in 0.35 s), event loops (none 100 ms late), the store's clock, `no claim` (none in that time). A look that was answered late told of fewer claims than a later claim's reply had by then; `Ledger._judged` compared with what is known now, took the store for one that had lost its memory, and began a new history. All vouched for it, until one of them started anew: from then on every new key was refused for the window.

A reply is now judged by the count that was known when its question left. A test fails without it with the very answer that clients got. Redis is asked over several connections, so this held there too.

--- a/rookwood/ledger/guard.py
+++ b/rookwood/ledger/guard.py
@@ -151,9 +151,9 @@
 
     async def _claim(self, ask: Ask) -> Said:
         for _ in range(ROUNDS):
-            seen = self._watch
+            seen, known = self._watch, self._watch.count
             reply = await self._call(partial(self._store.claim, seen, ask))
-            if not await self._sure(reply, seen):
+            if not await self._sure(reply, seen, known):
                 continue
             said = reply.said or Said(Verdict.UNSURE)
             if said.verdict is Verdict.GRANTED:
@@ -168,9 +168,9 @@
         until, pause = self._clock.now() + ask.lease, 0.02
         while self._clock.now() < until:
             try:
-                seen = self._watch
+                seen, known = self._watch, self._watch.count
                 reply = await self._call(partial(self._store.claim, seen, ask))
-                if await self._sure(reply, seen):
+                if await self._sure(reply, seen, known):
                     if reply.said and reply.said.verdict is Verdict.GRANTED:
                         self.counts["withdrawn"] += 1
                         await self._settle(Held(ask.key, self._granted(ask, reply, reply.said), open=False))
@@ -192,9 +192,9 @@
         until, pause = self._clock.now() + self._tier.window, 0.02
         while self._clock.now() < until:
             try:
-                seen = self._watch
+                seen, known = self._watch, self._watch.count
                 reply = await self._call(partial(self._write, seen, held))
-                if await self._sure(reply, seen):
+                if await self._sure(reply, seen, known):
                     break
             except StoreError:
                 await asyncio.sleep(pause)
@@ -234,25 +234,29 @@
             self._since = reply.now - (self._clock.now() - self._begun)
         return reply
 
-    def _judged(self, reply: Reply) -> History:
-        return History.BROKEN if reply.mark is None else self._watch.judge(reply.run_id, reply.mark)
+    def _judged(self, reply: Reply, known: int) -> History:
+        """By what was known when it was asked for: of two replies the later question's may come first, and
+        the other is no older history for that."""
+        watch = Watch(self._watch.generation, known)
+        return History.BROKEN if reply.mark is None else watch.judge(reply.run_id, reply.mark)
 
-    async def _sure(self, reply: Reply, seen: Watch) -> bool:
+    async def _sure(self, reply: Reply, seen: Watch, known: int) -> bool:
         """True: the reply is of the history that is known here, as it was when the step was sent (`seen`).
         If not, this dispatcher joins the new one, or has meanwhile: the step is to be made again."""
-        if reply.mark and seen is self._watch and self._judged(reply) is History.SAME:
+        if reply.mark and seen is self._watch and self._judged(reply, known) is History.SAME:
             self._watch.saw(reply.mark)
             return True
         async with self._joining:
+            known = self._watch.count
             reply = await self._call(self._store.look)
-            if reply.mark and self._judged(reply) is History.SAME:
+            if reply.mark and self._judged(reply, known) is History.SAME:
                 return False  # joined meanwhile by another request
-            if self._judged(reply) is History.BROKEN:
+            if self._judged(reply, known) is History.BROKEN:
                 before = reply.mark.generation if reply.mark else ""
                 log.warning("store went back in time", was=self._watch.generation, count=self._watch.count)
                 self.counts["histories"] += 1
-                generation, known = secrets.token_hex(8), max(self._known, self._watch.count)
-                reply = await self._call(lambda: self._store.begin(generation, known, before, False))
+                generation, highest = secrets.token_hex(8), max(self._known, self._watch.count)
+                reply = await self._call(lambda: self._store.begin(generation, highest, before, False))
             if reply.mark is None or reply.mark.run_id != reply.run_id:
                 return False
             fresh = Watch()
@@ -279,8 +283,9 @@
         while True:
             await asyncio.sleep(TICK.total_seconds())
             try:
+                seen, known = self._watch, self._watch.count
                 reply = await self._call(self._store.look)
-                await self._sure(reply, self._watch)
+                await self._sure(reply, seen, known)
                 now = self._clock.now()
                 if now - renewed >= self._terms.lease / 3:
                     renewed = now
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -21,6 +21,7 @@
 from rookwood.ledger.life import Phase
 from rookwood.ledger.memory import MemoryStore
 from rookwood.ledger.store import Reply, StoreError, Tier
+from rookwood.ledger.watch import Mark
 from rookwood.net.clock import Clock
 from rookwood.net.endpoints import Outgoing
 from rookwood.net.request import Answer, Course, InboundRequest
@@ -291,6 +292,49 @@
     play(story())
 
 
+def test_looks_that_claims_overtake_are_no_store_that_went_back() -> None:
+    """What a look found comes after the reply to a later claim, which tells of a higher count."""
+
+    class Overtaken(MemoryStore):
+        async def look(self) -> Reply:
+            reply, before = await super().look(), len(served)
+            looks.append(reply)
+            await until(lambda: len(served) > before or bool(done))
+            return reply
+
+    async def story() -> None:
+        clock, tier = Clock(), Tier(1, timedelta(seconds=9))
+        store = Overtaken(tier, clock.now)
+        await store.begin("first", 0, "", True)
+        ledger = Ledger("n0", store, tier, Terms(), clock, frozenset({"unlock"}))
+        ledger._watch.saw(looked(store))
+        await ledger.start()
+        ends = clock.now() + timedelta(seconds=9)
+
+        async def run(course: Course) -> Answer:
+            return Answer(200, b"page")
+
+        for key in (f"k{n}" for n in range(6)):
+            before = len(looks)
+            await until(lambda before=before: len(looks) > before)  # type: ignore[misc]
+            outgoing = Outgoing(key, b"/unlock?k=7", "api", None, b"hello")
+            request = InboundRequest("unlock", ends, 1.0, None, "7", False, outgoing, f'"{key}"')
+            assert (await ledger.served(request, run)).status == 200
+            served.append(key)
+        done.append(True)
+        assert ledger.counts["histories"] == 0 and looked(store).generation == "first"
+        await ledger.close()
+
+    served, looks, done = list[str](), list[Reply](), list[bool]()
+    play(story())
+
+
+def looked(store: MemoryStore) -> Mark:
+    mark = store.book.mark()
+    assert mark
+    return mark
+
+
 def test_claim_whose_reply_was_lost_is_taken_back_and_a_retry_runs() -> None:
     class Losing(MemoryStore):
         lost = False
