Make a step again whose reply was overtaken, since a store put back meanwhile looks alike

Such a reply begins no history now, as it should not, and its step is made again under the newer count, which the store itself checks. The ledger's and the store's tests pass (90).

--- a/rookwood/ledger/guard.py
+++ b/rookwood/ledger/guard.py
@@ -244,8 +244,10 @@
         """True: the reply is of the history that is known here, as it was when the step was sent (`seen`).
         If not, this dispatcher joins the new one, or has meanwhile: the step is to be made again."""
         if reply.mark and seen is self._watch and self._judged(reply, known) is History.SAME:
+            overtaken = reply.mark.count < self._watch.count
             self._watch.saw(reply.mark)
-            return True
+            # A store that was put back while this was out looks the same, so it is asked again either way.
+            return not overtaken
         async with self._joining:
             known = self._watch.count
             reply = await self._call(self._store.look)
