Send nothing to an endpoint once its drain was told, whatever is left of the grace

Cause: `Destinations.accepts` let requests go to a draining or removed endpoint for half the grace after the line had arrived here. The grace runs from when a change counts as told, which may be long before: what a silent agent gets counts at its return, what a process finds counts from its first moment, what a silent watch misses 6 s after it fell silent. A new process that took 0.5 s to hear and a grace of 1 s left nothing.

Change: what was told holds at once, so moments of telling need not be kept.

`test_change_that_was_told_holds_at_once` was seen to fail without it.

--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -126,29 +126,24 @@
         self._first_word = ASKED_LIMIT if asked else max(PAUSE, min(FIRST_WORD_LIMIT, grace / 4))
         self._heard: datetime | None = None  # discovery's last sign of life: the list's age
         self._answered = clock.now()  # when the last call that was answered was
-        self._clock, self._grace, self._apply = clock, grace, apply
+        self._clock, self._apply = clock, apply
         self._discovery, self._started = discovery, False
         self._foreign = False  # the list here came from another discovery
         self._watches: set[asyncio.Task[None]] = set()  # one, and those that are ending
         self._endpoints: dict[str, Endpoint] = {}
-        self._stopped: dict[str, datetime] = {}  # draining or gone since
+        self._stopped = set[str]()  # draining or gone
         # Others know of endpoints here as well, perhaps sooner: since when, by their word.
         self.advisers: list[Callable[[str], datetime | None]] = []
         self.revision = 0
         self.current = asyncio.Event()  # discovery has spoken since the start: the list is no longer old
 
     def update(self, told: DestinationSet, kept: bool = False) -> None:
-        now = self._clock.now()
         named = {endpoint.uid: endpoint for endpoint in told.endpoints}
         for endpoint in named.values():
             self._endpoints[endpoint.uid] = endpoint
-            if endpoint.state is State.UP:
-                self._stopped.pop(endpoint.uid, None)
-            else:
-                self._stopped.setdefault(endpoint.uid, now)
+            (self._stopped.discard if endpoint.state is State.UP else self._stopped.add)(endpoint.uid)
         if told.whole:
-            for uid in self._endpoints.keys() - named.keys():
-                self._stopped.setdefault(uid, now)
+            self._stopped |= self._endpoints.keys() - named.keys()
         self.revision = told.revision
         heeded = tuple(self._heeded(endpoint) for endpoint in told.endpoints)
         self._apply(DestinationSet(told.revision, told.whole, heeded), kept)
@@ -168,10 +163,10 @@
         return self._endpoints[uid].address
 
     def accepts(self, uid: str) -> bool:
-        """Half the grace is kept back: what is written now arrives a little later."""
-        told = [self._stopped.get(uid), *(adviser(uid) for adviser in self.advisers)]
-        stopped = min((since for since in told if since), default=None)
-        return uid in self._endpoints and (stopped is None or self._clock.now() < stopped + self._grace / 2)
+        """No grace: a change may count as told since long before it arrived here, as with an agent or a watch
+        that was silent, or in a process that has just started."""
+        stopped = uid in self._stopped or any(adviser(uid) for adviser in self.advisers)
+        return uid in self._endpoints and not stopped
 
     def start(self) -> None:
         self._started = True
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -109,6 +109,20 @@
     play(story())
 
 
+def test_change_that_was_told_holds_at_once(tmp_path: Path) -> None:
+    """It may have counted as told for long: to an agent that was silent, before this process began."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            assert s.dispatcher._destinations.accepts("s-0")
+            s.discovery.say(2, st.entry("s-0", endpoint.address, "draining"))
+            await until(lambda: s.dispatcher._destinations.revision == 2)
+            assert not s.dispatcher._destinations.accepts("s-0")
+
+    play(story())
+
+
 def test_discovery_that_is_down_holds_up_no_start(tmp_path: Path) -> None:
     """The kept list is enough to be ready; nobody waits for a word."""
 
