Read lists that come indented over several lines of a watch

`Destinations._follow` took each line of a watch for an object, so an indented one broke the watch again and again: `line: not JSON`, and nothing was ever told.

`test_lists_may_come_indented_and_in_pieces` was seen to fail without it.

--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import re
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
@@ -29,6 +30,8 @@
 # silence, a pause, a call that fails, another pause and a call that is answered at once fit into that.
 LONGEST_PAUSE = timedelta(milliseconds=700)
 MAX_LINE = 4 * 1024 * 1024
+LATEST = 2.0**48  # milliseconds, some thousands of years on: a date can hold it
+NESTING = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # a string is one match: what is in it nests nothing
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +233,7 @@
             async with asyncio.timeout(self._first_word.total_seconds()):
                 await self._ask(wire, f"/api/targets?follow=1&since={self.revision}")
             self._answered = self._clock.now()
-            rest = b""
+            rest, gathered = b"", Gathered()
             while True:
                 async with asyncio.timeout(SILENCE_LIMIT.total_seconds()):
                     event = await wire.event()
@@ -238,11 +241,12 @@
                     return
                 self._heard = self._clock.now()
                 *lines, rest = (rest + bytes(event.data)).split(b"\n")
-                for line in filter(None, map(bytes.strip, lines)):
-                    self.update(destination_set_of(Tree(parsed(line))))
-                if not rest:
+                for line in lines:
+                    if whole := gathered.add(line.strip()):
+                        self.update(destination_set_of(Tree(parsed(whole))))
+                if not rest and not gathered.text:
                     self.current.set()
-                if len(rest) > MAX_LINE:
+                if len(rest) + len(gathered.text) > MAX_LINE:
                     raise TooLargeError("discovery sent a line without an end")
         finally:
             await wire.close()
@@ -263,3 +267,21 @@
         return json.loads(line)
     except (ValueError, RecursionError) as error:  # as deep as the sender likes
         raise FaultyKeyError("line", f"not JSON: {error}") from None
+class Gathered:
+    """Lines up to the end of an object: lists may come indented, over several lines."""
+
+    def __init__(self) -> None:
+        self.text, self._depth = b"", 0
+
+    def add(self, line: bytes) -> bytes:
+        """The whole object, once its last line has come. An empty line only says that the watch lives."""
+        if self.text and not line:
+            raise FaultyKeyError("line", "ended amid an object")
+        self.text += line
+        self._depth += sum((found in b"{[") - (found in b"]}") for found in NESTING.findall(line))
+        if self._depth > 0:
+            return b""
+        whole, self.text, self._depth = self.text, b"", 0
+        return whole
+
+
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -123,6 +123,23 @@
     play(story())
 
 
+def test_lists_may_come_indented_and_in_pieces(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            odd = st.entry("a {[\\\" b", endpoint.address)
+            for rev, indent in ((2, 2), (3, None), (4, 1)):
+                told = {"rev": rev, "all": True, "targets": [odd, st.entry("s-0", endpoint.address)]}
+                text = json.dumps(told, indent=indent).encode() + b"\n"
+                for at in range(0, len(text), 50):
+                    s.discovery.lines.put_nowait(text[at : at + 50])
+                s.discovery.lines.put_nowait(b"\n")
+                await until(lambda rev=rev: s.dispatcher._destinations.revision == rev)  # type: ignore[misc]
+            assert len(s.discovery.asked) == 1 and s.dispatcher._destinations.accepts("a {[\\\" b")
+
+    play(story())
+
+
 def test_discovery_that_is_down_holds_up_no_start(tmp_path: Path) -> None:
     """The kept list is enough to be ready; nobody waits for a word."""
 
