Name the key of entries, results and settings that cannot be used

Cause, each by a line scripted in a test: an entry whose `endpoint` is no host:port was taken over and failed attempt by attempt (port 70000: `OverflowError` in `_connect`, an answer 500); `boot_ms` too large and numbers no float can hold ended the watch by an exception without a key (`a change of the destination set failed`); half of a surrogate pair, which JSON can name, was taken as a uid, and as a worker's `result` ended the request by `UnicodeEncodeError` with 500, a defect's answer.

Change: `endpoint_of` checks address and start, `Tree.get` names text that is no Unicode and numbers out of range. The list in force stays, the log names the key, and a worker's spoilt answer is a break of that attempt.

Seen to fail without it: five of the six cases of `test_faulty_list_...` (a line that is cut short was named before), the surrogate's case of `test_spoilt_answer_...`, `test_file_whose_settings_are_faulty_names_the_key`. The other cases of spoilt answers (a line, a head and an answer without an end, interim answers without an end) passed before.

--- a/rookwood/net/config.py
+++ b/rookwood/net/config.py
@@ -10,7 +10,7 @@
 from urllib.parse import quote
 
 from rookwood import interface as api
-from rookwood.net.destinations import Address, DestinationSet, destination_set_of
+from rookwood.net.destinations import Address, DestinationSet, address_of, destination_set_of
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 
 
@@ -43,13 +43,6 @@
     peers: tuple[Address, ...] = ()  # every dispatcher's address, this one's included
 
 
-def address_of(text: str, key: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
-        raise FaultyKeyError(key, f"not host:port: {text!r}")
-    return Address(host.strip("[]"), int(port))
-
-
 def span(tree: Tree, path: str, default: int | None = None) -> timedelta:
     return timedelta(microseconds=tree.get(path, int, default))
 
--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -68,12 +68,24 @@
     endpoints: tuple[Endpoint, ...]
 
 
+def address_of(text: str, key: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise FaultyKeyError(key, f"not host:port: {text!r}")
+    return Address(host.strip("[]"), int(port))
+
+
 def endpoint_of(tree: Tree) -> Endpoint:
-    booted = tree.get("boot_ms", float, 0.0)
+    booted, address = tree.get("boot_ms", float, 0.0), tree.get("endpoint", str)
+    state = tree.word("state", State)
+    if state is not State.REMOVED:  # there is nothing to be reached at what is gone
+        address_of(address, f"{tree.at}.endpoint")
+    if booted > LATEST:
+        raise tree.bad("boot_ms", "out of range")
     return Endpoint(
         uid=tree.get("uid", str),
-        address=tree.get("endpoint", str),
-        state=tree.word("state", State),
+        address=address,
+        state=state,
         zone=tree.get("az", str, ""),
         kind=tree.get("model", str, ""),
         cell=tree.get("pod_group", int, 0),
@@ -262,11 +274,6 @@
             raise ConnectionError("discovery has no list for us")
 
 
-def parsed(line: bytes) -> Any:
-    try:
-        return json.loads(line)
-    except (ValueError, RecursionError) as error:  # as deep as the sender likes
-        raise FaultyKeyError("line", f"not JSON: {error}") from None
 class Gathered:
     """Lines up to the end of an object: lists may come indented, over several lines."""
 
@@ -285,3 +292,8 @@
         return whole
 
 
+def parsed(line: bytes) -> Any:
+    try:
+        return json.loads(line)
+    except (ValueError, RecursionError) as error:  # as deep as the sender likes
+        raise FaultyKeyError("line", f"not JSON: {error}") from None
--- a/rookwood/settings.py
+++ b/rookwood/settings.py
@@ -35,9 +35,17 @@
         if value is None and default is not None:
             return default
         if kind is float and type(value) is int:
-            value = float(value)
+            try:
+                value = float(value)
+            except OverflowError:
+                raise self.bad(path, "out of range") from None
         if type(value) is not kind:
             raise self.bad(path, "missing" if value is None else f"not of type {kind.__name__}")
+        if isinstance(value, str) and not value.isascii():
+            try:
+                value.encode()
+            except UnicodeEncodeError:  # half of a pair, which JSON can name and nobody can pass on
+                raise self.bad(path, "not Unicode") from None
         if isinstance(value, int | float) and value < 0:
             raise self.bad(path, "negative")
         if isinstance(value, float) and not math.isfinite(value):
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from pathlib import Path
@@ -16,8 +17,9 @@
 from rookwood.net import destinations
 from rookwood.net.clock import Clock
 from rookwood.net.destinations import Pace
+from rookwood.settings import FaultyKeyError, Tree, settings_of
 from tests import stage as st
-from tests.stage import Endpoint, stage, until
+from tests.stage import SETTINGS, Endpoint, Script, stage, until
 from tests.test_stories import play
 
 SECOND = timedelta(seconds=1)
@@ -140,6 +142,41 @@
     play(story())
 
 
+def entries(**spoilt: object) -> bytes:
+    told = {"rev": 3, "all": False, "targets": [st.entry("s-9", "127.0.0.1:7") | spoilt]}
+    return json.dumps(told).encode() + b"\n"
+
+
+@pytest.mark.parametrize(
+    ("line", "key"),
+    [
+        (b'{"rev": 3,\n\n', "line"),  # cut short by a sign of life
+        (entries(endpoint="nowhere"), "endpoint"),
+        (entries(endpoint="a:70000"), "endpoint"),
+        (entries(uid="\ud800"), "uid"),
+        (entries(boot_ms=9e99), "boot_ms"),
+        (entries(boot_ms=10**400), "boot_ms"),
+    ],
+)
+def test_faulty_list_is_logged_with_its_key_and_the_list_in_force_stays(
+    tmp_path: Path, line: bytes, key: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            await until(lambda: len(s.discovery.asked) == 1)
+            s.discovery.lines.put_nowait(line)
+            await until(lambda: len(s.discovery.asked) == 2)
+            assert (await s.ask())[0] == 200
+            s.discovery.say(4, st.entry("s-0", endpoint.address))
+            await until(lambda: s.dispatcher._destinations.revision == 4)
+
+    with caplog.at_level(logging.INFO):
+        play(story())
+    (broke,) = [r.getMessage() for r in caplog.records if "the discovery watch broke" in r.getMessage()]
+    assert key in broke and not [r for r in caplog.records if r.levelno >= logging.ERROR]
+
+
 def test_discovery_that_is_down_holds_up_no_start(tmp_path: Path) -> None:
     """The kept list is enough to be ready; nobody waits for a word."""
 
@@ -151,3 +188,45 @@
     play(story())
 
 
+# ---- endpoints ----
+
+
+async def never_ends(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    writer.write(st.HEAD + st.line(request_id, "started"))
+    with contextlib.suppress(ConnectionError):
+        while not writer.transport.is_closing():
+            writer.write(st.line(request_id, "running", share=0.5))
+            await writer.drain()
+            await asyncio.sleep(0)
+    return False
+
+
+SPOILT: list[tuple[Script, int, float]] = [
+    (st.ends("done", result="\ud800"), 502, 8.0),  # half of a pair: no bytes can be made of it
+    (st.answers(st.HEAD + b"50000\r\n" + b"x" * 0x50000 + b"\r\n"), 502, 8.0),  # a line without an end
+    (st.answers(b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 40_000), 502, 8.0),  # a head without an end
+    (st.answers(b"HTTP/1.1 102 Wait\r\n\r\n" * 2000), 504, 0.4),  # and none that is final
+    (never_ends, 504, 0.4),
+]
+
+
+@pytest.mark.parametrize(("script", "status", "timeout"), SPOILT)
+def test_spoilt_answer_costs_its_own_request_alone(
+    tmp_path: Path, script: Script, status: int, timeout: float, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(script, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            assert (await s.ask("/unlock", timeout=timeout))[0] == status
+            assert (await s.ask("/unlock"))[0] == 200
+            assert len(endpoint.seen) == 2
+
+    play(story())
+    assert not [r for r in caplog.records if r.exc_info]  # told of as the endpoint's doing, not as a defect
+
+
+def test_file_whose_settings_are_faulty_names_the_key() -> None:
+    with pytest.raises(FaultyKeyError, match="lanes\\[0\\].name: not Unicode"):
+        settings_of(Tree(SETTINGS | {"lanes": [st.lane("\ud800", "safe")]}))
+
+
