Take a network that is gone under an attempt for a break, not for a defect

Cause: a network that goes away under an open connection (`EHOSTUNREACH`, `ENETUNREACH`) is an `OSError` but no `ConnectionError`; `Endpoints.attempt` and `probe` caught only the latter, so such an attempt ended as a defect of this program: 500, logged with a traceback, and the decisions were told that it was called off.

Change: any error of the network is a break there, and in `Wire.write` nothing written.

`test_network_that_is_gone_under_an_attempt_is_a_break_and_no_defect` (no route) was seen to fail without it.

--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -252,7 +252,7 @@
             if sent and not leased[0].heard:
                 await self._forget(address)  # silent: no other kept connection there is better
             return Result(End.TIMED_OUT if sent else End.NO_CONNECTION)
-        except (ConnectionError, h11.RemoteProtocolError) as error:
+        except (OSError, h11.RemoteProtocolError) as error:
             log.info("%s broke off: %s", address, error)
             if leased[0].heard or leased[0].age is None:
                 return Result(End.RESET)
@@ -319,7 +319,7 @@
         except TimeoutError:
             await self._forget(address)
             return Probed(End.TIMED_OUT)
-        except (ConnectionError, h11.RemoteProtocolError, TooLargeError, FaultyKeyError) as error:
+        except (OSError, h11.RemoteProtocolError, TooLargeError, FaultyKeyError) as error:
             log.info("a probe of %s failed: %s", address, error)
             return Probed(End.RESET)
 
--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -70,7 +70,7 @@
             raise NotWrittenError
         try:
             await self.writer.drain()
-        except ConnectionError as error:
+        except OSError as error:
             raise NotWrittenError from error
 
     def quiet(self) -> bool:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from rookwood.net import destinations
+from rookwood.net import destinations, endpoints
 from rookwood.net.clock import Clock
 from rookwood.net.destinations import Pace
 from rookwood.settings import FaultyKeyError, Tree, settings_of
@@ -225,6 +225,24 @@
     assert not [r for r in caplog.records if r.exc_info]  # told of as the endpoint's doing, not as a defect
 
 
+@pytest.mark.parametrize("error", [OSError(113, "No route to host"), ConnectionResetError()])
+def test_network_that_is_gone_under_an_attempt_is_a_break_and_no_defect(
+    tmp_path: Path, error: OSError, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+
+            async def gone(*words: object) -> endpoints.Result:
+                raise error
+
+            monkeypatch.setattr(s.dispatcher._endpoints, "_answer", gone)
+            assert (await s.ask("/unlock"))[0] == 502
+            assert s.dispatcher._endpoints._count == 0
+
+    play(story())
+
+
 def test_file_whose_settings_are_faulty_names_the_key() -> None:
     with pytest.raises(FaultyKeyError, match="lanes\\[0\\].name: not Unicode"):
         settings_of(Tree(SETTINGS | {"lanes": [st.lane("\ud800", "safe")]}))
