Take a late second answer of a kept connection for nobody's

Cause: while all but the last byte of a request had gone out, for 5 ms, `Endpoints._begin` took whatever came for the start of its answer. The request was then completed and failed, by an id that was another's, as one that may have run, so an unsafe one got 502 though its last byte need never have left; or it was taken for a 500.

Change: on a kept connection such a word ends the connection, and the request goes out whole on another one. The endpoint's trust stays. On a new connection an early answer is read as before.

`test_late_second_answer_is_not_taken_for_the_next_requests` (three forms) was seen to fail without it.

--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -225,13 +225,15 @@
                             return Result(End.NEVER_SENT)
                         data = encoded(connection.wire, request, until - self._clock.now())
                         try:
-                            await self._begin(connection.wire, data[:-1])
-                        except (ConnectionError, NotWrittenError):
+                            early = await self._begin(connection.wire, data[:-1])
+                        except (OSError, NotWrittenError):
                             # It cannot have run. An old connection tells nothing of the endpoint.
                             if connection.age is None:
                                 return Result(End.NO_CONNECTION)
                             await self._broke(connection)
                             continue
+                        if early and connection.age is not None:
+                            continue  # a late word on the request before: it would be taken for an answer
                         if not leaving():
                             return Result(End.NEVER_SENT)
                         sent = True  # from here on a break may come after the last byte
@@ -262,14 +264,16 @@
             log.warning("%s sent a bad line: %s", address, error)
             return Result(End.RESET)
 
-    async def _begin(self, wire: Wire, data: bytes) -> None:
+    async def _begin(self, wire: Wire, data: bytes) -> bool:
         """All but the last byte: a connection that is dead on the other side shows it now, while it is
-        certain that the request has not run."""
+        certain that the request has not run. True: something came on it meanwhile."""
         await wire.write(data)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(HOLD.total_seconds()):
                 if not await wire.fill():
                     raise ConnectionResetError("closed before the request had gone out")
+                return True
+        return False
 
     async def _answer(
         self, connection: Connection, request_id: str, sign: Callable[[Stage], None]
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -191,6 +191,51 @@
 # ---- endpoints ----
 
 
+class Late(Endpoint):
+    """Serves the first request of a connection, and says one thing more as soon as the next one begins."""
+
+    def __init__(self, word: bytes) -> None:
+        super().__init__(st.served)
+        self.word, self.whole = word, 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            _, headers, _ = await st.read_message(reader)
+            self.whole += 1
+            await st.served(self, writer, headers["request-id"])
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.word)
+            await reader.readexactly(5)
+            self.whole += 1
+            await st.served(self, writer, headers["request-id"])
+        writer.close()
+
+
+SECOND_ANSWERS = [
+    st.HEAD + st.line("r1", "done", result="page") + b"0\r\n\r\n",
+    b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+    b"{}\n",
+]
+
+
+@pytest.mark.parametrize("word", SECOND_ANSWERS)
+def test_late_second_answer_is_not_taken_for_the_next_requests(
+    tmp_path: Path, word: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its last byte has not left, so it cannot have run, and goes out whole on another connection."""
+    monkeypatch.setattr(endpoints, "HOLD", timedelta(milliseconds=300))
+
+    async def story() -> None:
+        endpoint = Late(word)
+        async with stage(tmp_path, endpoint) as s:
+            assert [(await s.ask("/unlock"))[0] for _ in range(2)] == [200, 200]
+            assert (endpoint.connections, endpoint.whole) == (2, 2)
+            assert s.dispatcher._decisions._policy.workers["s-0"].trust == 1.0
+
+    play(story())
+
+
 async def never_ends(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
     writer.write(st.HEAD + st.line(request_id, "started"))
     with contextlib.suppress(ConnectionError):
