Ask again right before the first byte whether a repeat's window is still open

Cause: the policy asks for the window of a keyed class when it decides (`policy._repeatable`), and connecting comes after it: up to `connect-timeout`, 150 to 500 ms in the settings here. A repeat decided just inside a window left after its end, when workers no longer drop it: it may run twice.

Change: an `Attempt` carries the end of the window, counted from the first attempt that may have run; right before the first byte it is asked again, and a repeat that is too late goes back unsent.

Seen to fail without it: `test_repeat_whose_window_ends_while_it_connects_is_not_sent` (the clock moves while it connects), `test_window_of_a_repeat_counts_from_the_first_attempt_that_may_have_run`.

--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -63,6 +63,7 @@
     uid: str
     until: datetime
     repeatable: bool  # running it twice would do no harm
+    begin_by: datetime | None = None  # for a repeat of what may have run: the end of its window
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +149,7 @@
         self._attempts = 0
         self._out: tuple[Attempt, datetime] | None = None
         self._settled = False  # the module has let go of the request
+        self._window_ends: datetime | None = None  # once an attempt may have run
 
     def __enter__(self) -> Ticket:
         return self
@@ -197,6 +199,8 @@
         self._settled = self._settled or end is End.SERVED
         latency = micros(self._door.clock.now() - since)
         ending = ENDINGS[end]
+        if end not in NEVER_RAN and not self._window_ends and self._job.job_class in self._door.windows:
+            self._window_ends = since + self._door.windows[self._job.job_class]
         self._door.feed(
             api.Outcome(
                 self._number, attempt.number, attempt.uid, ending, latency, self._settled, figures_of(load)
@@ -211,7 +215,8 @@
                 now = self._door.clock.now()
                 until = now + timedelta(microseconds=timeout) if timeout else self._job.deadline
                 repeatable = self._job.job_class not in self._door.unsafe
-                attempt = Attempt(self._attempts, uid, min(until, self._job.deadline), repeatable)
+                until = min(until, self._job.deadline)
+                attempt = Attempt(self._attempts, uid, until, repeatable, self._window_ends)
                 self._attempts += 1
                 self._out = (attempt, now)
                 self._decided.put_nowait(attempt)
@@ -232,6 +237,10 @@
         self.observed: Callable[[str, End], None] = lambda uid, end: None  # how each attempt ended, and where
         self.tell: Callable[[Sequence[int], Sequence[api.Hint]], None] = lambda to, hints: None
         self.unsafe = frozenset(c.name for c in settings.classes if c.repeat is not api.Repeat.SAFE)
+        # So long after its first attempt a keyed request may be sent again; what is sent takes its time.
+        kept = timedelta(microseconds=2 * settings.tick)
+        keyed = (c for c in settings.classes if c.repeat is api.Repeat.KEYED)
+        self.windows = {c.name: timedelta(microseconds=c.window) - kept for c in keyed}
         self._policy = Policy(settings, seed)
         self._numbers = itertools.count(1)
         self._tickets: dict[int, Ticket] = {}
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -256,12 +256,17 @@
         def sign(stage: Stage) -> None:
             (ticket.started if stage is Stage.STARTED else ticket.moving)()
 
+        def wanted() -> bool:
+            """Asked right before the first byte. Connecting takes a while: by now the endpoint may have been
+            told to drain, or the window for repeats may be over."""
+            in_window = attempt.begin_by is None or self._clock.now() < attempt.begin_by
+            return in_window and self._destinations.accepts(attempt.uid)
+
         return await self._endpoints.attempt(
             request.outgoing,
             self._destinations.address(attempt.uid),
             attempt.until,
-            # Connecting takes a while: by now the endpoint may have been told to drain.
-            still_wanted=lambda: self._destinations.accepts(attempt.uid),
+            still_wanted=wanted,
             sign=sign,
             leaving=course.leaving,
             written=lambda: self._figures.sent(request.job_class),
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -16,6 +16,7 @@
 
 from rookwood.net import destinations, endpoints
 from rookwood.net.clock import Clock
+from rookwood.net.decisions import Attempt, Decisions, End, Job
 from rookwood.net.destinations import Pace
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 from tests import stage as st
@@ -288,6 +289,56 @@
     play(story())
 
 
+def test_repeat_whose_window_ends_while_it_connects_is_not_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Decided within the window, connected after it: endpoints would run it a second time."""
+    roster = st.lane("roster", "keyed", group="all", window=3_000_000)
+
+    async def story() -> None:
+        endpoint = Endpoint(st.breaks, st.served)
+        async with stage(tmp_path, endpoint, settings=SETTINGS | {"lanes": [roster]}) as s:
+            clock, connect, connected = s.dispatcher._clock, s.dispatcher._endpoints._connect, list[str]()
+
+            async def slow(address: str) -> endpoints.Connection:
+                connected.append(address)
+                if len(connected) == 2:
+                    clock._zero -= 3_000_000_000
+                return await connect(address)
+
+            monkeypatch.setattr(s.dispatcher._endpoints, "_connect", slow)
+            status, _, _ = await s.ask("/roster", more=b"Idempotency-Key: k\r\n")
+            assert (status, len(endpoint.seen), len(connected)) == (503, 1, 2)
+
+    play(story())
+
+
+def test_window_of_a_repeat_counts_from_the_first_attempt_that_may_have_run() -> None:
+    async def story() -> None:
+        keyed = st.lane("roster", "keyed", group="zone", window=3_000_000)
+        conf = settings_of(Tree(SETTINGS | {"lanes": [keyed]}))
+        clock = Clock()
+        decisions = Decisions(conf, 1, clock)
+        decisions.update(destinations.destination_set_of(Tree(
+            {"rev": 1, "all": True, "targets": [st.entry(f"s-{n}", "127.0.0.1:9") for n in range(3)]}
+        )))  # fmt: skip
+        begun = clock.now()
+        with decisions.admit(Job("roster", begun + 9 * SECOND, key="7")) as ticket:
+            ends = [End.NO_CONNECTION, End.RESET, End.TURNED_AWAY]
+            found = list[Attempt]()
+            for end in ends:
+                attempt = await ticket.decision()
+                assert isinstance(attempt, Attempt)
+                found.append(attempt)
+                ticket.ended(end)
+        first, second, third = (attempt.begin_by for attempt in found)
+        assert first is None and second is None and third is not None
+        assert begun + 2.9 * SECOND < third <= clock.now() + 3 * SECOND
+        decisions.close()
+
+    play(story())
+
+
 def test_file_whose_settings_are_faulty_names_the_key() -> None:
     with pytest.raises(FaultyKeyError, match="lanes\\[0\\].name: not Unicode"):
         settings_of(Tree(SETTINGS | {"lanes": [st.lane("\ud800", "safe")]}))
