Ask right before the first byte whether the client is still there

Cause: whether a client is still there was known only by the end of `Inbound._gone`'s read, two turns of the event loop after the kernel knew, more when the loop is busy, and not at all where the end stands behind unread bytes. A first or further attempt that was decided in between began all the same: an attempt that begins after the close is a break.

Change: `Wire.left` asks the kernel (`POLLRDHUP`), and the attempt asks it right before its first byte, beside drain and window.

Seen to fail without it: `test_client_that_leaves_right_before_the_first_byte_has_nothing_sent`, for a first and for a second attempt. Three more crossings were ruled out by tests that passed before: a client that leaves while its endpoint is connected to, one whose request waits here, and an attempt called off at each step of its life (nothing leaks).

--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -84,6 +84,15 @@
         # Bytes that asyncio has read already lie in the reader; its own buffer has no public look.
         return not probe.poll(0) and not getattr(self.reader, "_buffer", b"")
 
+    def left(self) -> bool:
+        """The other side has closed, also where that is not read yet, or stands behind bytes that are not."""
+        transport = self.writer.transport
+        if transport.is_closing() or self.reader.at_eof():
+            return True
+        probe = select.poll()
+        probe.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(probe.poll(0))
+
     async def close(self) -> None:
         """Ends both directions at once, and returns when it is done."""
         self.writer.transport.abort()
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -8,6 +8,7 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable, Collection
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 import h11
@@ -220,7 +221,7 @@
                 raise UnfitError(405, "only GET here", allow="GET")
             # The next process has this address as well: whoever asks here asks about both.
             return Answer(200, b"ready\n") if self._service.succeeded else readiness(self._service)
-        request = request_of(taken, self._classes, self._clock)
+        request = replace(request_of(taken, self._classes, self._clock), left=wire.left)
         self._usual.add(wire)
         if self._service.refusing:
             return Answer(503, b"draining\n", self._retry_after)
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -48,6 +48,7 @@
     idempotency_key: str | None = None  # the header as it came
     tenant: str | None = None
     hint: timedelta | None = None  # how long it may run, as its client guesses
+    left: Callable[[], bool] = lambda: False  # its client has gone
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,9 +259,9 @@
 
         def wanted() -> bool:
             """Asked right before the first byte. Connecting takes a while: by now the endpoint may have been
-            told to drain, or the window for repeats may be over."""
+            told to drain, the window for repeats may be over, or the client gone."""
             in_window = attempt.begin_by is None or self._clock.now() < attempt.begin_by
-            return in_window and self._destinations.accepts(attempt.uid)
+            return in_window and self._destinations.accepts(attempt.uid) and not request.left()
 
         return await self._endpoints.attempt(
             request.outgoing,
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import logging
+import socket
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from pathlib import Path
@@ -18,15 +19,142 @@
 from rookwood.net.clock import Clock
 from rookwood.net.decisions import Attempt, Decisions, End, Job
 from rookwood.net.destinations import Pace
+from rookwood.net.endpoints import Endpoints
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 from tests import stage as st
-from tests.stage import SETTINGS, Endpoint, Script, stage, until
+from tests.stage import LIMIT, SETTINGS, Endpoint, Script, stage, until
 from tests.test_stories import play
 
 SECOND = timedelta(seconds=1)
 TOLD = 6 * SECOND  # a change counts as told so long after a silence began, or after discovery was back
 
 
+class Client:
+    """A client that acts within one step of the event loop: its socket blocks, and what it does is done."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port))
+
+    def write(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    async def rest(self) -> bytes:
+        """All that still comes, up to a clean end. A connection that was reset raises."""
+        self.socket.setblocking(False)
+        loop, text = asyncio.get_running_loop(), b""
+        async with asyncio.timeout(LIMIT):
+            while data := await loop.sock_recv(self.socket, 65536):
+                text += data
+        self.socket.close()
+        return text
+
+
+class Recorder(Endpoint):
+    """Never answers; what it was sent, byte by byte."""
+
+    def __init__(self) -> None:
+        super().__init__(st.silent)
+        self.text = b""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                self.text += data
+        self.closed.set()
+        writer.close()
+
+
+# ---- a client that has gone ----
+
+
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_client_that_leaves_right_before_the_first_byte_has_nothing_sent(
+    tmp_path: Path, attempt: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between the decision and the first byte, of a first attempt or a further one."""
+
+    async def story() -> None:
+        first, second = Endpoint(st.ends("returned")), Recorder()
+        peers: list[Endpoint] = [second] if attempt == 1 else [first, second]
+        async with stage(tmp_path, *peers) as s:
+            client, accepts, asked = Client(s.port), s.dispatcher._destinations.accepts, list[str]()
+
+            def leaving(uid: str) -> bool:
+                asked.append(uid)
+                if uid == f"s-{len(peers) - 1}":
+                    client.socket.close()
+                return accepts(uid)
+
+            monkeypatch.setattr(s.dispatcher._destinations, "accepts", leaving)
+            if attempt == 2:  # the other one is chosen once this one has handed the request back
+                s.dispatcher._decisions._policy.workers["s-1"].trust = 0.05
+            client.write(s.request("/unlock"))
+            await until(lambda: client.socket.fileno() == -1)
+            await until(lambda: s.dispatcher._decisions.open == 0)
+            await until(lambda: second.connections == 0 or second.closed.is_set())
+            assert (second.text, len(first.seen)) == (b"", attempt - 1)
+            assert f"s-{len(peers) - 1}" in asked
+
+    play(story())
+
+
+def test_client_that_leaves_while_its_endpoint_is_connected_to_has_nothing_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        recorder, connecting, go_on = Recorder(), asyncio.Event(), asyncio.Event()
+        async with stage(tmp_path, recorder) as s:
+            connect = s.dispatcher._endpoints._connect
+
+            async def held(address: str) -> endpoints.Connection:
+                connecting.set()
+                try:
+                    await go_on.wait()
+                finally:
+                    connecting.clear()
+                return await connect(address)
+
+            monkeypatch.setattr(s.dispatcher._endpoints, "_connect", held)
+            _, writer = await s.connect()
+            writer.write(s.request("/unlock"))
+            await asyncio.wait_for(connecting.wait(), LIMIT)
+            writer.close()
+            await until(lambda: not connecting.is_set())  # called off, not left to come up
+            await until(lambda: s.dispatcher._decisions.open == 0)
+            go_on.set()
+            assert (recorder.connections, s.dispatcher._endpoints._count) == (0, 0)
+
+    play(story())
+
+
+def test_waiting_request_whose_client_left_is_let_go_at_once(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent)
+        async with stage(tmp_path, endpoint) as s:
+            policy = s.dispatcher._decisions._policy
+            busy = [await s.connect() for _ in range(5)]
+            for _, writer in busy:  # more than its slots: one of them waits here
+                writer.write(s.request("/unlock"))
+            await until(lambda: len(endpoint.seen) == 4 and s.dispatcher._decisions.open == 5)
+            (waiting,) = (job for lane in policy.lanes.values() for job in lane)
+            held = next(n for n, (_, w) in enumerate(busy) if f"r{n + 1}" not in seen_ids(endpoint))
+            busy[held][1].close()
+            await until(lambda: s.dispatcher._decisions.open == 4)
+            assert waiting.req.id not in policy.jobs
+            endpoint.resume.set()
+            for n, (reader, _) in enumerate(busy):
+                if n != held:
+                    assert b"late" in await asyncio.wait_for(reader.readuntil(b"late"), LIMIT)
+            assert len(endpoint.seen) == 4
+
+    play(story())
+
+
+def seen_ids(endpoint: Endpoint) -> set[str]:
+    return {headers["request-id"] for headers in endpoint.headers}
+
+
 # ---- discovery ----
 
 
@@ -344,3 +472,27 @@
         settings_of(Tree(SETTINGS | {"lanes": [st.lane("\ud800", "safe")]}))
 
 
+def test_every_part_of_an_attempt_is_released_whatever_ends_it(tmp_path: Path) -> None:
+    """Called off at each step of its life in turn: nothing stays counted, and no connection stays open."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with st.listening(endpoint) as address:
+            clock, after = Clock(), 0
+            while True:
+                pool = Endpoints(clock, SECOND, 60 * SECOND, 4)
+                outgoing = endpoints.Outgoing("a", b"/page", "api", None, b"body")
+                words = (outgoing, address, clock.now() + LIMIT * SECOND, lambda: True, lambda stage: None)
+                task = asyncio.create_task(pool.attempt(*words, lambda: None, True))
+                for _ in range(after):
+                    await asyncio.sleep(0)
+                task.cancel()
+                done = await asyncio.gather(task, return_exceptions=True)
+                await pool.close()
+                assert pool._count == 0 and not pool._settling
+                if not isinstance(done[0], asyncio.CancelledError):
+                    break
+                after += 1
+            assert after > 5 and done[0].end is End.SERVED  # type: ignore[union-attr]
+
+    play(story())
