Notice that a client has gone also behind much that it sent ahead

Cause: `Inbound._gone` stopped listening for good (`asyncio.Event().wait()`) once a client had sent over 16 KiB ahead of its answer, so its end, which stands behind these bytes, was never learned: its request stayed in hand up to its deadline, further attempts began for it, and the requests behind it were served to nobody.

Change: what comes ahead is read to the end. 128 KiB of it are kept for later, out of the memory that bodies in hand share; of more, nothing can be made out, so the connection ends after the answer in hand.

`test_client_that_sent_much_ahead_and_left_is_noticed` (20,000 and 600,000 bytes): the latter was seen to fail without it, the former in a first form passed, since the bytes came with the request, and was changed to send them after it.

--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -32,15 +32,16 @@
         self.http = http
         self.reader, self.writer = reader, writer
         self.heard = next(ORDER)  # the less, the longer it has been still
+        self.flooded = False  # more came than is kept: what follows the message in hand is lost
         # `drain` then waits for the very last byte, which tells "not sent" from "broken after it was sent".
         writer.transport.set_write_buffer_limits(high=0)
 
-    async def fill(self) -> bool:
-        """Reads once; false at the end of the stream."""
+    async def fill(self) -> int:
+        """Reads once; how many bytes, none at the end of the stream."""
         data = await self.reader.read(CHUNK)
         self.http.receive_data(data)
         self.heard = next(ORDER)
-        return bool(data)
+        return len(data)
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         while (event := self.http.next_event()) is h11.NEED_DATA:
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -31,7 +31,7 @@
 WRITE_LIMIT = timedelta(seconds=10)
 LINGER = timedelta(milliseconds=500)  # so that a client still sending can read why it was turned off
 LINGER_BYTES = 512 * 1024  # read and dropped meanwhile; who sends more is cut off
-AHEAD = 16 * 1024  # bytes taken while a request is served; clients send one at a time
+AHEAD = 128 * 1024  # bytes kept of what comes while a request is served; clients send one at a time
 POLL = timedelta(milliseconds=20)
 SETTLE = timedelta(milliseconds=100)
 YOUNG = timedelta(milliseconds=300)
@@ -183,7 +183,7 @@
                 self._figures.ended(class_of(asked, self._classes), answer.status)
         # What cannot be used ends the connection, whatever else waits on it: what follows may be
         # part of it, and who is told no and asks again at once is to pay for a new connection.
-        unfit = taken is None or 400 <= answer.status < 500
+        unfit = taken is None or 400 <= answer.status < 500 or wire.flooded
         close = unfit or self._service.moving or len(self._open) > self.most
         data = encoded(wire, answer, close, bodiless=taken is not None and taken.head.method == b"HEAD")
         async with asyncio.timeout(WRITE_LIMIT.total_seconds()):
@@ -201,7 +201,7 @@
         waiting[wire] = None
         try:
             async with asyncio.timeout(self._clock.seconds_to(until)):
-                return await wire.fill()
+                return await wire.fill() > 0
         except TimeoutError:
             return False
         finally:
@@ -243,11 +243,20 @@
             await asyncio.gather(serving, gone, return_exceptions=True)
 
     async def _gone(self, wire: Wire) -> None:
-        """Ends when the client closes; what it sends ahead is kept for later."""
-        with contextlib.suppress(ConnectionError):
-            while await wire.fill():
-                if len(wire.http.trailing_data[0]) > AHEAD:  # far too much: stop listening
-                    await asyncio.Event().wait()
+        """Ends when the client closes. What it sends ahead is kept for later; what is far too much of that is
+        read all the same, since the end comes behind it, but no request can be made out in it any more."""
+        kept = len(wire.http.trailing_data[0])
+        self._bytes_left -= kept
+        try:
+            with contextlib.suppress(ConnectionError):
+                while not wire.flooded and (size := await wire.fill()):
+                    part = max(0, min(size, self._bytes_left))
+                    kept, self._bytes_left = kept + part, self._bytes_left - part
+                    wire.flooded = part < size or kept > AHEAD
+                while wire.flooded and await wire.reader.read(MAX_BODY):
+                    pass
+        finally:
+            self._bytes_left += kept
 
     async def _linger(self, wire: Wire) -> None:
         """Closing on unread bytes would reset the connection and take the answer along."""
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from rookwood.net import destinations, endpoints
+from rookwood.net import destinations, endpoints, inbound
 from rookwood.net.clock import Clock
 from rookwood.net.decisions import Attempt, Decisions, End, Job
 from rookwood.net.destinations import Pace
@@ -68,6 +68,30 @@
 # ---- a client that has gone ----
 
 
+@pytest.mark.parametrize("ahead", [20_000, 600_000])
+def test_client_that_sent_much_ahead_and_left_is_noticed(tmp_path: Path, ahead: int) -> None:
+    """Its end stands behind what it sent, so that is read, though not kept without bound."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            left = s.dispatcher._inbound._bytes_left
+            _, writer = await s.connect()
+            writer.write(s.request("/unlock", timeout=60.0))
+            await until(lambda: len(endpoint.seen) == 1)
+            writer.write(b"x" * ahead)
+            await until(lambda: s.dispatcher._inbound._bytes_left <= left - min(ahead, inbound.AHEAD))
+            assert left - s.dispatcher._inbound._bytes_left <= inbound.AHEAD + 2 * 65536
+            writer.close()
+            await asyncio.wait_for(endpoint.closed.wait(), LIMIT)
+            await until(lambda: not s.dispatcher._inbound._open)
+            assert s.dispatcher._inbound._bytes_left == left
+            assert len(endpoint.seen) == 1
+            assert (await s.ask())[0] == 200
+
+    play(story())
+
+
 @pytest.mark.parametrize("attempt", [1, 2])
 def test_client_that_leaves_right_before_the_first_byte_has_nothing_sent(
     tmp_path: Path, attempt: int, monkeypatch: pytest.MonkeyPatch
