End clients' connections by a shutdown and a last read, so that nothing is cut

Cause, by hooks that act between two lines: `_move` looked whether a resting connection was quiet and then closed it, so a request that came in between was answered by a reset; `_connection` aborted after a last answer, so bytes that came meanwhile reset the connection and could take the answer along; a last answer amid a drain ended the connection though requests sent ahead lay there, taken and unanswered; a wait that ended in the step in which bytes came dropped them; a client accepted between the last look and the close of a process that ends was cut.

Change: there is one end, `_linger`, in one place: shutdown, then read and drop for 0.5 s at most, so nothing unread resets. `_move` wakes the connection's own task, which serves what has come. Requests sent ahead are answered before the connection may end. `Dispatcher.left` looks once more after it stopped listening.

Seen to fail without it: `test_request_that_comes_as_its_resting_connection_ends_...`, `test_requests_sent_ahead_...`, `test_answer_is_not_taken_along_...` (amid a drain; after a 400 it passed before), `test_client_that_comes_as_the_process_has_just_...`. `test_request_that_comes_before_its_resting_connection_ends_is_served` holds the waits' new form and could not run before. Ruled out by a test that passed before: idle clients beyond all descriptors while discovery is away block neither discovery nor endpoints nor the second address (64 descriptors, 120 clients; `Room` keeps as many back as may wait to be closed: spare >= accepts).

--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -257,6 +257,9 @@
         await self._inbound.empty()
         for front in self._fronts:
             await front.empty()
+        await self._inbound.empty()  # who came while the fronts emptied
+        self._inbound.stop()
+        await self._inbound.empty()  # and who was just accepted: from here on nobody comes
 
     async def close(self) -> None:
         await self._handover.close()
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -29,7 +29,7 @@
 FIRST_LIMIT = timedelta(seconds=2.6)
 READ_LIMIT = timedelta(seconds=3)  # for the rest of a later request that has begun, however it trickles in
 WRITE_LIMIT = timedelta(seconds=10)
-LINGER = timedelta(milliseconds=500)  # so that a client still sending can read why it was turned off
+LINGER = timedelta(milliseconds=500)  # so that a client still sending can read its answer
 LINGER_BYTES = 512 * 1024  # read and dropped meanwhile; who sends more is cut off
 AHEAD = 128 * 1024  # bytes kept of what comes while a request is served; clients send one at a time
 POLL = timedelta(milliseconds=20)
@@ -65,8 +65,9 @@
         self._service, self._figures = service, figures
         self._bytes_left = most_bytes  # for the bodies of requests in hand
         self._open: set[Wire] = set()
-        self._idle: dict[Wire, None] = {}  # brought a job before, waits for the next; longest first
-        self._idlers: dict[Wire, None] = {}  # waits, and has brought no job so far
+        # Waiting for a request, longest first, with their time limits: who brought a job before; who did not.
+        self._idle: dict[Wire, asyncio.Timeout] = {}
+        self._idlers: dict[Wire, asyncio.Timeout] = {}
         self._new: dict[Wire, datetime] = {}  # owes its first request until then, longest first
         self._usual: set[Wire] = set()  # has brought a job
         self._dismissed: dict[Wire, None] = {}  # told to go, but still there
@@ -83,11 +84,11 @@
         idle. Nobody is cut off: what has just come in is still served."""
         while True:
             await self._service.until_moving()
-            for wire in (*self._idlers, *self._idle):
+            for wire, limit in (*self._idlers.items(), *self._idle.items()):
                 # A newcomer's first bytes are on their way: closing now would lose its job.
                 young = wire in self._new and self._clock.now() < self._new[wire] - FIRST_LIMIT + YOUNG
-                if not young and wire.quiet():
-                    wire.writer.transport.close()
+                if not (young or limit.expired()):
+                    limit.reschedule(0)  # its own task ends the connection, or finds that a request has come
             await asyncio.sleep(POLL.total_seconds())
 
     def stop(self) -> None:
@@ -121,6 +122,7 @@
                 self._new[wire] = self._clock.now() + FIRST_LIMIT
                 while await self._exchange(wire):
                     wire.http.start_next_cycle()
+                await self._linger(wire)
         except (OSError, NotWrittenError, h11.ProtocolError) as error:
             log.debug("a client's connection broke: %s: %s", type(error).__name__, error)
         except asyncio.CancelledError:
@@ -184,12 +186,11 @@
         # What cannot be used ends the connection, whatever else waits on it: what follows may be
         # part of it, and who is told no and asks again at once is to pay for a new connection.
         unfit = taken is None or 400 <= answer.status < 500 or wire.flooded
-        close = unfit or self._service.moving or len(self._open) > self.most
+        # What a client has sent ahead was taken, so it is answered before the connection may end.
+        close = unfit or ((self._service.moving or len(self._open) > self.most) and wire.quiet())
         data = encoded(wire, answer, close, bodiless=taken is not None and taken.head.method == b"HEAD")
         async with asyncio.timeout(WRITE_LIMIT.total_seconds()):
             await wire.write(data)
-        if unfit:
-            await self._linger(wire)
         return not close and wire.http.our_state is h11.DONE and wire.http.their_state is h11.DONE
 
     async def _begun(self, wire: Wire) -> bool:
@@ -198,12 +199,12 @@
             return True
         until = self._new.get(wire, self._clock.now() + IDLE_LIMIT)
         waiting = self._idle if wire in self._usual else self._idlers
-        waiting[wire] = None
         try:
-            async with asyncio.timeout(self._clock.seconds_to(until)):
+            async with asyncio.timeout(self._clock.seconds_to(until)) as limit:
+                waiting[wire] = limit
                 return await wire.fill() > 0
         except TimeoutError:
-            return False
+            return not wire.quiet()  # it has come in this very moment, and is served
         finally:
             waiting.pop(wire, None)
 
@@ -259,7 +260,8 @@
             self._bytes_left += kept
 
     async def _linger(self, wire: Wire) -> None:
-        """Closing on unread bytes would reset the connection and take the answer along."""
+        """The end of a connection from this side. Closing on unread bytes would reset it and take an answer
+        on its way along; what comes after the shutdown is read, and none of it served."""
         self._dismissed[wire] = None
         try:
             wire.writer.write_eof()
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -7,7 +7,11 @@
 import contextlib
 import json
 import logging
+import os
+import resource
 import socket
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from pathlib import Path
@@ -19,10 +23,12 @@
 from rookwood.net.clock import Clock
 from rookwood.net.decisions import Attempt, Decisions, End, Job
 from rookwood.net.destinations import Pace
+from rookwood.net.dispatcher import Core
 from rookwood.net.endpoints import Endpoints
+from rookwood.net.http1 import Wire
 from rookwood.settings import FaultyKeyError, Tree, settings_of
 from tests import stage as st
-from tests.stage import LIMIT, SETTINGS, Endpoint, Script, stage, until
+from tests.stage import LIMIT, SETTINGS, Endpoint, Script, Stage, Streams, stage, until
 from tests.test_stories import play
 
 SECOND = timedelta(seconds=1)
@@ -65,6 +71,12 @@
         writer.close()
 
 
+def moved_off(s: Stage) -> None:
+    """From now on, as after a drain's notice."""
+    s.dispatcher._service._moves = s.dispatcher._clock.now()
+    s.dispatcher._service._changed.set()
+
+
 # ---- a client that has gone ----
 
 
@@ -179,6 +191,139 @@
     return {headers["request-id"] for headers in endpoint.headers}
 
 
+# ---- the end of a client's connection ----
+
+
+def test_request_that_comes_as_its_resting_connection_ends_is_neither_read_nor_reset(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between the look and the close. It is not served; the client sees a clean end, and sends it anew."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            client = Client(s.port)
+            client.write(s.request())
+            client.socket.settimeout(LIMIT)
+            assert b"page" in await asyncio.to_thread(client.socket.recv, 65536)
+            await until(lambda: len(s.dispatcher._inbound._idle) == 1)
+            quiet, crossed = Wire.quiet, list[bool]()
+
+            def crossing(wire: Wire) -> bool:
+                if (found := quiet(wire)) and wire in s.dispatcher._inbound._open and not crossed:
+                    crossed.append(True)
+                    client.write(s.request())
+                return found
+
+            monkeypatch.setattr(Wire, "quiet", crossing)
+            moved_off(s)
+            assert await client.rest() == b""
+            assert crossed and len(endpoint.seen) == 1
+
+    play(story())
+
+
+def test_request_that_comes_before_its_resting_connection_ends_is_served(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            client = Client(s.port)
+            client.write(s.request())
+            await until(lambda: len(s.dispatcher._inbound._idle) == 1)
+            (wire, limit), *_ = s.dispatcher._inbound._idle.items()
+            client.write(s.request())
+            limit.reschedule(0)  # its time is up in the step in which the bytes are found
+            moved_off(s)
+            assert (await client.rest()).count(b"HTTP/1.1 200") == 2
+
+    play(story())
+
+
+def test_requests_sent_ahead_are_all_answered_before_their_connection_ends(tmp_path: Path) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            client = Client(s.port)
+            client.write(b"".join(s.request() for _ in range(6)))
+            await until(lambda: len(endpoint.seen) == 1)
+            moved_off(s)
+            endpoint.resume.set()
+            text = await client.rest()
+            assert text.count(b"HTTP/1.1 200") == 6 and len(endpoint.seen) == 6
+            assert text.lower().count(b"connection: close") == 1
+
+    play(story())
+
+
+@pytest.mark.parametrize("moving", [False, True])
+def test_answer_is_not_taken_along_by_bytes_that_come_as_its_connection_closes(
+    tmp_path: Path, moving: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After the last answer, before the close: a reset would throw away what is still on its way."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            if moving:
+                moved_off(s)
+            client, write = Client(s.port), Wire.write
+
+            async def crossing(wire: Wire, data: bytes) -> None:
+                await write(wire, data)
+                if data.startswith(b"HTTP/1.1"):
+                    client.write(b"GET /-/ready HT")
+
+            monkeypatch.setattr(Wire, "write", crossing)
+            client.write(s.request() if moving else b"BREW / HTTP/1.1\r\n\r\n")
+            text = await client.rest()
+            assert text.startswith(b"HTTP/1.1 200" if moving else b"HTTP/1.1 400")
+            assert text.count(b"HTTP/1.1") == 1
+
+    play(story())
+
+
+class Emptying:
+    """A front whose last guest goes while a client comes."""
+
+    def __init__(self, core: Core, comes: Callable[[], None]) -> None:
+        self.comes = comes
+
+    def told(self, told: destinations.DestinationSet, kept: bool) -> destinations.DestinationSet:
+        return told
+
+    async def start(self) -> None: ...
+
+    def reload(self) -> None: ...
+
+    def succeeded(self) -> None: ...
+
+    def leave(self) -> None: ...
+
+    async def empty(self) -> None:
+        self.comes()
+
+    async def close(self) -> None: ...
+
+
+def test_client_that_comes_as_the_process_has_just_emptied_gets_its_answer(tmp_path: Path) -> None:
+    async def story() -> None:
+        clients, found = list[Client](), list[Stage]()
+
+        def comes() -> None:
+            clients.append(Client(found[0].port))
+            clients[0].write(found[0].request())
+
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint, fronts=(lambda core: Emptying(core, comes),)) as s:
+            found.append(s)
+            s.dispatcher._service.leave(timedelta(0))
+            await asyncio.wait_for(s.dispatcher.left(), LIMIT)
+            await s.dispatcher.close()
+            assert b"HTTP/1.1 200" in await clients[0].rest()
+
+    play(story())
+
+
 # ---- discovery ----
 
 
@@ -341,6 +486,61 @@
     play(story())
 
 
+def test_idle_crowd_leaves_the_way_to_discovery_endpoints_and_second_address_open(tmp_path: Path) -> None:
+    """More idle clients than there are descriptors, while discovery is away; then it comes back."""
+
+    async def story() -> None:
+        endpoint, newer = Endpoint(st.served), Endpoint(st.ends("done", result="newer"))
+        discovery = st.Discovery()
+        held = list[Streams]()
+        async with contextlib.AsyncExitStack() as stack:
+            for peer in (endpoint, newer):
+                peer.address = await stack.enter_async_context(st.listening(peer))
+            with socket.socket() as probe, socket.socket() as other:
+                probe.bind(("127.0.0.1", 0))
+                other.bind(("127.0.0.1", 0))
+                where, mgmt = probe.getsockname()[1], other.getsockname()[1]
+            listed = [st.entry("s-0", endpoint.address)]
+            changes: dict[str, Any] = {"limits": {"sockets": 64}, "mgmt": f"127.0.0.1:{mgmt}"}
+            environ = os.environ | st.environment(tmp_path, listed, f"127.0.0.1:{where}", **changes)
+            child = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "rookwood"),
+                env=environ,
+                stderr=subprocess.PIPE,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
+            )
+            try:
+                assert child.stderr
+                while b" listens on " not in (text := await child.stderr.readline()):
+                    assert text, "the program ended at once"
+                port = int(text.decode().rsplit(":", 1)[1])
+                s = Stage(None, port, discovery)  # type: ignore[arg-type]
+                for _ in range(120):
+                    held.append(await s.connect())
+                server = await asyncio.start_server(discovery.serve, "127.0.0.1", where)
+                stack.callback(server.close)
+                await until(lambda: len(discovery.asked) == 1)
+                discovery.say(2, st.entry("s-9", newer.address), listed[0] | {"state": "draining"})
+                status, _, body = await s.ask()
+                for _ in range(100):  # until the new list is in force
+                    if body == b"newer":
+                        break
+                    status, _, body = await s.ask()
+                assert (status, body) == (200, b"newer")
+                reader, writer = await asyncio.open_connection("127.0.0.1", mgmt)
+                writer.write(b"GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n")
+                assert (await asyncio.wait_for(reader.read(), LIMIT)).startswith(b"HTTP/1.1 200")
+                writer.close()
+            finally:
+                child.kill()
+                rest = (await child.communicate())[1]
+                for _, writer in held:
+                    writer.transport.abort()
+            assert b"Too many open files" not in rest
+
+    play(story())
+
+
 # ---- endpoints ----
 
 
