Save up no cold budget for a time that a dispatcher has not seen

Change: nothing is saved up for a time that was not seen, only the turn's phase; what is over a window's worth lapses whole; a class is charged as no shorter than the mean until it has ended once.

--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -62,8 +62,7 @@
         self.ring: list[tuple[int, str]] = []  # the one shared order of workers for each key
         self.lanes: dict[Lane, list[Job]] = defaultdict(list)  # held, newest last
         self.turns: dict[int, deque[Job]] = {}  # requests of sequential classes by key, oldest first
-        self.rest_until: dict[int, int] = {}
-        self.owed: dict[tuple[int, int], Job] = {}  # attempts whose outcome is to come
+        self.rest_until, self.owed = dict[int, int](), dict[tuple[int, int], Job]()  # outcomes to come
         self.count: dict[Row, float] = defaultdict(float)  # slot-seconds asked for since the last step
         self.demand: dict[Row, tuple[float, float]] = {}  # level and trend, in slots
         self.table: Table = {}
@@ -121,8 +120,8 @@
         row = (cls.kind or "", group, -1 if req.key is None else req.key)
         lane = (cls.name, self._fairness(req), group)
         need, service = max(req.slots, req.memory or 0.0), self._base(req) * math.exp(self.typical[cls.name])
-        weight, value = need * service * self.mean[cls.name], lane[1] * cls.worth
-        value *= service if self.set.worth_by_work else 1.0
+        weight = max(need * service * self.mean[cls.name], self.weight * (not self.answers[cls.name]))
+        value = lane[1] * cls.worth * (service if self.set.worth_by_work else 1.0)
         job = Job(req, cls, row, lane, need, service, weight, value, self.rng.random())
         # Load shedding: after its wanted time, counted from the first try, an answer is worth nothing.
         slack = cls.aim - self._age(req) + (cls.stretch - 1) * job.service
@@ -306,12 +305,13 @@
         """Own part of a cold worker's budget. All machines read one clock, so parts of less than a job fall
         due in turn. Unused they lapse within the window, else all would spend what they saved at once."""
         rate = COLD_SAFETY * self._budget(w) / self.set.fall_window / self.set.dispatchers
-        whole = self.weight * w.slowness
+        whole = max(1.0, self.weight * w.slowness)
         if w.credit == math.inf and w.info.started_at:
-            turn = (self.set.me * GOLDEN + hashed(w.info.id)[0] / 2**64) % 1.0
-            w.credit, w.credit_at = -turn * whole, min(self.now, w.info.started_at)
+            turn = rate * (self.now - w.info.started_at) / whole
+            turn -= self.set.me * GOLDEN + hashed(w.info.id)[0] / 2**64
+            w.credit, w.credit_at = (turn % 1.0 - 1) * whole, self.now  # none saved up: who sent what?
         w.credit, w.credit_at = w.credit + rate * (self.now - w.credit_at), self.now
-        w.credit -= whole * (w.credit > rate * self.set.fall_window)
+        w.credit -= whole * max(0, math.ceil((w.credit - rate * self.set.fall_window) / whole))
         return w.credit
 
     def _open(self, _: object) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import HealthCheck, Phase, given
 from hypothesis import settings as profile
@@ -224,6 +226,49 @@
     assert len(sent) > 60
 
 
+def started(conf: api.Settings, seed: int, now: int, *listed: api.Worker) -> World:
+    world = World(conf, seed)
+    world.judge_cold = False  # of one dispatcher: judged in sum
+    world.advance(now - world.now)
+    world.list_workers(*listed)
+    return world
+
+
+@pytest.mark.parametrize("age", [0, 2_000 * MS, 4_000 * MS])
+@pytest.mark.parametrize("dispatchers", [3, 12, 30])
+@pytest.mark.parametrize(("aim", "work"), [(300, 300), (80, 300), (10, 100)])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_fleet_that_knows_no_history_pushes_no_cold_worker_over(
+    age: int, dispatchers: int, aim: int, work: int, restarted: bool
+) -> None:
+    """Without messages and probes: who has just started, or is told late, has saved up no budget, and takes
+    classes of which nothing is known yet for no shorter than the mean. Beyond N only chance may come: twice
+    the root of N, and 2. All are started anew amid it, or none."""
+    short = api.JobClass("short", aim * MS, 5_000 * MS, 3.0, api.Repeat.SAFE)
+    long = api.JobClass("long", 300 * MS, 5_000 * MS, 3.0, api.Repeat.SAFE)  # none of it comes
+    conf, born = replace(settings(dispatchers=dispatchers), classes=(short, long), tenants=()), 1_000_000
+    sent = list[tuple[int, str]]()
+    listed = [worker(n, kind="even", started_at=born) for n in range(2)]
+    for me in range(dispatchers):
+        world, out = started(replace(conf, me=me), me, born + age, *listed), list[World]()
+        for key in range(100):
+            if restarted and key == 50:
+                out.append(world)
+                world = started(replace(conf, me=me), me, world.now, *listed)
+            world.ask("short", key=key)
+            world.advance(20 * MS)
+            for number in world.out():
+                if world.now - world.asked[number].tries[-1].sent >= work * MS:
+                    world.end(number, api.Ending.OK)
+        sent += [(t.sent, t.worker) for w in (*out, world) for a in w.asked.values() for t in a.tries]
+    assert len(sent) >= 20
+    for at, name in sent:
+        share = conf.cold_share + (1 - conf.cold_share) * (at - born) / conf.warm_up
+        budget = conf.fall_multiple * share * 4 * conf.fall_window / (work * MS)
+        mine = sum(at - conf.fall_window < t <= at and w == name for t, w in sent)
+        assert mine <= budget + 2 * budget**0.5 + 2
+
+
 def test_empty_fleet_that_comes_back_all_at_once() -> None:
     world = World(settings(dispatchers=20))
     world.list_workers()
