--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -109,11 +109,18 @@
 NEVER_RAN = {"returned", "turned away"}
 
 
+PLAYED = st.lists(st.sampled_from(sorted(SCRIPTS)), min_size=12, max_size=12)
+
+
 @any_number(25)
-@given(told=settings_objects(), names=st.lists(st.sampled_from(sorted(SCRIPTS)), min_size=12, max_size=12))
+@given(told=settings_objects(), names=PLAYED)
 def test_dispatcher_answers_each_request_and_repeats_none_it_must_not(
     told: dict[str, Any], names: list[str]
 ) -> None:
+    answers_each_and_repeats_none(told, names)
+
+
+def answers_each_and_repeats_none(told: dict[str, Any], names: list[str]) -> None:
     async def story(folder: Path) -> None:
         boxes = [Endpoint(*(SCRIPTS[name] for name in names[n::2])) for n in range(2)]
         lanes = [lane | {"give-up": 5 * SECOND} for lane in told["lanes"]]
