Ask again for a change of the list that could not be taken over

Cause, read: `Destinations.update` wrote the new revision down before the decisions had the change. Where taking it over failed by a defect, the watch was opened anew behind it, and the decisions kept an endpoint that drains, or is gone, for good.

Change: the revision is written last. `test_change_that_could_not_be_taken_over_is_asked_for_again` was seen to fail without it.

--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -159,9 +159,9 @@
             (self._stopped.discard if endpoint.state is State.UP else self._stopped.add)(endpoint.uid)
         if told.whole:
             self._stopped |= self._endpoints.keys() - named.keys()
-        self.revision = told.revision
         heeded = tuple(self._heeded(endpoint) for endpoint in told.endpoints)
         self._apply(DestinationSet(told.revision, told.whole, heeded), kept)
+        self.revision = told.revision  # last: what could not be taken over is asked for again
 
     def _heeded(self, endpoint: Endpoint) -> Endpoint:
         if endpoint.state is State.UP and any(adviser(endpoint.uid) for adviser in self.advisers):
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -475,6 +475,33 @@
     assert key in broke and not [r for r in caplog.records if r.levelno >= logging.ERROR]
 
 
+def test_change_that_could_not_be_taken_over_is_asked_for_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A defect at one moment must not leave the decisions with an endpoint that is gone."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            update, failed = s.dispatcher._decisions.update, list[int]()
+
+            def fails_once(told: destinations.DestinationSet, kept: bool) -> None:
+                failed.append(told.revision)
+                if len(failed) == 1:
+                    raise ZeroDivisionError
+                update(told, kept)
+
+            monkeypatch.setattr(s.dispatcher._decisions, "update", fails_once)
+            for asked in (1, 2):
+                await until(lambda asked=asked: len(s.discovery.asked) == asked)  # type: ignore[misc]
+                s.discovery.say(2, st.entry("s-9", endpoint.address))
+            await until(lambda: len(failed) == 2 and s.dispatcher._destinations.revision == 2)
+            assert s.discovery.asked == ["/api/targets?follow=1&since=1"] * 2
+            assert "s-9" in s.dispatcher._decisions._policy.workers
+
+    play(story())
+
+
 def test_discovery_that_is_down_holds_up_no_start(tmp_path: Path) -> None:
     """The kept list is enough to be ready; nobody waits for a word."""
 
