--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -502,6 +502,26 @@
     play(story())
 
 
+def test_drain_told_by_the_discovery_of_a_new_configuration_holds_at_once(tmp_path: Path) -> None:
+    """A reload amid drains: the list stays until the new one speaks; the old one is not heard any more."""
+
+    async def story() -> None:
+        one, two, newer = Endpoint(st.served), Endpoint(st.ends("done", result="two")), st.Discovery()
+        async with stage(tmp_path, one, two) as s, st.listening(newer) as where:
+            watched = s.dispatcher._destinations
+            await until(lambda: len(s.discovery.asked) == 1)
+            host, _, port = where.rpartition(":")
+            s.discovery.say(9, st.entry("s-1", two.address, "draining"))
+            watched.move(destinations.Address(host, int(port)))
+            assert watched.accepts("s-0")
+            newer.say(1, st.entry("s-0", one.address, "draining"), st.entry("s-1", two.address), whole=True)
+            await until(lambda: watched.revision == 1 and not watched._foreign)
+            assert (watched.accepts("s-0"), watched.accepts("s-1")) == (False, True)
+            assert [(await s.ask(f"/unlock?k={n}"))[2] for n in range(4)] == [b"two"] * 4
+
+    play(story())
+
+
 def test_discovery_that_is_down_holds_up_no_start(tmp_path: Path) -> None:
     """The kept list is enough to be ready; nobody waits for a word."""
 
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -151,3 +152,36 @@
             work = sum(when - conf.fall_window < other <= when for other in times) * SECOND / 2
             assert work <= conf.fall_multiple * 4 * warm * conf.fall_window
     assert min(map(len, sends.values())) > 5  # none is left cold by all
+
+
+def test_overload_starves_no_class_and_no_third_of_the_day() -> None:
+    """At 1.6 times what the boxes can do; none is served less than half as well as all together could be."""
+    tier = Tier(dispatchers=10, boxes=15, probes=True, peers=True)
+    tier.tell()
+    asked, name_of, ask = Counter[str](), dict[int, str](), tier.ask
+
+    def counted(n: int, name: str, time: int, slots: int = 1, key: int | None = None) -> None:
+        asked[name] += 1
+        name_of[sum(asked.values())] = name
+        ask(n, name, time, slots, key)
+
+    tier.ask = counted  # type: ignore[method-assign]
+    for name in ("read", "fee", "order"):
+        tier.load(1.6 * 120 / 3, 9 * SECOND, name)
+    tier.run(14 * SECOND)
+    sent = {action.request: when for when, _, action in tier.done if isinstance(action, api.Send)}
+    served = Counter(name_of[request] for request in sent)
+    assert all(served[name] >= asked[name] / 1.6 / 2 for name in asked) and len(asked) == 3
+    thirds = Counter((when - SECOND) // (3 * SECOND) for when in sent.values())
+    assert all(thirds[n] >= 3 * 120 / 2 for n in range(3))
+
+
+@pytest.mark.parametrize("talk", [False, True])
+def test_who_has_just_started_turns_nobody_away_while_there_is_room(talk: bool) -> None:
+    """It knows neither load nor history, and nobody answers it yet."""
+    tier = Tier(dispatchers=40, probes=talk, peers=talk, lost=1.0)
+    tier.tell()
+    for key in range(15):
+        tier.ask(0, "read", SECOND // 2, key=key)
+    tier.run(2 * SECOND)
+    assert (tier.count(api.Send), tier.count(api.Refuse)) == (15, 0)
