--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -209,13 +209,17 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def watch(self) -> None:
+        heard = True
         while True:
             begun, before = self._clock.now(), self._heard
             try:
                 await self._follow()
                 log.info("the discovery watch ended; asking again")
             except (OSError, h11.RemoteProtocolError, TooLargeError, FaultyKeyError) as error:
-                log.warning("the discovery watch broke: %s: %s", type(error).__name__, error)
+                # Tried a few times a second, an outage is told twice: by the watch and a first call in vain.
+                level = logging.WARNING if heard or self._heard is not before else logging.DEBUG
+                words = type(error).__name__, str(error) or "silent"
+                log.log(level, "the discovery watch broke: %s: %s", *words)
             except Exception:
                 log.exception("a change of the destination set failed")
             heard = self._heard is not before
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -361,6 +361,32 @@
         server.close()
 
 
+def test_outage_of_discovery_is_logged_when_it_begins_and_not_at_each_call(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def story() -> None:
+        calls = list[str]()
+
+        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            calls.append((await st.read_message(reader))[0])
+            if len(calls) in (2, 7):
+                writer.write(st.HEAD + b"1\r\n\n\r\n")
+            if len(calls) == 4:
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()  # it takes the call and says nothing
+            writer.close()
+
+        async with watching(agent, grace=SECOND, asked=False):
+            await until(lambda: len(calls) == 9)
+
+    with caplog.at_level(logging.DEBUG):
+        play(story())
+    told = [r.levelno for r in caplog.records if "discovery watch broke" in r.getMessage()]
+    lost, tried = logging.WARNING, logging.DEBUG
+    assert told[:8] == [lost, lost, lost, tried, tried, tried, lost, lost]
+    assert any("broke: TimeoutError: silent" in r.getMessage() for r in caplog.records)
+
+
 def test_what_an_agent_got_while_it_was_silent_is_known_within_the_grace() -> None:
     """It counts at once when the agent is back, though the question that was out then is never answered."""
 
