Spread jobs without a key by chance, since one table for all sent them to the same workers

Cause: `_step` packs the row of all jobs without a key, -1, like a key's: in the one shared order, so every dispatcher's table left the same worker with what was over and the same ones out. And a walk along the ring from a point by chance takes workers by the length of their arcs. Harmless in one dispatcher, harmful in all. Lines: `sure = ...` in `_step`, `start` in `_ordered`.

Change: that row is never in the table but in `rest`, and a walk without a key takes points of the ring by chance, so workers by their size.

--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -257,10 +257,10 @@
 
     def _ordered(self, key: int | None, walk: int = WALK) -> Iterator[State]:
         """Workers in the key's order: along a ring on which each stands by its size."""
-        start = hashed(key)[0] if key is not None else self.rng.getrandbits(64)
-        at, met = bisect.bisect_left(self.ring, (start, "")), set()
-        for n in range(at, at + min(walk, len(self.ring))):
-            name = self.ring[n % len(self.ring)][1]
+        many, met = len(self.ring), set()
+        at = 0 if key is None else bisect.bisect_left(self.ring, (hashed(key)[0], ""))
+        for n in range(at, at + min(walk, many)):
+            name = self.ring[self.rng.randrange(many) if key is None else n % many][1]
             if name not in met:
                 met.add(name)
                 yield self.workers[name]
@@ -494,10 +494,10 @@
                 self.demand[row] = (new, trend)
                 wanted[row] = max(new + trend, new / 2)
         self.count.clear()
-        # Counts are a sample: what may be chance is placed by no table and goes along the ring, as `rest`.
+        # What may be chance, or has no key (one table for all would herd), goes along the ring, as `rest`.
         total = sum(wanted.values())
         error = {row: (total / rate / self.seen) ** 0.5 for row, rate in wanted.items()}  # standard error
-        sure = {row: rate * (1 - error[row]) for row, rate in wanted.items() if error[row] < 0.5}
+        sure = {r: rate * (1 - error[r]) for r, rate in wanted.items() if error[r] < 0.5 and r[2] != -1}
         self.seen *= 1 - SMOOTH
         fit = sorted((w for w in self.workers.values() if sure and w.up), key=lambda w: w.points)  # one order
         size = [self.sizes[w.info.kind] * self._warmth(w) * self._sound(w) for w in fit]
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -154,6 +154,22 @@
     assert min(map(len, sends.values())) > 5  # none is left cold by all
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_jobs_without_a_key_are_spread_evenly_where_nobody_tells_of_load(seed: int) -> None:
+    """Each dispatcher's table held the same few workers for them, and the ring's arcs are unequal."""
+    tier = Tier(dispatchers=60, boxes=100)
+    tier.rng.seed(seed)
+    tier.tell()
+    at = 0.0
+    while (at := at + tier.rng.expovariate(310) * SECOND) < 20 * SECOND:
+        number = tier.rng.randrange(60)
+        tier.at(int(at), lambda n=number: tier.ask(n, "read", int(0.4 * SECOND)))  # type: ignore[misc]
+    tier.run(24 * SECOND)
+    sends = Counter(action.worker for _, _, action in tier.done if isinstance(action, api.Send))
+    mean = sum(sends.values()) / 100
+    assert max(sends.values()) < 1.6 * mean and min(sends.values()) > 0.5 * mean
+
+
 def test_overload_starves_no_class_and_no_third_of_the_day() -> None:
     """At 1.6 times what the boxes can do; none is served less than half as well as all together could be."""
     tier = Tier(dispatchers=10, boxes=15, probes=True, peers=True)
