Count a class that is not known yet as the mean job towards cold workers alone

Cause: the weight that is charged to cold workers for a class of which nothing is known also entered the demand that the table is made of, so a dispatcher that had just started placed its keys on more workers.

Change: demand is counted by expected service, as before.

--- a/rookwood/policy.py
+++ b/rookwood/policy.py
@@ -129,7 +129,7 @@
         self.jobs[req.id] = job
         self.asked[cls.name] += value
         self.weight += FAULT * (job.weight - self.weight)
-        self.count[row] += job.weight / max(job.need, LEAST) * req.slots / SECOND
+        self.count[row] += service * self.mean[cls.name] * req.slots / SECOND
         self.seen += 1
         self.retries = min(RETRY_BURST, self.retries + RETRY_RATIO)
         if cls.sequential and req.key is not None:
