Let the time of a request that was sent ahead run from its last byte, and read a flood in steps

Cause, read: `request_of` counts a request's time from when it is understood, which for one that was sent ahead is after the answers before it, while its last byte came long ago and its client's time has run. It was begun for a client that had given up.

Change: `Wire` keeps when its latest 64 reads came and tells how long the message just read has waited; that is taken off. Whose time is up is refused unsent, 503. What is dropped is read 64 KiB each 2 ms.

`test_time_of_a_request_sent_ahead_runs_from_its_last_byte` was seen to fail without the time, and without the refusal.

--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -6,12 +6,15 @@
 import contextlib
 import itertools
 import select
+from collections import deque
+from datetime import timedelta
 from typing import cast
 
 import h11
 
 MAX_BODY = 64 * 1024
 CHUNK = 64 * 1024
+READS = 64  # whose times are kept; with more of them ahead a message counts as having come later
 
 
 class TooLargeError(Exception):
@@ -33,6 +36,8 @@
         self.reader, self.writer = reader, writer
         self.heard = next(ORDER)  # the less, the longer it has been still
         self.flooded = False  # more came than is kept: what follows the message in hand is lost
+        # So many bytes in all had come by that time of the loop; of the latest reads.
+        self._came = deque([(0, 0.0)], maxlen=READS)
         # `drain` then waits for the very last byte, which tells "not sent" from "broken after it was sent".
         writer.transport.set_write_buffer_limits(high=0)
 
@@ -41,8 +46,16 @@
         data = await self.reader.read(CHUNK)
         self.http.receive_data(data)
         self.heard = next(ORDER)
+        self._came.append((self._came[-1][0] + len(data), asyncio.get_running_loop().time()))
         return len(data)
 
+    def waited(self) -> timedelta:
+        """How long ago the last byte of the message that was just read whole had come."""
+        read = self._came[-1][0] - len(self.http.trailing_data[0])
+        while self._came[0][0] < read:
+            self._came.popleft()
+        return timedelta(seconds=asyncio.get_running_loop().time() - self._came[0][1])
+
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         while (event := self.http.next_event()) is h11.NEED_DATA:
             await self.fill()
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -32,6 +32,7 @@
 LINGER = timedelta(milliseconds=500)  # so that a client still sending can read its answer
 LINGER_BYTES = 512 * 1024  # read and dropped meanwhile; who sends more is cut off
 AHEAD = 128 * 1024  # bytes kept of what comes while a request is served; clients send one at a time
+BREATH = timedelta(milliseconds=2)  # between two reads of what is dropped: 64 KiB each, some 30 MB a second
 POLL = timedelta(milliseconds=20)
 SETTLE = timedelta(milliseconds=100)
 YOUNG = timedelta(milliseconds=300)
@@ -222,7 +223,9 @@
                 raise UnfitError(405, "only GET here", allow="GET")
             # The next process has this address as well: whoever asks here asks about both.
             return Answer(200, b"ready\n") if self._service.succeeded else readiness(self._service)
-        request = replace(request_of(taken, self._classes, self._clock), left=wire.left)
+        request = request_of(taken, self._classes, self._clock)
+        # One that was sent ahead has waited behind the others since its last byte came.
+        request = replace(request, deadline=request.deadline - wire.waited(), left=wire.left)
         self._usual.add(wire)
         if self._service.refusing:
             return Answer(503, b"draining\n", self._retry_after)
@@ -255,7 +258,7 @@
                     kept, self._bytes_left = kept + part, self._bytes_left - part
                     wire.flooded = part < size or kept > AHEAD
                 while wire.flooded and await wire.reader.read(MAX_BODY):
-                    pass
+                    await asyncio.sleep(BREATH.total_seconds())  # however fast it sends, others are served
         finally:
             self._bytes_left += kept
 
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -169,6 +169,8 @@
         self._ids[request_id] = None
         if len(self._ids) > REMEMBERED:
             del self._ids[next(iter(self._ids))]
+        if self._clock.now() >= request.deadline:  # it has waited behind others of its connection
+            return Answer(503, b"too late\n", self._retry_after)
         if course:
             return await self._served(request, course, None)
         if self.claims and self.claims.minds(request):
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -255,6 +255,28 @@
     play(story())
 
 
+def test_time_of_a_request_sent_ahead_runs_from_its_last_byte(tmp_path: Path) -> None:
+    """While it waits behind another its client's patience ends: then it is not begun any more."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.silent, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            client = Client(s.port)
+            client.write(s.request("/unlock"))
+            await until(lambda: len(endpoint.seen) == 1)
+            (wire,) = s.dispatcher._inbound._open
+            before = wire._came[-1]
+            client.write(s.request("/unlock", timeout=3.0) + s.request("/unlock", timeout=8.0))
+            await until(lambda: wire._came[-1] != before)
+            wire._came[-1] = (wire._came[-1][0], wire._came[-1][1] - 4)  # as if it had come 4 s ago
+            endpoint.resume.set()
+            moved_off(s)
+            statuses = [answer[:3] for answer in (await client.rest()).split(b"HTTP/1.1 ")[1:]]
+            assert statuses == [b"200", b"503", b"200"] and len(endpoint.seen) == 2
+
+    play(story())
+
+
 @pytest.mark.parametrize("moving", [False, True])
 def test_answer_is_not_taken_along_by_bytes_that_come_as_its_connection_closes(
     tmp_path: Path, moving: bool, monkeypatch: pytest.MonkeyPatch
