Send small answers at once: the listener names its protocol, so that TCP_NODELAY is set

So every answer to a client went through Nagle's algorithm: a second small write waited for the acknowledgement of the first, and what the system held back went with a close over unread bytes. Connections to endpoints, which asyncio makes by name, had it set. That 'asyncio does it' had been taken as given.

`test_small_writes_are_held_back_on_no_side` failed before (0 on the clients' side).

--- a/rookwood/net/listener.py
+++ b/rookwood/net/listener.py
@@ -15,7 +15,9 @@
 
 
 def bound(address: Address, shared: bool = False) -> socket.socket:
-    listener = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+    # asyncio sets TCP_NODELAY only where the protocol is named, and what is accepted here inherits that name.
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:  # where no running process hands its listener over, a new one can still start beside it
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -304,6 +304,21 @@
     play(story())
 
 
+def test_small_writes_are_held_back_on_no_side(tmp_path: Path) -> None:
+    """What the system still held back would go with a close over unread bytes."""
+
+    async def story() -> None:
+        async with stage(tmp_path, Endpoint(st.served)) as s:
+            streams = await s.connect()
+            assert (await s.exchange(streams, s.request()))[0] == 200
+            (kept,) = (c for idle in s.dispatcher._endpoints._idle.values() for c in idle)
+            for wire in (*s.dispatcher._inbound._open, kept.wire):
+                found = wire.writer.get_extra_info("socket")
+                assert found.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(story())
+
+
 class Emptying:
     """A front whose last guest goes while a client comes."""
 
