--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -246,6 +246,21 @@
     play(story())
 
 
+def test_next_process_that_dies_before_it_took_over_costs_the_old_one_nothing(tmp_path: Path) -> None:
+    """It has the listening socket already, and was just waiting for its list."""
+
+    async def story() -> None:
+        async with upgrade(tmp_path, Endpoint(st.served)) as (old, new, _):
+            streams = await old.connect()
+            assert (await old.exchange(streams, old.request()))[0] == 200
+            await new.dispatcher.close()
+            assert (await old.exchange(streams, old.request()))[0] == 200
+            assert (await old.exchange(await old.connect(), READY))[0] == 200
+            assert not old.dispatcher._service.succeeded
+
+    play(story())
+
+
 def test_upgrade_hands_on_the_address_where_hints_are_heard(tmp_path: Path) -> None:
     """The old one kept it for as long as its jobs ran, and the new one decided deaf and dumb."""
 
