Take the end of an endpoint's answer for the end of its last line

Cause, read: `Endpoints._answer` waited for a newline behind the last object; where the answer ended without one, a result that had come whole was thrown away as a reset, and an unsafe job failed though it had been served.

Change: the end of the message ends the line. A last object that is cut is still a break. `test_end_of_an_answer_ends_its_last_line` was seen to fail without it.

--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -291,9 +291,11 @@
                 return Result(End.TURNED_AWAY, load=load)
             log.info("an endpoint answered %d", event.status_code)
             return Result(End.UNFIT if event.status_code in UNFIT else End.ERROR, load=load)
-        rest = b""
-        while isinstance(event := await wire.event(), h11.Data):
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
+        rest, ended = b"", False
+        while not ended and isinstance(event := await wire.event(), h11.Data | h11.EndOfMessage):
+            ended = isinstance(event, h11.EndOfMessage)
+            data = bytes(event.data) if isinstance(event, h11.Data) else b"\n"  # it ends the last line
+            *lines, rest = (rest + data).split(b"\n")
             for line in filter(None, map(bytes.strip, lines)):
                 message = message_of(line)
                 if message.request_id != request_id:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -654,6 +654,34 @@
 # ---- endpoints ----
 
 
+async def without_a_last_newline(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    text = json.dumps({"id": request_id, "state": "done", "result": "page"}).encode()
+    writer.write(st.HEAD + st.line(request_id, "started") + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+    return True
+
+
+async def cut_amid_the_last_line(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    text = json.dumps({"id": request_id, "state": "done", "result": "page"}).encode()[:-2]
+    writer.write(st.HEAD + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+    return True
+
+
+@pytest.mark.parametrize(
+    ("script", "status", "connections"), [(without_a_last_newline, 200, 1), (cut_amid_the_last_line, 502, 2)]
+)
+def test_end_of_an_answer_ends_its_last_line(
+    tmp_path: Path, script: Script, status: int, connections: int
+) -> None:
+    async def story() -> None:
+        endpoint = Endpoint(script, st.served)
+        async with stage(tmp_path, endpoint) as s:
+            assert (await s.ask("/unlock"))[0] == status
+            assert (await s.ask("/unlock"))[0] == 200
+            assert endpoint.connections == connections
+
+    play(story())
+
+
 class Late(Endpoint):
     """Serves the first request of a connection, and says one thing more as soon as the next one begins."""
 
