Start the program in one place for all stories that need a process of its own

Change: `stage.running` starts it, reads what it says until it listens, and kills what is still there at the end. The crowd's story keeps discovery's address bound until it listens there, and reads the second address from the log. No assertion changed; tests alone.

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -6,7 +6,12 @@
 import contextlib
 import itertools
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+import os
+import resource
+import subprocess
+import sys
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -250,3 +255,34 @@
         dispatcher = Dispatcher(load(environ | ({"TMPDIR": str(tmpdir)} if tmpdir else {})), *fronts)
         stack.push_async_callback(dispatcher.close)
         yield Stage(dispatcher, await dispatcher.start(), discovery)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    environ: Mapping[str, str], words: Sequence[str] = ("-m", "rookwood"), descriptors: int | None = None
+) -> AsyncIterator[tuple[Process, Stage, list[str]]]:
+    """The program as a process of its own, and what it logged before it listened. It is killed at the end
+    if it is still there. `environ` is added to what there is; `descriptors`: that the system lets it have."""
+
+    def bounded() -> None:
+        assert descriptors
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *words,
+        env=os.environ | environ,
+        stderr=subprocess.PIPE,
+        preexec_fn=bounded if descriptors else None,
+    )
+    said = list[str]()
+    try:
+        assert child.stderr
+        while " listens on " not in (text := (await child.stderr.readline()).decode()):
+            assert text, "the program ended at once"
+            said.append(text)
+        yield child, Stage(None, int(text.rsplit(":", 1)[1]), Discovery()), said  # type: ignore[arg-type]
+    finally:
+        if child.returncode is None:
+            child.kill()
+            await child.wait()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -7,7 +7,6 @@
 import re
 import signal
 import socket
-import subprocess
 import sys
 import tomllib
 from pathlib import Path
@@ -48,25 +47,14 @@
     async def story() -> None:
         endpoint = Endpoint(st.served)
         async with st.listening(endpoint) as address, st.listening(st.Discovery()) as discovery:
-            environ = os.environ | st.environment(tmp_path, [st.entry("s-0", address)], discovery)
+            environ = st.environment(tmp_path, [st.entry("s-0", address)], discovery)
             environ["TMPDIR"] = str(tmp_path)  # where it would offer its listener
-            words = [sys.executable, "-c", GUARD]
-            child = await asyncio.create_subprocess_exec(*words, env=environ, stderr=subprocess.PIPE)
-            try:
-                assert child.stderr
-                refused = []
-                while b" listens on " not in (text := await child.stderr.readline()):
-                    assert text, "the program ended at once"
-                    refused += [text] if text.startswith(b"refused") else []
-                s = st.Stage(None, int(text.rsplit(b":", 1)[1]), st.Discovery())  # type: ignore[arg-type]
+            async with st.running(environ, ["-c", GUARD]) as (child, s, said):
+                refused = [line for line in said if line.startswith("refused")]
                 assert (await s.ask())[0] == 200
-                assert {line.split()[1] for line in refused} <= {b"socket.connect", b"socket.bind"}
+                assert {line.split()[1] for line in refused} <= {"socket.connect", "socket.bind"}
                 child.send_signal(signal.SIGTERM)
                 assert await asyncio.wait_for(child.wait(), LIMIT) == 0
-            finally:
-                if child.returncode is None:
-                    child.kill()
-                    await child.wait()
 
     play(story())
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -7,11 +7,7 @@
 import contextlib
 import json
 import logging
-import os
-import resource
 import socket
-import subprocess
-import sys
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from pathlib import Path
@@ -601,52 +597,37 @@
 
     async def story() -> None:
         endpoint, newer = Endpoint(st.served), Endpoint(st.ends("done", result="newer"))
-        discovery = st.Discovery()
-        held = list[Streams]()
+        discovery, held = st.Discovery(), list[Streams]()
         async with contextlib.AsyncExitStack() as stack:
             for peer in (endpoint, newer):
                 peer.address = await stack.enter_async_context(st.listening(peer))
-            with socket.socket() as probe, socket.socket() as other:
-                probe.bind(("127.0.0.1", 0))
-                other.bind(("127.0.0.1", 0))
-                where, mgmt = probe.getsockname()[1], other.getsockname()[1]
+            place = stack.enter_context(socket.socket())  # discovery's: nobody listens there yet
+            place.bind(("127.0.0.1", 0))
+            where = f"127.0.0.1:{place.getsockname()[1]}"
             listed = [st.entry("s-0", endpoint.address)]
-            changes: dict[str, Any] = {"limits": {"sockets": 64}, "mgmt": f"127.0.0.1:{mgmt}"}
-            environ = os.environ | st.environment(tmp_path, listed, f"127.0.0.1:{where}", **changes)
-            child = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "rookwood"),
-                env=environ,
-                stderr=subprocess.PIPE,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
-            )
-            try:
-                assert child.stderr
-                while b" listens on " not in (text := await child.stderr.readline()):
-                    assert text, "the program ended at once"
-                port = int(text.decode().rsplit(":", 1)[1])
-                s = Stage(None, port, discovery)  # type: ignore[arg-type]
-                for _ in range(120):
-                    held.append(await s.connect())
-                server = await asyncio.start_server(discovery.serve, "127.0.0.1", where)
-                stack.callback(server.close)
-                await until(lambda: len(discovery.asked) == 1)
-                discovery.say(2, st.entry("s-9", newer.address), listed[0] | {"state": "draining"})
+            changes: dict[str, Any] = {"limits": {"sockets": 64}, "mgmt": "127.0.0.1:0"}
+            environ = st.environment(tmp_path, listed, where, **changes)
+            child, s, said = await stack.enter_async_context(st.running(environ, descriptors=64))
+            (mgmt,) = (int(line.rsplit(":", 1)[1]) for line in said if " is run from " in line)
+            for _ in range(120):
+                held.append(await s.connect())
+                stack.callback(held[-1][1].transport.abort)
+            server = await asyncio.start_server(discovery.serve, sock=place)
+            stack.callback(server.close)
+            await until(lambda: len(discovery.asked) == 1)
+            discovery.say(2, st.entry("s-9", newer.address), listed[0] | {"state": "draining"})
+            status, _, body = await s.ask()
+            for _ in range(100):  # until the new list is in force
+                if body == b"newer":
+                    break
                 status, _, body = await s.ask()
-                for _ in range(100):  # until the new list is in force
-                    if body == b"newer":
-                        break
-                    status, _, body = await s.ask()
-                assert (status, body) == (200, b"newer")
-                reader, writer = await asyncio.open_connection("127.0.0.1", mgmt)
-                writer.write(b"GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n")
-                assert (await asyncio.wait_for(reader.read(), LIMIT)).startswith(b"HTTP/1.1 200")
-                writer.close()
-            finally:
-                child.kill()
-                rest = (await child.communicate())[1]
-                for _, writer in held:
-                    writer.transport.abort()
-            assert b"Too many open files" not in rest
+            assert (status, body) == (200, b"newer")
+            reader, writer = await asyncio.open_connection("127.0.0.1", mgmt)
+            writer.write(b"GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n")
+            assert (await asyncio.wait_for(reader.read(), LIMIT)).startswith(b"HTTP/1.1 200")
+            writer.close()
+            child.kill()
+            assert b"Too many open files" not in (await child.communicate())[1]
 
     play(story())
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import json
-import os
 import signal
-import subprocess
-import sys
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
@@ -202,15 +199,11 @@
     async def story() -> None:
         old, new = st.Discovery(), st.Discovery()
         async with st.listening(old) as first, st.listening(new) as second:
-            environ = os.environ | st.environment(tmp_path, [], first) | {"PROXY_DISCOVERY": first}
-            words = [sys.executable, "-m", "rookwood"]
-            child = await asyncio.create_subprocess_exec(*words, env=environ, stderr=subprocess.PIPE)
+            environ = st.environment(tmp_path, [], first) | {"PROXY_DISCOVERY": first}
             place = tmp_path / "config.json"
             data = json.loads(place.read_text())
-            try:
+            async with st.running(environ) as (child, _, _):
                 assert child.stderr
-                while b" listens on " not in (text := await child.stderr.readline()):
-                    assert text, "the program ended at once"
                 await until(lambda: len(old.asked) == 1)
                 place.write_text(json.dumps(data | {"discovery": second}))
                 child.send_signal(signal.SIGHUP)
@@ -229,9 +222,5 @@
                 child.send_signal(signal.SIGTERM)
                 child.send_signal(signal.SIGHUP)
                 assert await asyncio.wait_for(child.wait(), LIMIT) == 0
-            finally:
-                if child.returncode is None:
-                    child.kill()
-                    await child.wait()
 
     play(story())
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,8 +7,6 @@
 import json
 import os
 import signal
-import subprocess
-import sys
 from collections.abc import Callable, Coroutine
 from datetime import datetime, timedelta
 from pathlib import Path
@@ -561,14 +559,8 @@
         endpoint = Endpoint(st.silent, st.served)
         async with st.listening(endpoint) as address, st.listening(st.Discovery()) as discovery:
             listed = [st.entry("s-0", address)]
-            environ = os.environ | st.environment(tmp_path, listed, discovery)
-            words = [sys.executable, "-m", "rookwood"]
-            child = await asyncio.create_subprocess_exec(*words, env=environ, stderr=subprocess.PIPE)
-            try:
+            async with st.running(st.environment(tmp_path, listed, discovery)) as (child, s, _):
                 assert child.stderr
-                while b" listens on " not in (text := await child.stderr.readline()):
-                    assert text, "the program ended at once"
-                s = st.Stage(None, int(text.rsplit(b":", 1)[1]), st.Discovery())  # type: ignore[arg-type]
                 idle = await s.connect()
                 first = asyncio.ensure_future(s.ask())
                 await until(lambda: len(endpoint.seen) == 1)
@@ -584,10 +576,6 @@
                 endpoint.resume.set()
                 assert (await first)[0] == 200
                 assert await asyncio.wait_for(child.wait(), LIMIT) == 0
-            finally:
-                if child.returncode is None:
-                    child.kill()
-                    await child.wait()
 
     play(story())
 
