Look at a spoilt list once, so that a string without an end stalls nobody

`test_spoilt_list_stalls_nobody`: a string without an end was seen to fail without it, brackets without one passed before.

--- a/rookwood/net/destinations.py
+++ b/rookwood/net/destinations.py
@@ -31,7 +31,9 @@
 LONGEST_PAUSE = timedelta(milliseconds=700)
 MAX_LINE = 4 * 1024 * 1024
 LATEST = 2.0**48  # milliseconds, some thousands of years on: a date can hold it
-NESTING = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # a string is one match: what is in it nests nothing
+# A string is one match: what is in it nests nothing. One without an end is a match too, else it is tried anew
+# at each quote in it, which takes the square of its length.
+NESTING = re.compile(rb'"(?:[^"\\]|\\.)*+"?|[{}\[\]]')
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,9 +262,9 @@
                 for line in lines:
                     if whole := gathered.add(line.strip()):
                         self.update(destination_set_of(Tree(parsed(whole))))
-                if not rest and not gathered.text:
+                if not rest and not gathered.size:
                     self.current.set()
-                if len(rest) + len(gathered.text) > MAX_LINE:
+                if len(rest) + gathered.size > MAX_LINE:
                     raise TooLargeError("discovery sent a line without an end")
         finally:
             await wire.close()
@@ -282,17 +284,19 @@
     """Lines up to the end of an object: lists may come indented, over several lines."""
 
     def __init__(self) -> None:
-        self.text, self._depth = b"", 0
+        self._parts, self.size, self._depth = list[bytes](), 0, 0
 
     def add(self, line: bytes) -> bytes:
         """The whole object, once its last line has come. An empty line only says that the watch lives."""
-        if self.text and not line:
+        if self.size and not line:
             raise FaultyKeyError("line", "ended amid an object")
-        self.text += line
+        self._parts.append(line)
+        self.size += len(line)
         self._depth += sum((found in b"{[") - (found in b"]}") for found in NESTING.findall(line))
         if self._depth > 0:
             return b""
-        whole, self.text, self._depth = self.text, b"", 0
+        whole = b"".join(self._parts)
+        self._parts, self.size, self._depth = [], 0, 0
         return whole
 
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -534,6 +534,26 @@
     assert key in broke and not [r for r in caplog.records if r.levelno >= logging.ERROR]
 
 
+@pytest.mark.parametrize(
+    "line", [b'{"a":"' + b'\\"' * 60_000, b"[\n" * 200_000], ids=["string", "brackets"]
+)
+def test_spoilt_list_stalls_nobody(tmp_path: Path, line: bytes) -> None:
+    """A string without an end, and brackets without one: both are looked at once, not over and over."""
+
+    async def story() -> None:
+        endpoint = Endpoint(st.served)
+        async with stage(tmp_path, endpoint) as s:
+            await until(lambda: len(s.discovery.asked) == 1)
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            s.discovery.lines.put_nowait(line + b"\n\n")
+            await until(lambda: len(s.discovery.asked) == 2)
+            assert (await s.ask())[0] == 200
+            assert loop.time() - begun < 4
+
+    play(story())
+
+
 def test_change_that_could_not_be_taken_over_is_asked_for_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
