--- /dev/null
+++ b/rookwood/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What the data plane and the control plane share: settings, worker records and the links between them."""
--- /dev/null
+++ b/rookwood/cluster/logs.py
@@ -0,0 +1,22 @@
+"""JSON logs on standard error, one object a line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+LOGGER_NAME = "rookwood"
+
+
+def configure_logging(hostname: str, level: int = logging.INFO) -> logging.Logger:
+    """Send the records of the program's logger to standard error as JSON."""
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = JsonFormatter("%(levelname)s %(message)s", static_fields={"node": hostname})
+    handler.setFormatter(formatter)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
+    return logger
--- /dev/null
+++ b/rookwood/cluster/messages.py
@@ -0,0 +1,271 @@
+"""Messages on the links between control machines and dispatchers, encoded with Avro.
+
+A frame is a length (4 bytes, big endian), a message type (1 byte) and the Avro record.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from fastavro import parse_schema, schemaless_reader, schemaless_writer
+
+from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+
+HEADER = struct.Struct(">IB")
+MAXIMUM_FRAME = 16 * 1024 * 1024
+
+
+class FrameError(Exception):
+    """The peer sent something that is not a frame of this protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First message of a link, from the side that opened it."""
+
+    identity: str
+    tier: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """A control machine's view: who leads, and which configuration is committed. Also the heartbeat."""
+
+    identity: str
+    epoch: int
+    primary: str
+    fresh: bool
+    settled: bool
+    config_epoch: int
+    config_sequence: int
+    dispatchers: int
+    members: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfiguration:
+    """Asks for the newest committed configuration."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationBody:
+    """The committed configuration under its position."""
+
+    epoch: int
+    sequence: int
+    source: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerUpdates:
+    """Records of workers that are new or changed; `complete` when these are all that are known."""
+
+    records: tuple[WorkerRecord, ...]
+    complete: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerGone:
+    """A worker ended (`deleted`) or fell silent."""
+
+    worker: str
+    deleted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KeyDemand:
+    """Demand for one model or adapter at one dispatcher."""
+
+    service: str
+    model: str
+    adapter: str
+    rate: float
+    busy: float
+    waiting: int
+    oldest_wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class DemandReport:
+    """A dispatcher's demand by key; `complete` when keys that are not named have none."""
+
+    identity: str
+    keys: tuple[KeyDemand, ...]
+    complete: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Keeps an otherwise silent link known to be alive."""
+
+    identity: str
+
+
+Message = (
+    Hello
+    | Status
+    | FetchConfiguration
+    | ConfigurationBody
+    | WorkerUpdates
+    | WorkerGone
+    | DemandReport
+    | Heartbeat
+)
+
+
+def _record(name: str, *fields: tuple[str, Any]) -> Any:
+    described = [{"name": field_name, "type": field_type} for field_name, field_type in fields]
+    return {"type": "record", "name": name, "fields": described}
+
+
+def _array(items: Any) -> Any:
+    return {"type": "array", "items": items}
+
+
+_HELD_MODEL = _record("HeldModel", ("name", "string"), ("version", "long"), ("adapters", _array("string")))
+_WORKER = _record(
+    "Worker",
+    ("id", "string"),
+    ("service", "string"),
+    ("address", "string"),
+    ("zone", "string"),
+    ("slots", "int"),
+    ("draining", "boolean"),
+    ("sequence", "long"),
+    ("models", _array(_HELD_MODEL)),
+    ("holding_epoch", "long"),
+    ("holding_counter", "long"),
+)
+_KEY_DEMAND = _record(
+    "KeyDemand",
+    ("service", "string"),
+    ("model", "string"),
+    ("adapter", "string"),
+    ("rate", "float"),
+    ("busy", "float"),
+    ("waiting", "int"),
+    ("oldest_wait", "float"),
+)
+_SCHEMAS: dict[type, Any] = {
+    Hello: _record("Hello", ("identity", "string"), ("tier", "string"), ("zone", "string")),
+    Status: _record(
+        "Status",
+        ("identity", "string"),
+        ("epoch", "long"),
+        ("primary", "string"),
+        ("fresh", "boolean"),
+        ("settled", "boolean"),
+        ("config_epoch", "long"),
+        ("config_sequence", "long"),
+        ("dispatchers", "int"),
+        ("members", _array("string")),
+    ),
+    FetchConfiguration: _record("FetchConfiguration", ("sequence", "long")),
+    ConfigurationBody: _record(
+        "ConfigurationBody", ("epoch", "long"), ("sequence", "long"), ("source", "bytes")
+    ),
+    WorkerUpdates: _record("WorkerUpdates", ("records", _array(_WORKER)), ("complete", "boolean")),
+    WorkerGone: _record("WorkerGone", ("worker", "string"), ("deleted", "boolean")),
+    DemandReport: _record(
+        "DemandReport", ("identity", "string"), ("keys", _array(_KEY_DEMAND)), ("complete", "boolean")
+    ),
+    Heartbeat: _record("Heartbeat", ("identity", "string")),
+}
+_PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
+_TYPES: tuple[type, ...] = tuple(_SCHEMAS)
+_NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
+
+
+def _worker_to_avro(record: WorkerRecord) -> dict[str, Any]:
+    models = [
+        {"name": held.name, "version": held.version, "adapters": sorted(held.adapters)}
+        for held in record.models
+    ]
+    return {
+        "id": record.id,
+        "service": record.service,
+        "address": record.address,
+        "zone": record.zone,
+        "slots": record.slots,
+        "draining": record.state is WorkerState.DRAINING,
+        "sequence": record.sequence,
+        "models": models,
+        "holding_epoch": record.holding.epoch,
+        "holding_counter": record.holding.counter,
+    }
+
+
+def _worker_from_avro(value: dict[str, Any]) -> WorkerRecord:
+    models = tuple(
+        HeldModel(held["name"], held["version"], frozenset(held["adapters"])) for held in value["models"]
+    )
+    return WorkerRecord(
+        id=value["id"],
+        service=value["service"],
+        address=value["address"],
+        zone=value["zone"],
+        slots=value["slots"],
+        state=WorkerState.DRAINING if value["draining"] else WorkerState.UP,
+        sequence=value["sequence"],
+        models=models,
+        holding=HoldingStamp(value["holding_epoch"], value["holding_counter"]),
+    )
+
+
+def _to_avro(message: Message) -> dict[str, Any]:
+    if isinstance(message, WorkerUpdates):
+        return {"records": [_worker_to_avro(r) for r in message.records], "complete": message.complete}
+    if isinstance(message, DemandReport):
+        keys = [{name: getattr(key, name) for name in KeyDemand.__slots__} for key in message.keys]
+        return {"identity": message.identity, "keys": keys, "complete": message.complete}
+    return {name: getattr(message, name) for name in type(message).__slots__}
+
+
+def _from_avro(kind: type, value: dict[str, Any]) -> Message:
+    if kind is WorkerUpdates:
+        return WorkerUpdates(tuple(_worker_from_avro(r) for r in value["records"]), value["complete"])
+    if kind is DemandReport:
+        keys = tuple(KeyDemand(**key) for key in value["keys"])
+        return DemandReport(value["identity"], keys, value["complete"])
+    for name, item in value.items():
+        if isinstance(item, list):
+            value[name] = tuple(item)
+    message: Message = kind(**value)
+    return message
+
+
+def encode_frame(message: Message) -> bytes:
+    """The message as a whole frame."""
+    buffer = io.BytesIO()
+    schemaless_writer(buffer, _PARSED[type(message)], _to_avro(message))
+    body = buffer.getvalue()
+    return HEADER.pack(len(body), _NUMBERS[type(message)]) + body
+
+
+def decode_message(number: int, body: bytes) -> Message:
+    """The message of a frame's body; raises FrameError."""
+    if number >= len(_TYPES):
+        raise FrameError(f"unknown message type {number}")
+    kind = _TYPES[number]
+    try:
+        value = schemaless_reader(io.BytesIO(body), _PARSED[kind], None)
+    except (EOFError, ValueError, IndexError, KeyError, StopIteration) as error:
+        raise FrameError(f"{kind.__name__}: {error!r}") from error
+    if not isinstance(value, dict):
+        raise FrameError(f"{kind.__name__}: not a record")
+    return _from_avro(kind, value)
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError."""
+    length, number = HEADER.unpack(await reader.readexactly(HEADER.size))
+    if length > MAXIMUM_FRAME:
+        raise FrameError(f"a frame of {length} bytes")
+    return decode_message(number, await reader.readexactly(length))
--- /dev/null
+++ b/rookwood/cluster/settings.py
@@ -0,0 +1,148 @@
+"""Settings of one process, read from the file that ROOKWOOD_NODE_FILE names."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+SETTINGS_VARIABLE = "ROOKWOOD_NODE_FILE"
+DEFAULT_SETTINGS_PATH = "/etc/rookwood/local.json"
+MILLISECONDS = 1000.0
+
+
+class SettingsError(Exception):
+    """The settings file is missing, unreadable, or lacks a key; the text names file and key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IPv4 address and TCP port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read `ip:port`."""
+        ip, _, port = text.rpartition(":")
+        return cls(ip, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time limits and budgets of the deployment; times in seconds."""
+
+    acknowledge: float = 4.0
+    drain: float = 2.0
+    grace: float = 8.0
+    apply: float = 2.0
+    lease: float = 3.0
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 50.0
+    load_window: float = 5.0
+    load_over: float = 1.1
+    synchronise: float = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Everything that one process is told at its start."""
+
+    hostname: str
+    ip: str
+    zone: str
+    listen: Mapping[str, Address]
+    internal_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    bootstrap: bool
+    tolerated_machines: int
+    data_directory: str | None
+    disk_megabytes: int
+    descriptors: int
+    beat: float
+    bounds: Bounds
+
+    @property
+    def replication_port(self) -> int:
+        """The port on which control machines replicate to each other."""
+        return self.internal_ports[0]
+
+    @property
+    def feed_port(self) -> int:
+        """The port on which control machines serve updates to dispatchers."""
+        return self.internal_ports[0] + 1
+
+    @property
+    def relay_port(self) -> int:
+        """The port on which dispatchers relay updates to each other."""
+        return self.internal_ports[0] + 2
+
+
+def settings_path() -> str:
+    """The path of the settings file of this process."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
+
+
+def load_settings(path: str) -> NodeSettings:
+    """Read and check the settings file; raises SettingsError."""
+    try:
+        with open(path, "rb") as file:
+            document = json.load(file)
+        return parse_settings(document)
+    except KeyError as error:
+        raise SettingsError(f"{path}: key {error.args[0]!r} is missing") from error
+    except (OSError, ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def parse_settings(document: Mapping[str, Any]) -> NodeSettings:
+    """Build the settings from the parsed file; unknown keys are ignored."""
+    limits = document.get("limits") or {}
+    first_port, last_port = document["port-range"]
+    return NodeSettings(
+        hostname=str(document["hostname"]),
+        ip=str(document["ip"]),
+        zone=str(document.get("az", "")),
+        listen={name: Address.parse(text) for name, text in document["listen"].items()},
+        internal_ports=(int(first_port), int(last_port)),
+        seeds=tuple(Address.parse(text) for text in document["seeds"]),
+        bootstrap=bool(document.get("bootstrap", False)),
+        tolerated_machines=int((document.get("tolerate") or {}).get("boxes", 0)),
+        data_directory=document.get("datadir"),
+        disk_megabytes=int(limits.get("disk-mb", 0)),
+        descriptors=int(limits.get("nofile", 1024)),
+        beat=float(document.get("beat-ms", 1200)) / MILLISECONDS,
+        bounds=parse_bounds(document.get("bounds") or {}),
+    )
+
+
+def parse_bounds(document: Mapping[str, Any]) -> Bounds:
+    """Build the bounds; absent ones keep their defaults."""
+    default = Bounds()
+
+    def seconds(key: str, fallback: float) -> float:
+        return float(document[key]) / MILLISECONDS if key in document else fallback
+
+    def number(key: str, fallback: float) -> float:
+        return float(document.get(key, fallback))
+
+    return Bounds(
+        acknowledge=seconds("ack-ms", default.acknowledge),
+        drain=seconds("drain-ms", default.drain),
+        grace=number("grace-s", default.grace),
+        apply=seconds("apply-ms", default.apply),
+        lease=seconds("lease-ms", default.lease),
+        retry_ratio=number("retry-ratio", default.retry_ratio),
+        retry_window=number("retry-window-s", default.retry_window),
+        retry_slack=number("retry-slack", default.retry_slack),
+        load_window=number("cap-win-s", default.load_window),
+        load_over=number("cap-over", default.load_over),
+        synchronise=number("sync-s", default.synchronise),
+    )
--- /dev/null
+++ b/rookwood/cluster/view.py
@@ -0,0 +1,163 @@
+"""A dispatcher's view of the cluster, merged from the feeds of all control machines that it hears."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rookwood.cluster.messages import (
+    ConfigurationBody,
+    FetchConfiguration,
+    Message,
+    Status,
+    WorkerGone,
+    WorkerUpdates,
+)
+from rookwood.cluster.workers import WorkerRecord, WorkerRegistry
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ConfigurationPosition:
+    """Orders configurations: epoch first, then sequence."""
+
+    epoch: int
+    sequence: int
+
+
+LINGER = 6.0  # seconds for which a lost source's workers are still believed in
+NO_CONFIGURATION = ConfigurationPosition(-1, -1)
+
+
+@dataclass(slots=True)
+class Source:
+    """What one control machine last told."""
+
+    status: Status | None = None
+    linked: bool = False
+    unlinked_at: float = 0.0
+
+
+class ClusterView:
+    """Merges feeds. Configuration never goes back; a worker goes when every informed source lacks it."""
+
+    def __init__(
+        self,
+        on_configuration: Callable[[bytes], None],
+        on_worker: Callable[[WorkerRecord], None],
+        on_worker_gone: Callable[[str], None],
+    ) -> None:
+        self.registry = WorkerRegistry()
+        self.position = NO_CONFIGURATION
+        self._on_configuration = on_configuration
+        self._on_worker = on_worker
+        self._on_worker_gone = on_worker_gone
+        self._sources: dict[str, Source] = {}
+        self._presence: dict[str, set[str]] = {}
+
+    def linked(self, peer: str) -> None:
+        """A link to a control machine is open."""
+        self._sources.setdefault(peer, Source()).linked = True
+
+    def unlinked(self, peer: str, now: float) -> None:
+        """A link is gone; the workers that it told of stay for a while."""
+        source = self._sources.get(peer)
+        if source is None:
+            return
+        source.status = None
+        if source.linked:
+            source.linked = False
+            source.unlinked_at = now
+
+    def received(self, peer: str, message: Message) -> Message | None:
+        """Take in a message; returns the request to send back over that link, if any."""
+        if isinstance(message, Status):
+            return self._take_status(peer, message)
+        if isinstance(message, ConfigurationBody):
+            self._take_configuration(message)
+        elif isinstance(message, WorkerUpdates):
+            self._take_workers(peer, message)
+        elif isinstance(message, WorkerGone):
+            self._take_gone(peer, message)
+        return None
+
+    def primary(self) -> str | None:
+        """The IP of the primary by the newest epoch that a linked machine tells."""
+        best: Status | None = None
+        for source in self._sources.values():
+            status = source.status
+            if status is None or not status.fresh or not status.primary:
+                continue
+            if best is None or status.epoch > best.epoch:
+                best = status
+        return best.primary if best else None
+
+    def members(self) -> frozenset[str]:
+        """All control machines that linked ones name."""
+        named: set[str] = set()
+        for source in self._sources.values():
+            if source.status is not None:
+                named.update(source.status.members)
+        return frozenset(named)
+
+    def dispatchers(self) -> int:
+        """The largest number of dispatchers that a linked machine counts."""
+        counts = [s.status.dispatchers for s in self._sources.values() if s.status is not None]
+        return max(counts, default=1)
+
+    def drop_silent(self, now: float) -> None:
+        """Forget workers that no source knows any more, once a settled one is linked."""
+        for peer, source in self._sources.items():
+            if not source.linked and now - source.unlinked_at > LINGER:
+                self._absent_at(peer)
+        settled = any(s.linked and s.status is not None and s.status.settled for s in self._sources.values())
+        if not settled:
+            return
+        for record in list(self.registry):
+            if not self._presence.get(record.id):
+                self._remove(record.id)
+
+    def _take_status(self, peer: str, status: Status) -> Message | None:
+        self._sources.setdefault(peer, Source(linked=True)).status = status
+        position = ConfigurationPosition(status.config_epoch, status.config_sequence)
+        if position > self.position and status.config_sequence > 0:
+            return FetchConfiguration(status.config_sequence)
+        return None
+
+    def _take_configuration(self, body: ConfigurationBody) -> None:
+        position = ConfigurationPosition(body.epoch, body.sequence)
+        if position <= self.position:
+            return
+        self.position = position
+        if body.source:
+            self._on_configuration(body.source)
+
+    def _take_workers(self, peer: str, updates: WorkerUpdates) -> None:
+        if updates.complete:
+            named = {record.id for record in updates.records}
+            for worker, present in self._presence.items():
+                if worker not in named:
+                    present.discard(peer)
+        for record in updates.records:
+            if self.registry.was_deleted(record.id):
+                continue
+            self._presence.setdefault(record.id, set()).add(peer)
+            changed = self.registry.merge(record)
+            if changed is not None:
+                self._on_worker(changed)
+
+    def _take_gone(self, peer: str, gone: WorkerGone) -> None:
+        if gone.deleted:
+            self._presence.pop(gone.worker, None)
+            if self.registry.delete(gone.worker):
+                self._on_worker_gone(gone.worker)
+            return
+        self._presence.get(gone.worker, set()).discard(peer)
+
+    def _absent_at(self, peer: str) -> None:
+        for present in self._presence.values():
+            present.discard(peer)
+
+    def _remove(self, worker: str) -> None:
+        self._presence.pop(worker, None)
+        if self.registry.forget(worker):
+            self._on_worker_gone(worker)
--- /dev/null
+++ b/rookwood/clusterconfig/history.py
@@ -0,0 +1,130 @@
+"""Deciding on configuration changes against the replicated control document.
+
+`decide` is a pure function of the document and the change, so every replica reaches the same result.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from dataclasses import dataclass
+
+from rookwood.clusterconfig.control_document import DIGEST_BYTES, ControlDocument, TakenChange
+from rookwood.clusterconfig.document import Configuration
+from rookwood.clusterconfig.json_text import JsonObject, JsonTextError, read_object, write_canonical
+from rookwood.clusterconfig.validation import (
+    Fault,
+    Invalid,
+    apply_patch,
+    check_document,
+    parse_document,
+)
+
+__all__ = [
+    "Accepted",
+    "AlreadyTaken",
+    "Change",
+    "ChangeMethod",
+    "Conflict",
+    "ControlDocument",
+    "Decision",
+    "InvalidChange",
+    "TakenChange",
+    "decide",
+]
+
+
+class ChangeMethod(enum.Enum):
+    """The HTTP method of a change: replace the whole configuration, or patch it."""
+
+    PUT = "PUT"
+    PATCH = "PATCH"
+
+
+@dataclass(frozen=True)
+class Change:
+    """A change as an operator sent it. `base` is the `If-Match` version, -1 where it was unreadable."""
+
+    method: ChangeMethod
+    base: int
+    body: bytes
+
+    def digest(self) -> bytes:
+        """Identify the change; JSON bodies that differ only in whitespace or key order are the same."""
+        header = f"{self.method.value} {self.base}\n".encode("ascii")
+        return hashlib.sha256(header + _canonical_body(self.body)).digest()[:DIGEST_BYTES]
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The change is valid; `document` is the control document after it."""
+
+    document: ControlDocument
+    version: int
+
+
+@dataclass(frozen=True)
+class AlreadyTaken:
+    """The same change was accepted before, as `version`."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """The change builds on a version other than the current one."""
+
+    current: int
+
+
+@dataclass(frozen=True)
+class InvalidChange:
+    """The change, or the configuration it leads to, has faults."""
+
+    faults: tuple[Fault, ...]
+
+
+Decision = Accepted | AlreadyTaken | Conflict | InvalidChange
+
+
+def decide(document: ControlDocument, change: Change) -> Decision:
+    """Decide on a change: repeated, in conflict, invalid or accepted, in this order."""
+    digest = change.digest()
+    for taken in document.taken:
+        if taken.digest == digest:
+            return AlreadyTaken(taken.version)
+    if change.base < 0:
+        return InvalidChange((Fault("If-Match", "required: the version that the change builds on"),))
+    if change.base != document.version:
+        return Conflict(document.version)
+    configuration = _resulting_configuration(document, change)
+    if isinstance(configuration, Invalid):
+        return InvalidChange(configuration.faults)
+    if configuration.version <= document.version:
+        return InvalidChange((Fault("ver", f"must be above the current version {document.version}"),))
+    accepted = TakenChange(digest, configuration.version)
+    return Accepted(document.with_change(accepted, configuration.source), configuration.version)
+
+
+def _resulting_configuration(document: ControlDocument, change: Change) -> Configuration | Invalid:
+    body = parse_document(change.body)
+    if isinstance(body, Invalid):
+        return body
+    current = _current_object(document)
+    if change.method is ChangeMethod.PUT:
+        return check_document(body, accepted=current)
+    patched = apply_patch(current, body)
+    if isinstance(patched, Invalid):
+        return patched
+    return check_document(patched, accepted=current)
+
+
+def _current_object(document: ControlDocument) -> JsonObject:
+    return read_object(document.source) if document.source else {}
+
+
+def _canonical_body(body: bytes) -> bytes:
+    try:
+        return write_canonical(read_object(body))
+    except JsonTextError:
+        return body
--- /dev/null
+++ b/rookwood/clusterconfig/validation.py
@@ -0,0 +1,151 @@
+"""Validation of configuration documents and of patches to them.
+
+Importing this module loads cerberus; only the control plane and the command line need it.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import cerberus  # type: ignore[import-untyped]
+
+from rookwood.clusterconfig.document import Configuration
+from rookwood.clusterconfig.faults import Fault, Invalid
+from rookwood.clusterconfig.json_text import JsonObject, JsonTextError, read_object, write_compact
+from rookwood.clusterconfig.loading import build_configuration
+from rookwood.clusterconfig.references import find_duplicate_names, find_reference_faults
+from rookwood.clusterconfig.schema import DOCUMENT_SCHEMA, PATCH_SCHEMA, ROUTE_SCHEMA, SERVICE_SCHEMA
+
+__all__ = ["Fault", "Invalid", "apply_patch", "check_document", "parse_document"]
+
+WHOLE_DOCUMENT = ""
+ITEM_SCHEMAS = {"routes": ROUTE_SCHEMA, "svcs": SERVICE_SCHEMA}
+
+
+def parse_document(body: bytes) -> JsonObject | Invalid:
+    """Parse a request body that must hold one whole JSON object."""
+    try:
+        return read_object(body)
+    except JsonTextError as error:
+        return _invalid_document(error)
+
+
+def check_document(document: JsonObject, accepted: JsonObject | None = None) -> Configuration | Invalid:
+    """Validate a whole configuration and build it; unknown keys are kept in its `source`.
+
+    `accepted` is a document that passed before: the shape of items unchanged since is not checked
+    again, which makes a small change to a large configuration cheap.
+    """
+    try:
+        source = write_compact(document)
+    except JsonTextError as error:
+        return _invalid_document(error)
+    faults = [
+        *_find_shape_faults(document, DOCUMENT_SCHEMA),
+        *_find_item_faults(document, accepted or {}),
+        *find_reference_faults(document),
+    ]
+    if faults:
+        return Invalid(tuple(faults))
+    return build_configuration(document, source)
+
+
+def apply_patch(current: JsonObject, patch: JsonObject) -> JsonObject | Invalid:
+    """Return `current` with a patch applied, or the faults of the patch itself.
+
+    An upserted item replaces the one of its name in place, or is appended. Removals come first, and
+    removing an absent name has no effect. `limits` are merged key by key. The result still has to
+    pass `check_document`. Neither argument is modified.
+    """
+    faults = list(_find_patch_faults(patch))
+    if faults:
+        return Invalid(tuple(faults))
+    upsert = patch.get("upsert", {})
+    remove = patch.get("remove", {})
+    result = {**current, "ver": patch["ver"]}
+    for section in ITEM_SCHEMAS:
+        if section in upsert or section in remove:
+            items = _remove_items(result.get(section, []), remove.get(section, []))
+            result[section] = _upsert_items(items, upsert.get(section, []))
+    if "limits" in upsert:
+        result["limits"] = {**(result.get("limits") or {}), **upsert["limits"]}
+    return result
+
+
+def _remove_items(items: list[JsonObject], names: list[str]) -> list[JsonObject]:
+    removed = set(names)
+    return [item for item in items if item["name"] not in removed]
+
+
+def _upsert_items(items: list[JsonObject], replacements: list[JsonObject]) -> list[JsonObject]:
+    by_name = {item["name"]: item for item in items}
+    for replacement in replacements:
+        by_name[replacement["name"]] = replacement
+    return list(by_name.values())
+
+
+def _find_patch_faults(patch: JsonObject) -> Iterator[Fault]:
+    yield from _find_shape_faults(patch, PATCH_SCHEMA)
+    upsert = patch.get("upsert")
+    if isinstance(upsert, dict):
+        for section in ITEM_SCHEMAS:
+            yield from find_duplicate_names(f"upsert.{section}", upsert.get(section))
+
+
+def _find_shape_faults(document: JsonObject, schema: dict[str, Any]) -> list[Fault]:
+    return list(_run_validator(_ShapeValidator(schema, allow_unknown=True), document, prefix=""))
+
+
+def _find_item_faults(document: JsonObject, accepted: JsonObject) -> Iterator[Fault]:
+    for section, schema in ITEM_SCHEMAS.items():
+        items = document.get(section)
+        if not isinstance(items, list):
+            continue
+        validator = _ShapeValidator(schema, allow_unknown=True)
+        accepted_texts = {json.dumps(item) for item in accepted.get(section, [])}
+        for index, item in enumerate(items):
+            path = f"{section}.{index}"
+            if not isinstance(item, dict):
+                yield Fault(path, "must be of dict type")
+            elif json.dumps(item) not in accepted_texts:
+                yield from _run_validator(validator, item, prefix=f"{path}.")
+
+
+def _run_validator(validator: _ShapeValidator, value: JsonObject, prefix: str) -> Iterator[Fault]:
+    if not validator.validate(value, normalize=False):
+        yield from _flatten_errors(prefix, validator.errors)
+
+
+def _flatten_errors(prefix: str, errors: dict[object, list[Any]]) -> Iterator[Fault]:
+    """Turn the nested error lists of cerberus into faults with dotted keys."""
+    for key, entries in errors.items():
+        path = f"{prefix}{key}"
+        for entry in entries:
+            if isinstance(entry, dict):
+                yield from _flatten_errors(f"{path}.", entry)
+            else:
+                yield Fault(path, str(entry))
+
+
+def _invalid_document(error: JsonTextError) -> Invalid:
+    return Invalid((Fault(WHOLE_DOCUMENT, str(error)),))
+
+
+class _ShapeValidator(cerberus.Validator):  # type: ignore[misc]
+    """Adds the value checks that cerberus has no rule for, and does not take booleans for numbers."""
+
+    types_mapping = {
+        **cerberus.Validator.types_mapping,
+        "integer": cerberus.TypeDefinition("integer", (int,), (bool,)),
+        "number": cerberus.TypeDefinition("number", (int, float), (bool,)),
+    }
+
+    def _check_with_positive(self, field: str, value: object) -> None:
+        if isinstance(value, int | float) and not value > 0:
+            self._error(field, "must be above 0")
+
+    def _check_with_path_prefix(self, field: str, value: object) -> None:
+        if isinstance(value, str) and not (value.startswith("/") and value.endswith("/")):
+            self._error(field, "must begin and end with a slash")
--- /dev/null
+++ b/rookwood/controlplane/load_scheduler.py
@@ -0,0 +1,285 @@
+"""Gives load orders to workers while this machine is the primary: one order a worker at a time.
+
+The primary's epoch is the fence of its orders. After a change of primary the new one waits for the
+lease time before its first order, so that holders never take turns within it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from rookwood.cluster.messages import DemandReport
+from rookwood.cluster.settings import Bounds
+from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import HoldingStamp, WorkerRecord, WorkerState
+from rookwood.clusterconfig.document import Configuration, Engine, Service
+from rookwood.controlplane.demand import DemandSum
+from rookwood.controlplane.worker_client import (
+    OrderCall,
+    OrderRefused,
+    OrderTaken,
+    ReportFailed,
+    WorkerClient,
+    WorkerReport,
+)
+from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.coordination.group import ControlGroup, Primary
+from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
+from rookwood.modelplacement.types import ModelSpec, WeightsKey, WorkerWeights
+
+logger = logging.getLogger("rookwood")
+
+PLAN_INTERVAL = 0.25
+IDLE_REPORT_AGE = 2.0
+BUSY_POLL_INTERVAL = 0.06
+ORDER_PATIENCE = 20.0
+FRESH_REPORT_AGE = 0.5
+LEASE_MARGIN = 0.3
+
+
+@dataclass(slots=True)
+class WorkerStatus:
+    """What the scheduler knows of one worker from its reports."""
+
+    started: float
+    report: WorkerReport | None = None
+    read_at: float = -1e9
+    reading: bool = False
+    executing: bool = False
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class ServicePlan:
+    """The planner of one service's weights, made anew when the configuration changes them."""
+
+    engine: Engine
+    planner: LoadPlanner
+    workers: dict[str, WorkerStatus] = field(default_factory=dict)
+
+
+class LoadScheduler:
+    """Runs the load planners of all services with weights."""
+
+    def __init__(
+        self, owner: str, bounds: Bounds, group: ControlGroup, view: ClusterView, table: WorkerTable
+    ) -> None:
+        self._owner = owner
+        self._bounds = bounds
+        self._group = group
+        self._view = view
+        self._table = table
+        self._client: WorkerClient | None = None
+        self._demand = DemandSum()
+        self._plans: dict[str, ServicePlan] = {}
+        self._wake = asyncio.Event()
+        self._counter = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._leading_epoch: int | None = None
+
+    def take_demand(self, report: DemandReport) -> None:
+        """A dispatcher reports demand; waiting requests wake the planner."""
+        self._demand.take(report, self._now())
+        if any(key.waiting for key in report.keys):
+            self._wake.set()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a new configuration; planners stay where the engine is the same."""
+        plans: dict[str, ServicePlan] = {}
+        for name, service in configuration.services.items():
+            if service.engine is None:
+                continue
+            known = self._plans.get(name)
+            plans[name] = known if known and known.engine == service.engine else self._new_plan(service)
+        self._plans = plans
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Plan for ever; cancelled by its task."""
+        self._client = WorkerClient()
+        try:
+            while True:
+                await self._wait()
+                epoch = self._leading()
+                if epoch is None:
+                    self._leading_epoch = None
+                    continue
+                if epoch != self._leading_epoch:
+                    self._begin(epoch)
+                self._plan_all(epoch)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await self._client.close()
+
+    def _plan_all(self, epoch: int) -> None:
+        """Plan each service; a fault in one plan must not end planning for the others."""
+        for name, plan in self._plans.items():
+            try:
+                self._plan_service(name, plan, epoch)
+            except Exception:
+                logger.exception("planning failed", extra={"service": name})
+
+    def _new_plan(self, service: Service) -> ServicePlan:
+        engine = service.engine
+        assert engine is not None
+        models = {
+            model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
+            for model in engine.models.values()
+        }
+        planner = LoadPlanner(
+            models, engine.loads_per_s, window_s=self._bounds.load_window, over=self._bounds.load_over
+        )
+        return ServicePlan(engine, planner)
+
+    def _begin(self, epoch: int) -> None:
+        logger.info("giving load orders", extra={"epoch": epoch})
+        self._leading_epoch = epoch
+        for plan in self._plans.values():
+            plan.workers.clear()
+
+    def _leading(self) -> int | None:
+        role = self._group.role()
+        if not isinstance(role, Primary):
+            return None
+        first = role.epoch <= 1
+        if not first and self._now() - role.since < self._bounds.lease + LEASE_MARGIN:
+            return None
+        return role.epoch
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(PLAN_INTERVAL):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    def _plan_service(self, name: str, plan: ServicePlan, epoch: int) -> None:
+        now = self._now()
+        workers = []
+        present = set()
+        for record in self._view.registry:
+            if record.service != name:
+                continue
+            present.add(record.id)
+            status = plan.workers.setdefault(record.id, WorkerStatus(started=now))
+            self._refresh(plan, record, status, now)
+            if status.report is not None and status.failures == 0:
+                workers.append(describe(plan.engine, record, status, status.report))
+        for worker in plan.workers.keys() - present:
+            del plan.workers[worker]
+        orders = plan.planner.plan(now, workers, self._demand.total(name, now), {})
+        for order in orders:
+            self._start(self._execute(plan, order, epoch))
+
+    def _refresh(self, plan: ServicePlan, record: WorkerRecord, status: WorkerStatus, now: float) -> None:
+        if status.reading or status.executing:
+            return
+        busy = status.report is not None and status.report.busy
+        due = BUSY_POLL_INTERVAL if busy else IDLE_REPORT_AGE
+        if now - status.read_at < due:
+            return
+        status.reading = True
+        self._start(self._read(record, status))
+
+    async def _read(self, record: WorkerRecord, status: WorkerStatus) -> None:
+        assert self._client is not None
+        first = status.report is None
+        try:
+            report = await self._client.report(record.address, record.id)
+        finally:
+            status.reading = False
+        status.read_at = self._now()
+        if isinstance(report, ReportFailed):
+            status.failures += 1
+            return
+        self._take_report(record.id, status, report)
+        if first:
+            self._wake.set()
+
+    def _take_report(self, worker: str, status: WorkerStatus, report: WorkerReport) -> None:
+        status.failures = 0
+        status.report = report
+        status.read_at = self._now()
+        epoch = self._leading_epoch
+        if epoch is None:
+            return
+        self._counter += 1
+        self._table.set_holding(worker, report.models, HoldingStamp(epoch, self._counter))
+
+    async def _execute(self, plan: ServicePlan, order: LoadOrder, epoch: int) -> None:
+        assert self._client is not None
+        record = self._view.registry.get(order.worker)
+        status = plan.workers.get(order.worker)
+        if record is None or status is None or self._leading() != epoch:
+            return
+        now = self._now()
+        plan.planner.ordered(now, order)
+        status.executing = True
+        call = OrderCall(
+            order.place, order.key.model, order.key.adapter, self._owner, epoch, order.if_sequence
+        )
+        try:
+            outcome = await self._client.order(record.address, record.id, call)
+            if isinstance(outcome, OrderTaken):
+                plan.planner.outcome(self._now(), order, True)
+                if not outcome.done:
+                    await self._follow(record, status, order.if_sequence)
+            elif isinstance(outcome, OrderRefused):
+                logger.info("order refused", extra={"worker": order.worker, "status": outcome.status})
+                plan.planner.outcome(self._now(), order, False)
+            else:
+                plan.planner.outcome(self._now(), order, None)
+        finally:
+            status.executing = False
+            status.read_at = -1e9
+            self._wake.set()
+
+    async def _follow(self, record: WorkerRecord, status: WorkerStatus, sequence: int) -> None:
+        """Read reports until the order given on top of `sequence` is done."""
+        assert self._client is not None
+        deadline = self._now() + ORDER_PATIENCE
+        while self._now() < deadline and self._view.registry.get(record.id) is not None:
+            await asyncio.sleep(BUSY_POLL_INTERVAL)
+            report = await self._client.report(record.address, record.id)
+            if isinstance(report, ReportFailed):
+                status.failures += 1
+                return
+            self._take_report(record.id, status, report)
+            if report.sequence > sequence and not report.busy:
+                return
+
+    def _start(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def describe(
+    engine: Engine, record: WorkerRecord, status: WorkerStatus, report: WorkerReport
+) -> WorkerWeights:
+    """The planner's view of a worker."""
+    return WorkerWeights(
+        worker=record.id,
+        zone=record.zone,
+        size_mb=engine.size_mb,
+        adapter_slots=engine.adapter_slots,
+        slots=record.slots,
+        models={held.name: held.adapters for held in report.models},
+        busy=report.busy or status.executing,
+        sequence=report.sequence,
+        active=report.active,
+        queued=report.queued,
+        draining=record.state is WorkerState.DRAINING,
+        started=status.started,
+    )
+
+
+__all__ = ["LoadScheduler", "WeightsKey"]
--- /dev/null
+++ b/rookwood/controlplane/peer_feed.py
@@ -0,0 +1,38 @@
+"""Subscriptions to the other control machines: their workers are passed on to the dispatchers here."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rookwood.cluster.feed import Connection
+from rookwood.cluster.messages import Message, Status, WorkerGone, WorkerUpdates
+from rookwood.cluster.view import ClusterView
+from rookwood.controlplane.worker_table import Publish
+
+
+class PeerFeed:
+    """Takes in the feeds of the other control machines."""
+
+    def __init__(self, view: ClusterView, publish: Publish) -> None:
+        self._view = view
+        self._publish = publish
+
+    def linked(self, peer: str, connection: Connection) -> None:
+        """A subscription is open."""
+        self._view.linked(peer)
+
+    def unlinked(self, peer: str) -> None:
+        """A subscription ended."""
+        self._view.unlinked(peer, asyncio.get_running_loop().time())
+
+    def received(self, peer: str, message: Message) -> None:
+        """A message of another control machine."""
+        if not isinstance(message, Status | WorkerUpdates | WorkerGone):
+            return
+        self._view.received(peer, message)
+        if isinstance(message, WorkerUpdates):
+            known = (self._view.registry.get(record.id) for record in message.records)
+            records = tuple(record for record in known if record is not None)
+            self._publish(WorkerUpdates(records, complete=False), False)
+        elif isinstance(message, WorkerGone) and message.deleted:
+            self._publish(message, False)
--- /dev/null
+++ b/rookwood/controlplane/program.py
@@ -0,0 +1,207 @@
+"""The control plane's process: replication, worker registry, operator's interface, feeds, load orders."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+from collections.abc import Iterable
+
+from aiohttp import web
+
+from rookwood.cluster.feed import Connection, FeedServer, LinkSet
+from rookwood.cluster.messages import (
+    ConfigurationBody,
+    DemandReport,
+    FetchConfiguration,
+    Hello,
+    Message,
+    Status,
+    WorkerGone,
+    WorkerUpdates,
+)
+from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
+from rookwood.cluster.view import ClusterView
+from rookwood.clusterconfig.loading import load_configuration
+from rookwood.controlplane.load_scheduler import LoadScheduler
+from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
+from rookwood.controlplane.payload import read_payload
+from rookwood.controlplane.peer_feed import PeerFeed
+from rookwood.controlplane.worker_api import WorkerApi
+from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.coordination.group import (
+    Backup,
+    ControlGroup,
+    GroupSettings,
+    Primary,
+    Role,
+    Snapshot,
+)
+
+logger = logging.getLogger("rookwood")
+
+TIER_CORE = "core"
+STATUS_INTERVAL = 0.4
+HOUSEKEEPING_INTERVAL = 0.5
+SETTLED_BEATS = 4.0
+
+
+class ControlPlane:
+    """Wires the parts of a control machine together."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._started = 0.0
+        self._source = b""
+        self.group = ControlGroup(
+            group_settings(settings), on_commit=self._committed, on_role=self._role_changed
+        )
+        self._view = ClusterView(lambda source: None, self._worker_changed, self._worker_gone)
+        self._feed = FeedServer(self)
+        self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
+        self._scheduler = LoadScheduler(
+            settings.hostname, settings.bounds, self.group, self._view, self._table
+        )
+        self._links: LinkSet | None = None
+        self._runner: web.AppRunner | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self._started = loop.time()
+        await self.group.start()
+        await self._feed.start(self._settings.ip, self._settings.feed_port)
+        await self._serve_http()
+        hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone)
+        peers = PeerFeed(self._view, self._publish)
+        self._links = LinkSet(self._settings.feed_port, hello, peers, self._settings.ip)
+        self._tasks = [
+            asyncio.create_task(repeat(STATUS_INTERVAL, self._send_status)),
+            asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house)),
+            asyncio.create_task(self._scheduler.run()),
+        ]
+        self._keep_house()
+        logger.info("control plane started")
+        await run_until(self._stopping, self._tasks)
+        await self._stop()
+
+    async def _stop(self) -> None:
+        logger.info("control plane stops")
+        await self.group.stop(transfer=True)
+        await cancel_tasks(self._tasks)
+        if self._links is not None:
+            self._links.close()
+        await self._feed.stop()
+        if self._runner is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await self._runner.cleanup()
+
+    async def _serve_http(self) -> None:
+        application = web.Application(client_max_size=MAXIMUM_BODY)
+        WorkerApi(self.group, self._table).add_routes(application)
+        OperatorApi(self._settings, self.group).add_routes(application)
+        self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.5)
+        await self._runner.setup()
+        address = self._settings.listen["ctl"]
+        await web.TCPSite(self._runner, address.ip, address.port, shutdown_timeout=0.5).start()
+
+    def _keep_house(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._table.expire(now)
+        if self._links is not None:
+            seeds = {seed.ip for seed in self._settings.seeds}
+            self._links.want(seeds | set(self.group.members()) | self._view.members())
+
+    def _status(self) -> Status:
+        role = self.group.role()
+        snapshot = self.group.snapshot()
+        primary, epoch, fresh = "", 0, False
+        if isinstance(role, Primary):
+            primary, epoch, fresh = self._settings.ip, role.epoch, True
+        elif isinstance(role, Backup):
+            primary, epoch, fresh = role.primary, role.epoch, role.fresh
+        uptime = asyncio.get_running_loop().time() - self._started
+        dispatchers = {c.hello.identity for c in self._feed.connections if c.hello and not is_core(c)}
+        return Status(
+            identity=self._settings.ip,
+            epoch=epoch,
+            primary=primary,
+            fresh=fresh,
+            settled=uptime > SETTLED_BEATS * self._settings.beat,
+            config_epoch=snapshot.epoch,
+            config_sequence=snapshot.sequence,
+            dispatchers=len(dispatchers),
+            members=self.group.members(),
+        )
+
+    def _send_status(self) -> None:
+        status = self._status()
+        self._view.received(self._settings.ip, status)
+        self._feed.broadcast(status)
+
+    def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
+        for connection in self._feed.connections:
+            if to_core or not is_core(connection):
+                connection.send(message)
+
+    def _committed(self, snapshot: Snapshot) -> None:
+        document = read_payload(snapshot.payload)
+        if document.source and document.source != self._source:
+            self._source = document.source
+            self._scheduler.configure(load_configuration(document.source))
+        self._send_status()
+
+    def _role_changed(self, role: Role) -> None:
+        logger.info("role changed", extra={"role": repr(role)})
+        self._send_status()
+
+    def _worker_changed(self, record: object) -> None:
+        pass
+
+    def _worker_gone(self, worker: str) -> None:
+        logger.info("worker gone", extra={"worker": worker})
+
+    def greeting(self, connection: Connection) -> Iterable[Message]:
+        """What a new subscriber gets first."""
+        return (self._status(), self._table.direct() if is_core(connection) else self._table.known())
+
+    def received(self, connection: Connection, message: Message) -> None:
+        """A message of a subscriber."""
+        if isinstance(message, FetchConfiguration):
+            connection.send(self._configuration())
+        elif isinstance(message, DemandReport):
+            self._scheduler.take_demand(message)
+
+    def lost(self, connection: Connection) -> None:
+        """A subscriber is gone."""
+
+    def _configuration(self) -> ConfigurationBody:
+        snapshot = self.group.snapshot()
+        document = read_payload(snapshot.payload)
+        return ConfigurationBody(snapshot.epoch, snapshot.sequence, document.source)
+
+
+def is_core(connection: Connection) -> bool:
+    """Whether the subscriber is a control machine."""
+    return connection.hello is not None and connection.hello.tier == TIER_CORE
+
+
+def group_settings(settings: NodeSettings) -> GroupSettings:
+    """The replication group's settings, derived from the process's settings."""
+    return GroupSettings(
+        ip=settings.ip,
+        port=settings.replication_port,
+        listen_ip=settings.ip,
+        seeds=tuple(seed.ip for seed in settings.seeds),
+        tolerate=settings.tolerated_machines,
+        bootstrap=settings.bootstrap,
+        directory=settings.data_directory or "",
+        disk_mb=settings.disk_megabytes,
+    )
--- /dev/null
+++ b/rookwood/controlplane/worker_table.py
@@ -0,0 +1,82 @@
+"""The control plane's worker registry: heartbeats heard here, and what other control machines tell."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from rookwood.cluster.messages import WorkerGone, WorkerUpdates
+from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord
+
+SILENT_BEATS = 3.4  # a worker that misses this many heartbeats is taken for gone
+
+
+class WorkerTable:
+    """Merges direct heartbeats with the feeds of the other control machines.
+
+    Other control machines are told only of workers heard directly, so that two machines never keep a
+    silent worker known by telling each other of it.
+    """
+
+    def __init__(self, view: ClusterView, own_ip: str, beat: float, publish: Publish) -> None:
+        self._view = view
+        self._own_ip = own_ip
+        self._silence = SILENT_BEATS * beat
+        self._publish = publish
+        self._heard: dict[str, float] = {}
+        view.linked(own_ip)
+
+    def heartbeat(self, record: WorkerRecord, now: float) -> None:
+        """A worker called this machine."""
+        if self._view.registry.was_deleted(record.id):
+            return
+        news = record.id not in self._heard
+        self._heard[record.id] = now
+        before = self._view.registry.get(record.id)
+        self._view.received(self._own_ip, WorkerUpdates((record,), complete=False))
+        after = self._view.registry.get(record.id)
+        if after is None:
+            return
+        if news or before is None or replace(after, sequence=before.sequence) != before:
+            self._publish(WorkerUpdates((after,), complete=False), True)
+
+    def delete(self, worker: str) -> None:
+        """A worker said that it ended."""
+        self._heard.pop(worker, None)
+        if not self._view.registry.was_deleted(worker):
+            gone = WorkerGone(worker, deleted=True)
+            self._view.received(self._own_ip, gone)
+            self._publish(gone, True)
+
+    def set_holding(self, worker: str, models: tuple[HeldModel, ...], stamp: HoldingStamp) -> None:
+        """The load scheduler read which weights a worker holds."""
+        known = self._view.registry.get(worker)
+        if known is None:
+            return
+        changed = self._view.registry.merge(replace(known, models=models, holding=stamp))
+        if changed is not None and changed.models != known.models:
+            self._publish(WorkerUpdates((changed,), complete=False), True)
+
+    def expire(self, now: float) -> None:
+        """Forget workers that fell silent."""
+        for worker, heard in list(self._heard.items()):
+            if now - heard > self._silence:
+                del self._heard[worker]
+                gone = WorkerGone(worker, deleted=False)
+                self._view.received(self._own_ip, gone)
+                self._publish(gone, True)
+        self._view.drop_silent(now)
+
+    def known(self) -> WorkerUpdates:
+        """All workers, for a dispatcher that subscribes."""
+        return WorkerUpdates(tuple(self._view.registry), complete=True)
+
+    def direct(self) -> WorkerUpdates:
+        """The workers heard directly, for another control machine that subscribes."""
+        records: Iterable[WorkerRecord | None] = (self._view.registry.get(worker) for worker in self._heard)
+        return WorkerUpdates(tuple(record for record in records if record is not None), complete=True)
+
+
+Publish = Callable[[WorkerUpdates | WorkerGone, bool], None]
+"""Sends an update to all subscribers; the flag tells whether control machines get it too."""
--- /dev/null
+++ b/rookwood/coordination/document.py
@@ -0,0 +1,90 @@
+"""The replicated document, its configuration of members, and the durable record of one member."""
+
+from collections.abc import Collection
+from dataclasses import dataclass, replace
+
+from rookwood.coordination.quorum import copy_quorum, vote_quorum
+
+
+@dataclass(frozen=True, order=True)
+class Position:
+    """The place of a document in the history: ordered by epoch, then by sequence."""
+
+    epoch: int = 0
+    sequence: int = 0
+
+
+@dataclass(frozen=True)
+class Member:
+    """One member: its address and the token of the storage that was admitted under it."""
+
+    ip: str
+    token: int = 0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """The members of the group; `outgoing` is the previous set while a change is being committed."""
+
+    members: tuple[Member, ...] = ()
+    outgoing: tuple[Member, ...] = ()
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the present members."""
+        return tuple(member.ip for member in self.members)
+
+    def everyone(self) -> tuple[str, ...]:
+        """Return the addresses of present and outgoing members, each once."""
+        return tuple(dict.fromkeys(member.ip for member in self.members + self.outgoing))
+
+    def token_of(self, ip: str) -> int | None:
+        """Return the token under which an address was admitted, None if it is no member."""
+        for member in self.members + self.outgoing:
+            if member.ip == ip:
+                return member.token
+        return None
+
+    def has_votes(self, voters: Collection[str]) -> bool:
+        """Tell whether the voters form a vote quorum of each member set in force."""
+        return all(
+            sum(member.ip in voters for member in members) >= vote_quorum(len(members))
+            for members in self._sets()
+        )
+
+    def has_copies(self, holders: Collection[str], tolerate: int) -> bool:
+        """Tell whether the holders form a copy quorum of each member set in force."""
+        return all(
+            sum(member.ip in holders for member in members) >= copy_quorum(len(members), tolerate)
+            for members in self._sets()
+        )
+
+    def _sets(self) -> tuple[tuple[Member, ...], ...]:
+        return (self.members, self.outgoing) if self.outgoing else (self.members,)
+
+
+@dataclass(frozen=True)
+class Document:
+    """The whole replicated state at one position."""
+
+    position: Position = Position()
+    configuration: Configuration = Configuration()
+    payload: bytes = b""
+
+
+@dataclass(frozen=True)
+class Record:
+    """What one member keeps on its disk."""
+
+    token: int
+    promised: int = 0
+    initialised: bool = False
+    document: Document = Document()
+
+    def with_promise(self, epoch: int) -> "Record":
+        """Return this record with a promise of at least the epoch."""
+        return replace(self, promised=max(self.promised, epoch))
+
+    def with_document(self, document: Document) -> "Record":
+        """Return this record holding the document, and promising the document's epoch."""
+        promised = max(self.promised, document.position.epoch)
+        return replace(self, promised=promised, initialised=True, document=document)
--- /dev/null
+++ b/rookwood/coordination/election.py
@@ -0,0 +1,91 @@
+"""A candidate's pre-vote and vote rounds."""
+
+from rookwood.coordination.context import Context
+from rookwood.coordination.document import Document
+from rookwood.coordination.journal import OwnPromiseStep
+from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Promise, VoteRequest
+
+
+class PreVote:
+    """Asks the others whether they hear no primary either, before any epoch is spent."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._ballot = context.random.getrandbits(62)
+        self._granted = {context.ip}
+        self.highest_promise = context.journal.latest.promised
+        self.deadline = context.now + context.timing.pre_vote_limit
+        for ip in context.configuration().everyone():
+            context.send(ip, PreVoteRequest(self._ballot))
+
+    def on_reply(self, sender: str, reply: PreVoteReply) -> None:
+        """Count an answer to this round."""
+        if reply.ballot != self._ballot:
+            return
+        self.highest_promise = max(self.highest_promise, reply.promised)
+        if reply.granted:
+            self._granted.add(sender)
+
+    def is_won(self) -> bool:
+        """Tell whether a vote quorum hears no primary."""
+        return self._context.configuration().has_votes(self._granted)
+
+
+class Candidacy:
+    """Collects promises of one epoch, and the newest document that the promising members hold."""
+
+    def __init__(self, context: Context, epoch: int) -> None:
+        self._context = context
+        self.epoch = epoch
+        self.newest: Document = context.journal.latest.document
+        self.deadline = context.now + context.timing.election_limit
+        self._own_promise = False
+        self._promises: dict[str, int] = {}
+        self._resend_at = context.now + context.timing.resend
+        context.journal.update(context.journal.latest.with_promise(epoch), OwnPromiseStep(epoch))
+
+    def on_own_promise(self) -> None:
+        """Go on to ask for votes, the own promise being durable."""
+        self._own_promise = True
+        self.deadline = self._context.now + self._context.timing.election_limit
+        self._ask()
+
+    def on_promise(self, sender: str, incarnation: int, promise: Promise) -> None:
+        """Count a promise that was given to this life of the candidate."""
+        if promise.epoch != self.epoch or promise.candidate != self._context.incarnation:
+            return
+        if promise.stored > self.newest.position:
+            if promise.document is None:
+                return
+            self.newest = promise.document
+        self._promises[sender] = incarnation
+
+    def is_won(self) -> bool:
+        """Tell whether a vote quorum of the newest configuration promised the epoch."""
+        if not self._own_promise or not self._is_eligible():
+            return False
+        voters = {self._context.ip}
+        for ip, incarnation in self._promises.items():
+            if self._context.contacts[ip].incarnation == incarnation:
+                voters.add(ip)
+        return self.newest.configuration.has_votes(voters)
+
+    def tick(self) -> None:
+        """Ask again those that have not answered."""
+        if self._own_promise and self._context.now >= self._resend_at:
+            self._ask()
+
+    def next_wakeup(self) -> float:
+        """Return when to look at this candidacy again."""
+        return min(self.deadline, self._resend_at) if self._own_promise else self.deadline
+
+    def _ask(self) -> None:
+        self._resend_at = self._context.now + self._context.timing.resend
+        position = self._context.journal.latest.document.position
+        addresses = {*self._context.configuration().everyone(), *self.newest.configuration.everyone()}
+        for ip in sorted(addresses - set(self._promises)):
+            self._context.send(ip, VoteRequest(self.epoch, position))
+
+    def _is_eligible(self) -> bool:
+        token = self.newest.configuration.token_of(self._context.ip)
+        return token == self._context.journal.latest.token
--- /dev/null
+++ b/rookwood/coordination/group.py
@@ -0,0 +1,290 @@
+"""The asyncio shell of a replica: sockets, storage thread, timer, and the calls of its process."""
+
+import asyncio
+import secrets
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from dataclasses import dataclass, fields
+from random import Random
+
+from rookwood.coordination.document import Configuration, Document, Member, Position, Record
+from rookwood.coordination.effects import CommitApplied, Effect, Persist, Resolve, RoleChanged, Send
+from rookwood.coordination.messages import Message
+from rookwood.coordination.outcomes import (
+    Backup,
+    Committed,
+    Confirmed,
+    ConfirmOutcome,
+    Declined,
+    NotPrimary,
+    Primary,
+    ProposeOutcome,
+    Role,
+    Snapshot,
+    Unattached,
+    Uncertain,
+)
+from rookwood.coordination.replication import Replica
+from rookwood.coordination.storage import Storage, UnreadableError
+from rookwood.coordination.timing import Timing
+from rookwood.coordination.transport import Transport
+
+__all__ = [
+    "Backup",
+    "Committed",
+    "Confirmed",
+    "ControlGroup",
+    "Declined",
+    "GroupSettings",
+    "NotPrimary",
+    "Primary",
+    "Role",
+    "Snapshot",
+    "Unattached",
+    "Uncertain",
+]
+
+MIN_TICK = 0.05
+TRANSFER_LIMIT = 1.0
+DRAIN_LIMIT = 0.2
+INCARNATION_BITS = 62
+
+
+@dataclass(frozen=True)
+class GroupSettings(Timing):
+    """Settings of one member; the times of the protocol are inherited as fields with defaults."""
+
+    ip: str
+    port: int
+    listen_ip: str
+    seeds: tuple[str, ...]
+    tolerate: int
+    bootstrap: bool
+    directory: str
+    disk_mb: int
+
+
+class ControlGroup:
+    """One member of the group that keeps the control document."""
+
+    def __init__(
+        self,
+        settings: GroupSettings,
+        *,
+        on_commit: Callable[[Snapshot], None],
+        on_role: Callable[[Role], None],
+    ) -> None:
+        self._settings = settings
+        self._on_commit = on_commit
+        self._on_role = on_role
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._storage = Storage(settings.directory, settings.disk_mb)
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="control-storage")
+        self._transport = Transport(
+            settings.ip, self._incarnation, settings.listen_ip, settings.port, self._receive
+        )
+        self._replica: Replica | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+        self._calls: dict[int, asyncio.Future[ProposeOutcome | ConfirmOutcome]] = {}
+        self._last_ticket = 0
+        self._committed = asyncio.Event()
+        self._effects: deque[Effect] = deque()
+        self._applying = False
+        self._writes: set[asyncio.Task[None]] = set()
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Open the storage and listen; returns without waiting for other members."""
+        loop = asyncio.get_running_loop()
+        record = await loop.run_in_executor(self._executor, self._load)
+        self._replica = Replica(
+            ip=self._settings.ip,
+            incarnation=self._incarnation,
+            seeds=self._settings.seeds,
+            tolerate=self._settings.tolerate,
+            record=record,
+            random=Random(secrets.randbits(INCARNATION_BITS)),
+            now=loop.time(),
+            timing=self._timing(),
+        )
+        await self._transport.start()
+        self._tick()
+
+    async def stop(self, transfer: bool = True) -> None:
+        """Stop taking part; a primary first hands over if `transfer` is set."""
+        if transfer and self._replica is not None and isinstance(self.role(), Primary):
+            await self._transfer(self._replica)
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._transport.stop()
+        for future in self._calls.values():
+            if not future.done():
+                future.set_result(Uncertain("stopped"))
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._executor, self._storage.close)
+        self._executor.shutdown(wait=False)
+
+    def role(self) -> Role:
+        """Return the present role; a primary whose lease ran out while it was frozen has lost it."""
+        if self._replica is None:
+            return Unattached("starting")
+        return self._replica.role(self._now())
+
+    def snapshot(self) -> Snapshot:
+        """Return the newest committed document known here."""
+        return Snapshot(0, 0, b"") if self._replica is None else self._replica.snapshot()
+
+    def members(self) -> tuple[str, ...]:
+        """Return the addresses of the members as known here."""
+        return () if self._replica is None else self._replica.members()
+
+    def reachable(self) -> frozenset[str]:
+        """Return the members heard within the lease time, this one included."""
+        return frozenset() if self._replica is None else self._replica.reachable(self._now())
+
+    async def propose(
+        self, change: Callable[[bytes], bytes | Declined], limit: float = 3.0
+    ) -> Committed | Declined | NotPrimary | Uncertain:
+        """Change the document; `change` is pure and gets the newest committed payload."""
+        outcome = await self._call(
+            lambda replica, ticket: replica.propose(ticket, change, self._now()), limit
+        )
+        return Uncertain("unexpected outcome") if isinstance(outcome, Confirmed) else outcome
+
+    async def confirm(self, limit: float = 1.0) -> Confirmed | NotPrimary | Uncertain:
+        """Confirm leadership by a round that starts after this call."""
+        outcome = await self._call(lambda replica, ticket: replica.confirm(ticket, self._now()), limit)
+        return outcome if isinstance(outcome, Confirmed | NotPrimary) else _as_uncertain(outcome)
+
+    async def _call(
+        self, begin: Callable[[Replica, int], list[Effect]], limit: float
+    ) -> ProposeOutcome | ConfirmOutcome:
+        replica = self._replica
+        if replica is None or self._stopped:
+            return NotPrimary(None)
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        future: asyncio.Future[ProposeOutcome | ConfirmOutcome] = asyncio.get_running_loop().create_future()
+        self._calls[ticket] = future
+        try:
+            self._apply(begin(replica, ticket))
+            async with asyncio.timeout(limit):
+                return await future
+        except TimeoutError:
+            return Uncertain("no answer within the limit")
+        finally:
+            del self._calls[ticket]
+            if not self._stopped:
+                self._apply(replica.abandon(ticket, self._now()))
+
+    async def _transfer(self, replica: Replica) -> None:
+        """Hand over, and keep voting and acknowledging until the successor is established."""
+        epoch = replica.snapshot().epoch
+        self._apply(replica.transfer(self._now()))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(TRANSFER_LIMIT):
+                while replica.snapshot().epoch == epoch:
+                    self._committed.clear()
+                    await self._committed.wait()
+        await self._transport.drain(DRAIN_LIMIT)
+
+    def _timing(self) -> Timing:
+        return Timing(**{field.name: getattr(self._settings, field.name) for field in fields(Timing)})
+
+    def _load(self) -> Record | None:
+        try:
+            record = self._storage.load()
+        except UnreadableError:
+            return None
+        if record is None and self._settings.bootstrap and self._settings.ip in self._settings.seeds:
+            return self._first_record()
+        return record
+
+    def _first_record(self) -> Record:
+        members = tuple(Member(ip) for ip in self._settings.seeds)
+        return Record(0, 0, True, Document(Position(), Configuration(members), b""))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _receive(self, sender: str, incarnation: int, message: Message) -> None:
+        if self._replica is not None and not self._stopped:
+            self._apply(self._replica.receive(sender, incarnation, message, self._now()))
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_at = float("inf")
+        if self._replica is not None and not self._stopped:
+            self._apply(self._replica.tick(self._now()))
+
+    def _schedule(self) -> None:
+        replica = self._replica
+        if replica is None or self._stopped:
+            return
+        wakeup = max(replica.next_wakeup(), self._now() + MIN_TICK)
+        if self._timer is not None and self._timer_at <= wakeup:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wakeup
+        self._timer = asyncio.get_running_loop().call_at(wakeup, self._tick)
+
+    def _apply(self, effects: list[Effect]) -> None:
+        """Apply effects in order, also those that arise while others are applied."""
+        self._effects.extend(effects)
+        if self._applying:
+            return
+        self._applying = True
+        try:
+            while self._effects:
+                self._apply_one(self._effects.popleft())
+        finally:
+            self._applying = False
+        self._schedule()
+
+    def _apply_one(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self._transport.send(effect.to, effect.message)
+            case Persist():
+                self._persist(effect)
+            case Resolve():
+                self._resolve(effect)
+            case CommitApplied():
+                self._committed.set()
+                self._on_commit(effect.snapshot)
+            case RoleChanged():
+                self._on_role(effect.role)
+
+    def _persist(self, effect: Persist) -> None:
+        task = asyncio.create_task(self._write(effect))
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+
+    async def _write(self, effect: Persist) -> None:
+        loop = asyncio.get_running_loop()
+        stored = await loop.run_in_executor(self._executor, self._save, effect.record)
+        if self._replica is not None and not self._stopped:
+            succeeded = stored is effect.record
+            self._apply(self._replica.persisted(effect.ticket, stored, succeeded, self._now()))
+
+    def _save(self, record: Record) -> Record | None:
+        if self._storage.save(record):
+            return record
+        try:
+            return self._storage.load()
+        except UnreadableError:
+            return None
+
+    def _resolve(self, effect: Resolve) -> None:
+        future = self._calls.get(effect.ticket)
+        if future is not None and not future.done():
+            future.set_result(effect.outcome)
+
+
+def _as_uncertain(outcome: Committed | Declined | Uncertain) -> Uncertain:
+    return outcome if isinstance(outcome, Uncertain) else Uncertain("unexpected outcome")
--- /dev/null
+++ b/rookwood/coordination/leadership.py
@@ -0,0 +1,354 @@
+"""The primary's work in one epoch: writes, commits, heartbeat rounds, confirmations, members."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rookwood.coordination.context import Context
+from rookwood.coordination.document import Configuration, Document, Member, Position
+from rookwood.coordination.effects import Resolve
+from rookwood.coordination.journal import OwnWriteStep
+from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write
+from rookwood.coordination.outcomes import Committed, Confirmed, Declined, NotPrimary, Uncertain
+
+Change = Callable[[bytes], bytes | Declined]
+MAX_ROUNDS_REMEMBERED = 32
+
+
+@dataclass
+class Replication:
+    """How far one other machine has followed the primary."""
+
+    incarnation: int | None = None
+    stored: Position = Position()
+    round: int = 0
+    round_started_at: float = 0.0
+    sent: Position = Position()
+    sent_at: float = float("-inf")
+    disk_failed: bool = False
+
+
+@dataclass
+class Learner:
+    """A machine that asks to be admitted."""
+
+    token: int
+    asked_at: float
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """A change that waits for its turn."""
+
+    ticket: int
+    change: Change
+
+
+@dataclass(frozen=True)
+class Waiter:
+    """A call that waits for a heartbeat round; `declined` is its answer, else a confirmation."""
+
+    ticket: int
+    round: int
+    declined: Declined | None
+
+
+class Leadership:
+    """One epoch as primary; `established` once its first document is committed."""
+
+    def __init__(self, context: Context, epoch: int, newest: Document) -> None:
+        self._context = context
+        self.epoch = epoch
+        self.started_at = context.now
+        self.established_at: float | None = None
+        self.transferring = False
+        self._replications: dict[str, Replication] = {}
+        self._learners: dict[str, Learner] = {}
+        self._proposals: deque[Proposal] = deque()
+        self._waiters: list[Waiter] = []
+        self._in_flight: int | None = None
+        self._writing = False
+        self._committed = Position()
+        self._round = 0
+        self._confirmed_round = 0
+        self._rounds: dict[int, float] = {}
+        self._heartbeat_at = context.now
+        self._document = newest
+        self._write(newest.configuration, newest.payload)
+
+    @property
+    def established(self) -> bool:
+        """Tell whether this primary may act."""
+        return self.established_at is not None
+
+    @property
+    def committed(self) -> Position:
+        """Return the newest committed position."""
+        return self._committed
+
+    # Calls
+
+    def propose(self, ticket: int, change: Change) -> None:
+        """Queue a change."""
+        self._proposals.append(Proposal(ticket, change))
+        self._advance()
+
+    def confirm(self, ticket: int, declined: Declined | None = None) -> None:
+        """Answer the call once a round that starts from now on has been acknowledged."""
+        if self._confirmed_round == self._round:
+            self._waiters.append(Waiter(ticket, self._round + 1, declined))
+            self._start_round()
+            return
+        self._waiters.append(Waiter(ticket, self._round + 1, declined))
+
+    def abandon(self, ticket: int) -> None:
+        """Forget a call whose limit is over; a write under way goes on."""
+        self._proposals = deque(proposal for proposal in self._proposals if proposal.ticket != ticket)
+        self._waiters = [waiter for waiter in self._waiters if waiter.ticket != ticket]
+        if self._in_flight == ticket:
+            self._in_flight = None
+
+    def close(self) -> None:
+        """Resolve what is pending: this epoch is over."""
+        idle = [proposal.ticket for proposal in self._proposals]
+        idle += [waiter.ticket for waiter in self._waiters]
+        for ticket in idle:
+            self._context.effects.append(Resolve(ticket, NotPrimary(None)))
+        if self._in_flight is not None:
+            outcome = Uncertain("the primary stepped down")
+            self._context.effects.append(Resolve(self._in_flight, outcome))
+        self._proposals.clear()
+        self._waiters.clear()
+        self._in_flight = None
+
+    def is_idle(self) -> bool:
+        """Tell whether no write is under way."""
+        return not self._writing
+
+    # Messages
+
+    def on_own_write(self) -> None:
+        """Note that the own copy is durable."""
+        self._check_commit()
+
+    def on_heartbeat_ack(self, sender: str, incarnation: int, ack: HeartbeatAck) -> None:
+        """Count a member's acknowledgement of a round."""
+        if ack.epoch != self.epoch:
+            return
+        replication = self._replication(sender, incarnation)
+        started_at = self._rounds.get(ack.round)
+        if started_at is not None and ack.round > replication.round:
+            replication.round = ack.round
+            replication.round_started_at = started_at
+        self._note_stored(replication, ack.stored)
+        if ack.stored < self._document.position:
+            self._send_write(sender, replication)
+        self._check_rounds()
+
+    def on_write_ack(self, sender: str, incarnation: int, epoch: int, stored: Position) -> None:
+        """Count a member's copy."""
+        if epoch == self.epoch:
+            self._note_stored(self._replication(sender, incarnation), stored)
+
+    def on_write_failed(self, sender: str, incarnation: int, epoch: int) -> None:
+        """Note that a member's disk takes no writes at present."""
+        if epoch == self.epoch:
+            self._replication(sender, incarnation).disk_failed = True
+
+    def on_join_request(self, sender: str, incarnation: int, token: int) -> None:
+        """Send the document to a machine that asks to be admitted."""
+        if not self.established or self._document.configuration.token_of(sender) is not None:
+            return
+        known = self._learners.get(sender)
+        if known is not None and known.token != token:
+            self._replications.pop(sender, None)
+        self._learners[sender] = Learner(token, self._context.now)
+        replication = self._replication(sender, incarnation)
+        if replication.stored < self._document.position:
+            self._send_write(sender, replication)
+
+    # Time
+
+    def tick(self) -> None:
+        """Send what is due."""
+        if self._context.now >= self._heartbeat_at:
+            self._start_round()
+        self._drop_silent_learners()
+        self._advance()
+
+    def next_wakeup(self) -> float:
+        """Return when to look at this leadership again."""
+        return self._heartbeat_at
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether a vote quorum acknowledged a recent round."""
+        limit = now - self._context.timing.lease
+        if self.started_at >= limit:
+            return True
+        recent = {ip for ip, state in self._replications.items() if state.round_started_at >= limit}
+        return self._document.configuration.has_votes(recent | {self._context.ip})
+
+    def successor(self) -> str | None:
+        """Return the most up-to-date member that is reachable."""
+        limit = self._context.now - self._context.timing.lease
+        candidates = [
+            (not state.disk_failed, state.stored, ip)
+            for ip, state in self._replications.items()
+            if state.round_started_at >= limit
+            and ip != self._context.ip
+            and self._document.configuration.token_of(ip) is not None
+        ]
+        return max(candidates)[-1] if candidates else None
+
+    # Writes
+
+    def _write(self, configuration: Configuration, payload: bytes) -> None:
+        position = Position(self.epoch, self._document.position.sequence + 1)
+        self._document = Document(position, configuration, payload)
+        self._writing = True
+        journal = self._context.journal
+        self._context.offer(self._document)
+        journal.update(journal.latest.with_document(self._document), OwnWriteStep(position))
+        for ip in self._receivers():
+            self._send_write(ip, self._replications.setdefault(ip, Replication()))
+
+    def _send_write(self, ip: str, replication: Replication) -> None:
+        now = self._context.now
+        position = self._document.position
+        if replication.sent == position and now - replication.sent_at < self._context.timing.write_resend:
+            return
+        replication.sent = position
+        replication.sent_at = now
+        self._context.send(ip, Write(self._document))
+
+    def _check_commit(self) -> None:
+        if not self._writing:
+            return
+        position = self._document.position
+        if self._context.journal.durable.document.position < position:
+            return
+        holders = {ip for ip, state in self._replications.items() if state.stored >= position}
+        holders.add(self._context.ip)
+        if self._document.configuration.has_copies(holders, self._context.tolerate):
+            self._commit()
+
+    def _commit(self) -> None:
+        self._writing = False
+        self._committed = self._document.position
+        if self.established_at is None:
+            self.established_at = self._context.now
+        self._context.apply_commit(self._committed)
+        ticket = self._in_flight
+        self._in_flight = None
+        if ticket is not None:
+            self._context.effects.append(Resolve(ticket, Committed(self._context.snapshot)))
+        self._start_round()
+        self._advance()
+
+    def _advance(self) -> None:
+        while self.established and not self._writing and self._proposals:
+            self._start_proposal(self._proposals.popleft())
+        if self.established and not self._writing and not self.transferring:
+            self._advance_membership()
+
+    def _start_proposal(self, proposal: Proposal) -> None:
+        result = proposal.change(self._document.payload)
+        if isinstance(result, Declined):
+            self.confirm(proposal.ticket, result)
+            return
+        self._in_flight = proposal.ticket
+        self._write(self._document.configuration, result)
+
+    # Rounds
+
+    def _start_round(self) -> None:
+        now = self._context.now
+        self._round += 1
+        self._rounds[self._round] = now
+        self._rounds.pop(self._round - MAX_ROUNDS_REMEMBERED, None)
+        self._heartbeat_at = now + self._context.timing.heartbeat
+        heartbeat = Heartbeat(self.epoch, self._round, self._committed, self._document.position)
+        for ip in self._receivers():
+            self._context.send(ip, heartbeat)
+        self._check_rounds()
+
+    def _check_rounds(self) -> None:
+        best = self._confirmed_round
+        for number in sorted({state.round for state in self._replications.values()} | {self._round}):
+            acknowledged = {ip for ip, state in self._replications.items() if state.round >= number}
+            if self._document.configuration.has_votes(acknowledged | {self._context.ip}):
+                best = max(best, number)
+        self._confirmed_round = best
+        self._resolve_waiters()
+
+    def _resolve_waiters(self) -> None:
+        if not self.established:
+            return
+        ready = [waiter for waiter in self._waiters if waiter.round <= self._confirmed_round]
+        self._waiters = [waiter for waiter in self._waiters if waiter.round > self._confirmed_round]
+        for waiter in ready:
+            outcome = waiter.declined or Confirmed(self._context.snapshot)
+            self._context.effects.append(Resolve(waiter.ticket, outcome))
+        if self._waiters and self._confirmed_round == self._round:
+            self._start_round()
+
+    # Members
+
+    def _advance_membership(self) -> None:
+        configuration = self._document.configuration
+        if configuration.outgoing:
+            self._write(Configuration(configuration.members), self._document.payload)
+            return
+        learner = self._ready_learner()
+        if learner is None:
+            return
+        members = configuration.members
+        if len(members) < 2 * self._context.tolerate + 1:
+            self._write(Configuration((*members, learner), members), self._document.payload)
+            return
+        lost = self._lost_member(members)
+        if lost is not None:
+            kept = tuple(member for member in members if member != lost)
+            self._write(Configuration((*kept, learner), members), self._document.payload)
+
+    def _ready_learner(self) -> Member | None:
+        for ip, learner in self._learners.items():
+            if self._replications[ip].stored >= self._document.position:
+                return Member(ip, learner.token)
+        return None
+
+    def _lost_member(self, members: tuple[Member, ...]) -> Member | None:
+        span = self._context.timing.replace_after
+        if self._context.now - self.started_at < span:
+            return None
+        for member in members:
+            if member.ip != self._context.ip and not self._context.heard_within(member.ip, span):
+                return member
+        return None
+
+    def _drop_silent_learners(self) -> None:
+        limit = self._context.now - self._context.timing.learner_silence
+        members = self._document.configuration
+        for ip, learner in list(self._learners.items()):
+            if learner.asked_at < limit or members.token_of(ip) is not None:
+                del self._learners[ip]
+
+    def _receivers(self) -> tuple[str, ...]:
+        everyone = (*self._document.configuration.everyone(), *self._learners)
+        return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
+
+    def _replication(self, ip: str, incarnation: int) -> Replication:
+        replication = self._replications.setdefault(ip, Replication())
+        if replication.incarnation != incarnation:
+            sent, sent_at = replication.sent, replication.sent_at
+            if replication.incarnation is not None:
+                sent, sent_at = Position(), float("-inf")
+            replication = Replication(incarnation, sent=sent, sent_at=sent_at)
+            self._replications[ip] = replication
+        return replication
+
+    def _note_stored(self, replication: Replication, stored: Position) -> None:
+        if stored.epoch == self.epoch and stored > replication.stored:
+            replication.stored = stored
+            replication.disk_failed = False
+            self._check_commit()
--- /dev/null
+++ b/rookwood/coordination/outcomes.py
@@ -0,0 +1,78 @@
+"""Roles, snapshots and outcomes as callers of the group see them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """The newest committed document known to this process."""
+
+    epoch: int
+    sequence: int
+    payload: bytes
+
+
+@dataclass(frozen=True)
+class Primary:
+    """This process acts as primary."""
+
+    epoch: int
+    since: float
+
+
+@dataclass(frozen=True)
+class Backup:
+    """This process follows a primary; `fresh` tells whether it heard from it lately."""
+
+    primary: str
+    epoch: int
+    fresh: bool
+
+
+@dataclass(frozen=True)
+class Unattached:
+    """This process knows no primary, or takes no part yet."""
+
+    reason: str
+
+
+Role = Primary | Backup | Unattached
+
+
+@dataclass(frozen=True)
+class Committed:
+    """The proposed change is in force."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True)
+class Declined:
+    """The change itself said no; leadership was confirmed after the call arrived."""
+
+    answer: object
+
+
+@dataclass(frozen=True)
+class NotPrimary:
+    """This process is not the primary, and did nothing."""
+
+    primary: str | None
+
+
+@dataclass(frozen=True)
+class Uncertain:
+    """The change may or may not be in force, or leadership could not be confirmed."""
+
+    why: str
+
+
+@dataclass(frozen=True)
+class Confirmed:
+    """Leadership was confirmed after the call arrived; the snapshot is the newest in force."""
+
+    snapshot: Snapshot
+
+
+ProposeOutcome = Committed | Declined | NotPrimary | Uncertain
+ConfirmOutcome = Confirmed | NotPrimary | Uncertain
--- /dev/null
+++ b/rookwood/coordination/replication.py
@@ -0,0 +1,526 @@
+"""One replica's decisions: messages, time and results of writes go in, effects come out; no I/O."""
+
+from random import Random
+
+from rookwood.coordination.admission import Admission
+from rookwood.coordination.context import Context
+from rookwood.coordination.document import Record
+from rookwood.coordination.effects import Effect, Persist, Resolve, RoleChanged
+from rookwood.coordination.election import Candidacy, PreVote
+from rookwood.coordination.journal import (
+    AdmittedStep,
+    Flushed,
+    Journal,
+    OwnPromiseStep,
+    OwnWriteStep,
+    PromiseStep,
+    Step,
+    WriteStep,
+)
+from rookwood.coordination.leadership import Change, Leadership
+from rookwood.coordination.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    Inquiry,
+    JoinRequest,
+    MembershipNotice,
+    Message,
+    PreVoteReply,
+    PreVoteRequest,
+    Promise,
+    Refused,
+    Situation,
+    TransferNow,
+    VoteRequest,
+    Write,
+    WriteAck,
+    WriteFailed,
+)
+from rookwood.coordination.outcomes import Backup, NotPrimary, Primary, Role, Snapshot, Unattached
+from rookwood.coordination.timing import Timing
+
+TOKEN_BITS = 62
+
+
+def new_token(random: Random) -> int:
+    """Return a token for a storage that begins empty; 0 is that of the first members."""
+    return random.getrandbits(TOKEN_BITS) + 1
+
+
+class Replica:
+    """The protocol of one member, as a state machine over explicit time."""
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        incarnation: int,
+        seeds: tuple[str, ...],
+        tolerate: int,
+        record: Record | None,
+        random: Random,
+        now: float,
+        timing: Timing | None = None,
+    ) -> None:
+        stored = record or Record(new_token(random))
+        journal = Journal(stored)
+        self._context = Context(ip, incarnation, seeds, tolerate, timing or Timing(), random, journal, now)
+        self._context.offer(stored.document)
+        self._admission: Admission | None = None
+        self._pre_vote: PreVote | None = None
+        self._candidacy: Candidacy | None = None
+        self._leadership: Leadership | None = None
+        self._primary: str | None = None
+        self._primary_epoch = 0
+        self._primary_heard_at = float("-inf")
+        self._promised_to: tuple[str, int] | None = None
+        self._election_at = now + self._context.timing.start_silence * (1 + random.random())
+        self._role: Role = Unattached("starting")
+
+    # What callers may ask at any time
+
+    def role(self, now: float) -> Role:
+        """Return the role at a moment: a lease may have run out since the last input."""
+        return self._compute_role(now)
+
+    def snapshot(self) -> Snapshot:
+        """Return the newest committed document known here."""
+        return self._context.snapshot
+
+    def members(self) -> tuple[str, ...]:
+        """Return the addresses of the members, as known here."""
+        return self._context.configuration().addresses()
+
+    def reachable(self, now: float) -> frozenset[str]:
+        """Return the members heard within the lease time, this one included."""
+        self._context.now = now
+        lease = self._context.timing.lease
+        members = self.members()
+        heard = {ip for ip in members if self._context.heard_within(ip, lease)}
+        return frozenset(heard | ({self._context.ip} & set(members)))
+
+    def record(self) -> Record:
+        """Return the record that is known to be durable."""
+        return self._context.journal.durable
+
+    def next_wakeup(self) -> float:
+        """Return when `tick` is to be called next."""
+        moments = [self._context.now + self._context.timing.primary_silence]
+        if self._primary_heard_at + self._context.timing.lease > self._context.now:
+            moments.append(self._primary_heard_at + self._context.timing.lease)
+        if not self._context.is_member():
+            moments.append(self._admission.next_wakeup() if self._admission else self._context.now)
+        elif self._leadership is not None:
+            moments.append(self._leadership.next_wakeup())
+        elif self._candidacy is not None:
+            moments.append(self._candidacy.next_wakeup())
+        else:
+            moments.append(self._pre_vote.deadline if self._pre_vote else self._election_at)
+        return min(moments)
+
+    # Inputs
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due."""
+        self._context.now = now
+        self._check_disk()
+        if self._context.is_member():
+            self._admission = None
+            self._tick_member()
+        else:
+            self._tick_outside()
+        return self._finish()
+
+    def receive(self, sender: str, incarnation: int, message: Message, now: float) -> list[Effect]:
+        """Take a message."""
+        self._context.now = now
+        self._context.hear(sender, incarnation)
+        self._dispatch(sender, incarnation, message)
+        return self._finish()
+
+    def persisted(self, ticket: int, stored: Record | None, succeeded: bool, now: float) -> list[Effect]:
+        """Take the result of a durable write; `stored` is what the disk holds after a failure."""
+        self._context.now = now
+        journal = self._context.journal
+        retry_at = now + self._context.timing.disk_retry
+        flushed = journal.succeed(ticket) if succeeded else journal.fail(ticket, stored, retry_at)
+        if flushed is not None:
+            self._on_flushed(flushed)
+        return self._finish()
+
+    def propose(self, ticket: int, change: Change, now: float) -> list[Effect]:
+        """Start a call that changes the document."""
+        self._context.now = now
+        leadership = self._acting()
+        if leadership is None:
+            self._context.effects.append(Resolve(ticket, NotPrimary(self._known_primary())))
+        else:
+            leadership.propose(ticket, change)
+        return self._finish()
+
+    def confirm(self, ticket: int, now: float) -> list[Effect]:
+        """Start a call that confirms leadership."""
+        self._context.now = now
+        leadership = self._acting()
+        if leadership is None:
+            self._context.effects.append(Resolve(ticket, NotPrimary(self._known_primary())))
+        else:
+            leadership.confirm(ticket)
+        return self._finish()
+
+    def abandon(self, ticket: int, now: float) -> list[Effect]:
+        """Forget a call whose limit is over."""
+        self._context.now = now
+        if self._leadership is not None:
+            self._leadership.abandon(ticket)
+        return self._finish()
+
+    def transfer(self, now: float) -> list[Effect]:
+        """Hand the leadership to another member once the write under way is done."""
+        self._context.now = now
+        if self._leadership is not None:
+            self._leadership.transferring = True
+        return self._finish()
+
+    # Time
+
+    def _check_disk(self) -> None:
+        context = self._context
+        if context.journal.stalled_for(context.now) > context.timing.disk_limit:
+            self._hand_over()
+            self._pre_vote = None
+            self._candidacy = None
+
+    def _tick_outside(self) -> None:
+        self._end_participation()
+        if self._admission is None:
+            self._admission = Admission(self._context)
+        self._admission.tick()
+
+    def _tick_member(self) -> None:
+        if self._leadership is not None:
+            self._leadership.tick()
+            if not self._leadership.has_lease(self._context.now):
+                self._step_down()
+        elif self._candidacy is not None:
+            self._candidacy.tick()
+            if self._context.now >= self._candidacy.deadline:
+                self._candidacy = None
+                self._reset_election_timer(0.0)
+        elif self._pre_vote is not None:
+            if self._context.now >= self._pre_vote.deadline:
+                self._pre_vote = None
+                self._reset_election_timer(0.0)
+        elif self._context.now >= self._election_at:
+            self._start_pre_vote()
+
+    def _start_pre_vote(self) -> None:
+        self._reset_election_timer(0.0)
+        if self._may_stand():
+            self._pre_vote = PreVote(self._context)
+            self._check_pre_vote()
+
+    def _may_stand(self) -> bool:
+        journal = self._context.journal
+        stalled = journal.stalled_for(self._context.now) > self._context.timing.disk_limit
+        return self._context.is_member() and journal.healthy and not stalled
+
+    def _check_pre_vote(self) -> None:
+        if self._pre_vote is not None and self._pre_vote.is_won():
+            self._start_candidacy(self._pre_vote.highest_promise)
+
+    def _start_candidacy(self, highest_promise: int) -> None:
+        self._pre_vote = None
+        epoch = max(highest_promise, self._context.journal.latest.promised) + 1
+        self._promised_to = (self._context.ip, self._context.incarnation)
+        self._candidacy = Candidacy(self._context, epoch)
+
+    def _check_candidacy(self) -> None:
+        candidacy = self._candidacy
+        if candidacy is None or not candidacy.is_won():
+            return
+        self._candidacy = None
+        self._primary = self._context.ip
+        self._primary_epoch = candidacy.epoch
+        self._leadership = Leadership(self._context, candidacy.epoch, candidacy.newest)
+
+    # Messages
+
+    def _dispatch(self, sender: str, incarnation: int, message: Message) -> None:
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(sender, message)
+            case HeartbeatAck():
+                if self._leadership is not None:
+                    self._leadership.on_heartbeat_ack(sender, incarnation, message)
+            case Write():
+                self._on_write(sender, message)
+            case WriteAck():
+                if self._leadership is not None:
+                    self._leadership.on_write_ack(sender, incarnation, message.epoch, message.stored)
+            case WriteFailed():
+                if self._leadership is not None:
+                    self._leadership.on_write_failed(sender, incarnation, message.epoch)
+            case Refused():
+                self._on_refused(message)
+            case PreVoteRequest():
+                self._on_pre_vote_request(sender, message)
+            case PreVoteReply():
+                if self._pre_vote is not None:
+                    self._pre_vote.on_reply(sender, message)
+                    self._check_pre_vote()
+            case VoteRequest():
+                self._on_vote_request(sender, incarnation, message)
+            case Promise():
+                if self._candidacy is not None:
+                    self._candidacy.on_promise(sender, incarnation, message)
+                    self._check_candidacy()
+            case Inquiry():
+                self._on_inquiry(sender, incarnation, message)
+            case Situation():
+                if self._admission is not None:
+                    self._admission.on_situation(sender, incarnation, message)
+            case JoinRequest():
+                if self._leadership is not None:
+                    self._leadership.on_join_request(sender, incarnation, message.token)
+            case MembershipNotice():
+                self._context.note_configuration(message.position, message.configuration)
+            case TransferNow():
+                self._on_transfer_now(message)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        context = self._context
+        if context.is_recovering() or not self._accepts_epoch(sender, heartbeat.epoch):
+            return
+        self._follow(sender, heartbeat.epoch)
+        context.apply_commit(heartbeat.committed)
+        stored = context.journal.durable.document.position
+        context.send(sender, HeartbeatAck(heartbeat.epoch, heartbeat.round, stored))
+
+    def _on_write(self, sender: str, write: Write) -> None:
+        context = self._context
+        document = write.document
+        epoch = document.position.epoch
+        if not self._accepts_epoch(sender, epoch):
+            return
+        context.note_configuration(document.position, document.configuration)
+        if self._has_foreign_token():
+            if self._admission is not None:
+                self._admission.note_document(document)
+            return
+        self._follow(sender, epoch)
+        context.offer(document)
+        self._store(sender, write)
+
+    def _has_foreign_token(self) -> bool:
+        token = self._context.configuration().token_of(self._context.ip)
+        return token is not None and token != self._context.journal.latest.token
+
+    def _store(self, sender: str, write: Write) -> None:
+        context = self._context
+        journal = context.journal
+        position = write.document.position
+        if not journal.healthy:
+            context.send(sender, WriteFailed(position.epoch, position))
+            return
+        step = WriteStep(sender, position)
+        if position > journal.latest.document.position:
+            journal.update(journal.latest.with_document(write.document), step)
+        elif journal.is_settled():
+            self._run_step(step)
+        else:
+            journal.await_latest(step)
+
+    def _accepts_epoch(self, sender: str, epoch: int) -> bool:
+        promised = self._context.journal.latest.promised
+        if epoch >= promised:
+            return True
+        self._context.send(sender, Refused(epoch, promised))
+        return False
+
+    def _follow(self, primary: str, epoch: int) -> None:
+        if self._leadership is not None and epoch > self._leadership.epoch:
+            self._step_down()
+        self._pre_vote = None
+        if self._candidacy is not None and epoch >= self._candidacy.epoch:
+            self._candidacy = None
+        self._primary = primary
+        self._primary_epoch = epoch
+        self._primary_heard_at = self._context.now
+        self._reset_election_timer(self._context.timing.primary_silence)
+
+    def _on_refused(self, refused: Refused) -> None:
+        if self._leadership is not None and refused.promised > self._leadership.epoch:
+            self._step_down()
+        if self._candidacy is not None and refused.promised >= self._candidacy.epoch:
+            self._candidacy = None
+            self._reset_election_timer(0.0)
+
+    def _on_pre_vote_request(self, sender: str, request: PreVoteRequest) -> None:
+        context = self._context
+        if not context.is_member():
+            return
+        if context.configuration().token_of(sender) is None:
+            self._tell_membership(sender)
+            return
+        granted = not self._hears_primary() and self._leadership is None
+        context.send(sender, PreVoteReply(request.ballot, granted, context.journal.latest.promised))
+
+    def _on_vote_request(self, sender: str, incarnation: int, request: VoteRequest) -> None:
+        context = self._context
+        if not context.is_member():
+            return
+        if context.configuration().token_of(sender) is None:
+            self._tell_membership(sender)
+            return
+        journal = context.journal
+        promised = journal.latest.promised
+        step = PromiseStep(sender, incarnation, request.epoch, request.position)
+        if request.epoch == promised and self._promised_to == (sender, incarnation):
+            self._repeat_promise(step)
+        elif request.epoch <= promised:
+            context.send(sender, Refused(request.epoch, promised))
+        elif journal.healthy:
+            self._step_down()
+            self._pre_vote = None
+            self._candidacy = None
+            self._promised_to = (sender, incarnation)
+            self._reset_election_timer(context.timing.primary_silence)
+            journal.update(journal.latest.with_promise(request.epoch), step)
+
+    def _repeat_promise(self, step: PromiseStep) -> None:
+        if self._context.journal.is_settled():
+            self._run_step(step)
+        else:
+            self._context.journal.await_latest(step)
+
+    def _tell_membership(self, to: str) -> None:
+        document = self._context.journal.latest.document
+        self._context.send(to, MembershipNotice(document.position, document.configuration))
+
+    def _on_inquiry(self, sender: str, incarnation: int, inquiry: Inquiry) -> None:
+        context = self._context
+        record = context.journal.latest
+        document = record.document if record.document.position > inquiry.known else None
+        recovering = not context.is_member()
+        context.send(sender, Situation(incarnation, recovering, record.promised, document))
+
+    def _on_transfer_now(self, request: TransferNow) -> None:
+        if request.epoch < self._context.journal.latest.promised or not self._may_stand():
+            return
+        if self._leadership is None and self._candidacy is None:
+            self._start_candidacy(request.epoch)
+
+    # Durable writes
+
+    def _on_flushed(self, flushed: Flushed) -> None:
+        if flushed.succeeded:
+            for step in flushed.steps:
+                self._run_step(step)
+            return
+        for step in flushed.steps:
+            self._refuse_step(step)
+        self._hand_over()
+        self._end_participation()
+        if flushed.lost:
+            self._context.journal.restart(Record(new_token(self._context.random)))
+
+    def _run_step(self, step: Step) -> None:
+        context = self._context
+        stored = context.journal.durable
+        match step:
+            case PromiseStep():
+                if stored.promised == step.epoch:
+                    position = stored.document.position
+                    document = stored.document if position > step.known else None
+                    context.send(step.candidate, Promise(step.epoch, step.incarnation, position, document))
+            case WriteStep():
+                context.send(step.primary, WriteAck(step.position.epoch, stored.document.position))
+            case OwnPromiseStep():
+                if self._candidacy is not None and self._candidacy.epoch == step.epoch:
+                    self._candidacy.on_own_promise()
+                    self._check_candidacy()
+            case OwnWriteStep():
+                if self._leadership is not None:
+                    self._leadership.on_own_write()
+            case AdmittedStep():
+                self._reset_election_timer(context.timing.primary_silence)
+
+    def _refuse_step(self, step: Step) -> None:
+        if isinstance(step, WriteStep):
+            position = step.position
+            self._context.send(step.primary, WriteFailed(position.epoch, position))
+
+    # Leadership
+
+    def _acting(self) -> Leadership | None:
+        leadership = self._leadership
+        if leadership is None or not leadership.established or leadership.transferring:
+            return None
+        if not leadership.has_lease(self._context.now):
+            self._step_down()
+            return None
+        return leadership
+
+    def _hand_over(self) -> None:
+        if self._leadership is None:
+            return
+        successor = self._leadership.successor()
+        if successor is not None:
+            self._context.send(successor, TransferNow(self._leadership.epoch))
+        self._step_down()
+
+    def _step_down(self) -> None:
+        if self._leadership is None:
+            return
+        self._leadership.close()
+        self._leadership = None
+        self._primary = None
+        self._reset_election_timer(self._context.timing.primary_silence)
+
+    def _end_participation(self) -> None:
+        self._step_down()
+        self._pre_vote = None
+        self._candidacy = None
+
+    def _hears_primary(self) -> bool:
+        return self._context.now - self._primary_heard_at < self._context.timing.primary_silence
+
+    def _known_primary(self) -> str | None:
+        return None if self._primary == self._context.ip else self._primary
+
+    def _reset_election_timer(self, silence: float) -> None:
+        jitter = self._context.random.random() * self._context.timing.election_jitter
+        self._election_at = self._context.now + silence + jitter
+
+    # Results
+
+    def _finish(self) -> list[Effect]:
+        context = self._context
+        leadership = self._leadership
+        if leadership is not None and leadership.transferring and leadership.is_idle():
+            self._hand_over()
+        begun = context.journal.begin(context.now)
+        if begun is not None:
+            context.effects.append(Persist(*begun))
+        self._update_role()
+        effects, context.effects = context.effects, []
+        return effects
+
+    def _update_role(self) -> None:
+        role = self._compute_role(self._context.now)
+        if role != self._role:
+            self._role = role
+            self._context.effects.append(RoleChanged(role))
+
+    def _compute_role(self, now: float) -> Role:
+        context = self._context
+        if not context.is_member():
+            return Unattached("recovering" if context.is_recovering() else "joining")
+        leadership = self._leadership
+        if leadership is not None and leadership.established_at is not None and leadership.has_lease(now):
+            return Primary(leadership.epoch, leadership.established_at)
+        if self._primary is None or self._primary == context.ip:
+            return Unattached("no primary is known")
+        fresh = now - self._primary_heard_at <= context.timing.lease
+        return Backup(self._primary, self._primary_epoch, fresh)
--- /dev/null
+++ b/rookwood/coordination/timing.py
@@ -0,0 +1,23 @@
+"""Times of the protocol, in seconds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class Timing:
+    """All spans that the replica uses."""
+
+    heartbeat: float = 0.2
+    primary_silence: float = 0.7
+    election_jitter: float = 0.4
+    start_silence: float = 0.25
+    lease: float = 0.9
+    pre_vote_limit: float = 0.5
+    election_limit: float = 1.5
+    resend: float = 0.2
+    write_resend: float = 0.5
+    inquiry: float = 0.3
+    replace_after: float = 1.5
+    learner_silence: float = 3.0
+    disk_limit: float = 1.0
+    disk_retry: float = 0.5
--- /dev/null
+++ b/rookwood/dataplane/events.py
@@ -0,0 +1,60 @@
+"""Splits the bytes of an event stream into whole events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ENDS = (b"\n\n", b"\r\n\r\n")
+MAXIMUM_EVENT = 1024 * 1024
+
+
+class OversizedEventError(Exception):
+    """An event that does not end within the size limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event as the worker sent it, and its id if it has one."""
+
+    raw: bytes
+    id: bytes | None
+
+
+class EventSplitter:
+    """Collects bytes until whole events are there."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """The events that are whole now; raises OversizedEventError."""
+        self._rest += data
+        events = []
+        while True:
+            end = _first_end(self._rest)
+            if end < 0:
+                break
+            raw, self._rest = self._rest[:end], self._rest[end:]
+            events.append(Event(raw, read_event_id(raw)))
+        if len(self._rest) > MAXIMUM_EVENT:
+            raise OversizedEventError
+        return events
+
+    @property
+    def partial(self) -> bool:
+        """Whether an event has begun that is not whole."""
+        return bool(self._rest.strip())
+
+
+def _first_end(data: bytes) -> int:
+    ends = [position + len(mark) for mark in ENDS if (position := data.find(mark)) >= 0]
+    return min(ends, default=-1)
+
+
+def read_event_id(raw: bytes) -> bytes | None:
+    """The value of the event's `id` field."""
+    for line in raw.splitlines():
+        name, separator, value = line.partition(b":")
+        if separator and name == b"id":
+            return value.strip()
+    return None
--- /dev/null
+++ b/rookwood/dataplane/program.py
@@ -0,0 +1,145 @@
+"""The data plane's process: serves clients, follows the control plane's feeds, reports demand."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from aiohttp import web
+
+from rookwood.cluster.feed import Connection, LinkSet
+from rookwood.cluster.messages import DemandReport, Hello, Message
+from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
+from rookwood.cluster.view import ClusterView
+from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.demand import DemandMeter, ServiceKey
+from rookwood.dataplane.pool import WorkerPool
+from rookwood.dataplane.proxy import Proxy
+from rookwood.dataplane.router import Router
+from rookwood.dataplane.upstream import UpstreamClient
+
+logger = logging.getLogger("rookwood")
+
+TIER_EDGE = "edge"
+HOUSEKEEPING_INTERVAL = 1.0
+CLIENT_KEEPALIVE = 60.0
+INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
+EXIT_MARGIN = 1.2
+DRAIN_POLL = 0.05
+
+
+class DataPlane:
+    """Wires the parts of a dispatcher together."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._stopping = asyncio.Event()
+        self._pool = WorkerPool()
+        self._router = Router(settings.zone, self._pool)
+        self._demand = DemandMeter(self._weights_wanted)
+        bounds = settings.bounds
+        self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
+        self._view = ClusterView(
+            self._router.configure, self._router.worker_changed, self._router.worker_gone
+        )
+        self._links: LinkSet | None = None
+        self._proxy: Proxy | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        client = UpstreamClient(self._settings.descriptors)
+        self._proxy = Proxy(self._router, self._pool, self._demand, self._budget, client)
+        hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
+        self._links = LinkSet(self._settings.feed_port, hello, self, self._settings.ip)
+        self._keep_house()
+        runners = [await self._serve_clients(self._proxy), await self._serve_readiness()]
+        keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
+        logger.info("data plane started")
+        await run_until(self._stopping, [keeper])
+        await self._finish(self._proxy)
+        await cancel_tasks([keeper])
+        self._links.close()
+        for runner in runners:
+            await runner.cleanup()
+        await client.close()
+
+    async def _serve_clients(self, proxy: Proxy) -> web.ServerRunner:
+        server = web.Server(
+            proxy.handle,
+            handler_cancellation=True,
+            keepalive_timeout=CLIENT_KEEPALIVE,
+            access_log=None,
+        )
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        await runner.setup()
+        address = self._settings.listen["edge"]
+        await web.TCPSite(runner, address.ip, address.port, backlog=1024).start()
+        return runner
+
+    async def _serve_readiness(self) -> web.ServerRunner:
+        server = web.Server(self._answer_readiness, access_log=None)
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        await runner.setup()
+        address = self._settings.listen["readyz"]
+        await web.TCPSite(runner, address.ip, address.port).start()
+        return runner
+
+    async def _answer_readiness(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._ready() else 503)
+
+    def _ready(self) -> bool:
+        configured = self._router.configuration is not None and self._router.has_workers()
+        return configured and not self._stopping.is_set()
+
+    async def _finish(self, proxy: Proxy) -> None:
+        """Let requests end; new connections still come until the platform noticed."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        proxy.draining = True
+        logger.info("data plane drains", extra={"in_flight": proxy.in_flight})
+        while loop.time() - began < self._settings.bounds.grace - EXIT_MARGIN:
+            if proxy.in_flight == 0 and loop.time() - began > INGRESS_NOTICE:
+                return
+            await asyncio.sleep(DRAIN_POLL)
+
+    def _keep_house(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._view.drop_silent(now)
+        self._budget.dispatchers = self._view.dispatchers()
+        if self._links is None:
+            return
+        self._links.want({seed.ip for seed in self._settings.seeds} | self._view.members())
+        reports = self._demand.reports(now)
+        if reports:
+            self._report(DemandReport(self._settings.ip, reports, complete=True))
+
+    def _weights_wanted(self, key: ServiceKey) -> None:
+        """The first request waits for weights: tell the primary at once."""
+        now = asyncio.get_running_loop().time()
+        self._report(DemandReport(self._settings.ip, (self._demand.report(key, now),), complete=False))
+
+    def _report(self, report: DemandReport) -> None:
+        primary = self._view.primary()
+        connection = self._links.connection(primary) if self._links and primary else None
+        if connection is not None:
+            connection.send(report)
+
+    def linked(self, peer: str, connection: Connection) -> None:
+        """A feed is open."""
+        self._view.linked(peer)
+
+    def unlinked(self, peer: str) -> None:
+        """A feed ended."""
+        self._view.unlinked(peer, asyncio.get_running_loop().time())
+
+    def received(self, peer: str, message: Message) -> None:
+        """A feed brought a message."""
+        answer = self._view.received(peer, message)
+        connection = self._links.connection(peer) if self._links else None
+        if answer is not None and connection is not None:
+            connection.send(answer)
--- /dev/null
+++ b/rookwood/dataplane/proxy.py
@@ -0,0 +1,366 @@
+"""Handles one client request from its head to the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import web
+
+from rookwood.cluster.workers import WorkerRecord
+from rookwood.dataplane import headers as names
+from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.demand import DemandMeter
+from rookwood.dataplane.events import EventSplitter, OversizedEventError
+from rookwood.dataplane.pool import WorkerPool
+from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service
+from rookwood.dataplane.router import Router, prefix_parts
+from rookwood.dataplane.upstream import (
+    MISDIRECTED,
+    Broken,
+    Complete,
+    NotSent,
+    Outcome,
+    Rejected,
+    Streaming,
+    UpstreamClient,
+    UpstreamRequest,
+    read_load,
+)
+
+logger = logging.getLogger("rookwood")
+
+DEFAULT_BODY_LIMIT = 4 * 1024 * 1024
+MILLISECONDS = 1000.0
+MINIMUM_ATTEMPT = 0.02  # seconds that must be left for an attempt to be worth sending
+ANSWER_MARGIN = 0.005
+MAXIMUM_CONNECTION_FAILURES = 3
+DEFAULT_LOAD_TIME = 2.0
+LOAD_OVERHEAD = 1.0
+WAIT_SHARE = 0.8
+RETRY_SOON = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the dispatcher's own."""
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+    def response(self) -> web.Response:
+        """The answer to send."""
+        response = web.Response(status=self.status, text=self.reason)
+        if self.retry_after is not None:
+            response.headers[names.RETRY_AFTER] = f"{self.retry_after:.2f}"
+        return response
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """The stream reached its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBroke:
+    """The stream broke off after the event named."""
+
+    why: str
+
+
+class RequestProgress:
+    """What has happened to one request so far."""
+
+    def __init__(self) -> None:
+        self.sends = 0
+        self.connection_failures = 0
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+        self.response: web.StreamResponse | None = None
+        self.last_event: bytes | None = None
+
+
+class Proxy:
+    """Forwards requests to workers."""
+
+    def __init__(
+        self,
+        router: Router,
+        pool: WorkerPool,
+        demand: DemandMeter,
+        budget: RetryBudget,
+        client: UpstreamClient,
+    ) -> None:
+        self._router = router
+        self._pool = pool
+        self._demand = demand
+        self._budget = budget
+        self._client = client
+        self.in_flight = 0
+        self.draining = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.in_flight += 1
+        try:
+            response = await self._handle(request)
+            if self.draining:
+                response.force_close()
+            return response
+        finally:
+            self.in_flight -= 1
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = self._now()
+        configuration = self._router.configuration
+        if configuration is None:
+            return Refusal(503, "no configuration yet", RETRY_SOON).response()
+        body = await read_body(request, configuration.limits.body_bytes or DEFAULT_BODY_LIMIT)
+        if body is None:
+            return Refusal(413, "body too large").response()
+        route = self._router.match(request.host, request.path)
+        if route is None:
+            return Refusal(404, "no route").response()
+        if not request.headers.get(names.REQUEST_ID):
+            return Refusal(400, f"{names.REQUEST_ID} is missing").response()
+        service = choose_service(route, request.headers[names.REQUEST_ID])
+        routed = build_request(request, route, body, service, arrived)
+        self._budget.request(service, arrived)
+        if routed.key is not None:
+            self._demand.request(routed.key, arrived)
+        return await self._forward(request, routed)
+
+    async def _forward(self, client: web.BaseRequest, request: RoutedRequest) -> web.StreamResponse:
+        progress = RequestProgress()
+        while True:
+            worker = await self._find_worker(request, progress)
+            if isinstance(worker, Refusal):
+                return self._give_up(client, request, progress, worker)
+            outcome = await self._attempt(client, request, worker, progress)
+            if isinstance(outcome, web.StreamResponse):
+                return outcome
+            if not self._may_repeat(request, progress, outcome):
+                return self._give_up(client, request, progress, refusal_for(request, progress, outcome))
+
+    async def _attempt(
+        self, client: web.BaseRequest, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
+    ) -> web.StreamResponse | NotSent | Rejected | Broken:
+        """Send the request once; a response means that the request is answered."""
+        traffic = self._pool.get(worker.id)
+        began = self._now()
+        traffic.in_flight += 1
+        progress.excluded.add(worker.id)
+        progress.sends += 1
+        try:
+            outcome = await self._client.send(
+                worker.address, self._upstream_request(request, worker, progress), request.deadline
+            )
+            self._learn(request, worker, outcome)
+            if isinstance(outcome, Streaming):
+                return await self._relay(client, request, worker, outcome, progress)
+            if isinstance(outcome, Complete):
+                return complete_response(outcome)
+            return outcome
+        finally:
+            traffic.in_flight -= 1
+            now = self._now()
+            if request.key is not None:
+                self._demand.used(request.key, now - began, now)
+
+    def _upstream_request(
+        self, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
+    ) -> UpstreamRequest:
+        headers = request.headers.copy()
+        left = max(1.0, (request.deadline - self._now()) * MILLISECONDS)
+        headers[names.TIME_LEFT] = str(int(left))
+        headers[names.WANT_INSTANCE] = worker.id
+        headers[names.PRIORITY] = str(max(0, min(9, request.route.priority)))
+        if progress.last_event is not None:
+            headers[names.LAST_EVENT_ID] = progress.last_event.decode("latin-1")
+        return UpstreamRequest(request.method, request.target, headers, request.body, request.id)
+
+    def _learn(self, request: RoutedRequest, worker: WorkerRecord, outcome: Outcome) -> None:
+        """Note what an outcome tells of the worker."""
+        traffic = self._pool.get(worker.id)
+        now = self._now()
+        if isinstance(outcome, Complete | Streaming):
+            traffic.succeeded()
+            load = read_load(outcome.headers)
+            if load is not None:
+                traffic.tell_load(load.running, load.waiting, load.slots, now)
+            if isinstance(outcome, Streaming):
+                traffic.remember(prefix_parts(request))
+        elif isinstance(outcome, Rejected):
+            if outcome.status == MISDIRECTED and request.key is not None:
+                traffic.lacks(request.key.model, request.key.adapter, now)
+            else:
+                traffic.failed(now)
+        elif isinstance(outcome, NotSent) or outcome.why != "deadline":
+            traffic.failed(now)
+
+    async def _relay(
+        self,
+        client: web.BaseRequest,
+        request: RoutedRequest,
+        worker: WorkerRecord,
+        stream: Streaming,
+        progress: RequestProgress,
+    ) -> web.StreamResponse | Broken:
+        """Pass a stream on, event by event."""
+        if progress.response is None:
+            progress.response = web.StreamResponse(status=stream.status, headers=stream.headers)
+            if self.draining:
+                progress.response.force_close()
+            await progress.response.prepare(client)
+        try:
+            ended = await self._copy_events(request, stream, progress, progress.response)
+        finally:
+            stream.response.close()
+        if isinstance(ended, StreamEnded):
+            await progress.response.write_eof()
+            return progress.response
+        if ended.why != "deadline":
+            self._pool.get(worker.id).failed(self._now())
+        return Broken(ended.why)
+
+    async def _copy_events(
+        self,
+        request: RoutedRequest,
+        stream: Streaming,
+        progress: RequestProgress,
+        response: web.StreamResponse,
+    ) -> StreamEnded | StreamBroke:
+        splitter = EventSplitter()
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                while True:
+                    data = await stream.response.content.readany()
+                    if not data:
+                        return StreamBroke("partial event") if splitter.partial else StreamEnded()
+                    for event in splitter.feed(data):
+                        if event.id is not None:
+                            progress.last_event = event.id
+                        await response.write(event.raw)
+        except TimeoutError:
+            return StreamBroke("deadline")
+        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
+            if response.task is not None and client_gone(response):
+                raise
+            return StreamBroke(repr(error))
+        except OversizedEventError:
+            return StreamBroke("oversized event")
+
+    async def _find_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | Refusal:
+        """A worker for the next attempt; waits for weights to be loaded, within limits."""
+        now = self._now()
+        worker = self._router.choose(request, progress.excluded, now)
+        if worker is not None and request.deadline - now > MINIMUM_ATTEMPT:
+            return worker
+        until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + self._patience(request))
+        if request.key is None or now >= until:
+            return Refusal(503, "no worker", RETRY_SOON)
+        self._demand.begin_wait(request.key, now)
+        try:
+            while await self._router.wait_change(until):
+                worker = self._router.choose(request, progress.excluded, self._now())
+                if worker is not None:
+                    return worker
+        finally:
+            self._demand.end_wait(request.key, now)
+        return Refusal(503, "weights are not loaded", RETRY_SOON)
+
+    def _patience(self, request: RoutedRequest) -> float:
+        """How long a request may wait for its weights, in seconds."""
+        configuration = self._router.configuration
+        load_time = DEFAULT_LOAD_TIME
+        if configuration is not None and request.key is not None:
+            service = configuration.services.get(request.service)
+            model = service.engine.models.get(request.key.model) if service and service.engine else None
+            if model is not None:
+                load_time = model.load_s
+        return min(load_time + LOAD_OVERHEAD, WAIT_SHARE * (request.deadline - request.arrived))
+
+    def _may_repeat(
+        self, request: RoutedRequest, progress: RequestProgress, outcome: NotSent | Rejected | Broken
+    ) -> bool:
+        """Whether another worker may be tried after this outcome."""
+        now = self._now()
+        if request.deadline - now < MINIMUM_ATTEMPT:
+            progress.may_have_run = progress.may_have_run or isinstance(outcome, Broken)
+            return False
+        if isinstance(outcome, NotSent):
+            progress.sends -= 1
+            progress.connection_failures += 1
+            return progress.connection_failures < MAXIMUM_CONNECTION_FAILURES
+        if isinstance(outcome, Broken):
+            progress.may_have_run = True
+            if not request.repeatable:
+                return False
+            if progress.response is not None and progress.last_event is None:
+                return False
+        if progress.sends >= request.route.tries:
+            return False
+        return self._budget.take(request.service, now)
+
+    def _give_up(
+        self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress, refusal: Refusal
+    ) -> web.StreamResponse:
+        """The final answer: a refusal, or the end of a stream that can't be finished."""
+        if progress.response is not None:
+            if client.transport is not None:
+                client.transport.close()
+            return progress.response
+        if progress.may_have_run and not request.repeatable and refusal.status == 503:
+            refusal = Refusal(502, "the worker's answer was lost")
+        logger.info(
+            "request given up",
+            extra={"request": request.id, "status": refusal.status, "reason": refusal.reason},
+        )
+        return refusal.response()
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def refusal_for(
+    request: RoutedRequest, progress: RequestProgress, outcome: NotSent | Rejected | Broken
+) -> Refusal:
+    """The answer after the last attempt."""
+    if progress.may_have_run and not request.repeatable:
+        status = 504 if isinstance(outcome, Broken) and outcome.why == "deadline" else 502
+        return Refusal(status, "the worker's answer was lost")
+    if isinstance(outcome, Broken):
+        status = 504 if outcome.why == "deadline" else 502
+        return Refusal(status, "the worker's answer was lost")
+    return Refusal(503, "workers are full or gone", RETRY_SOON)
+
+
+def complete_response(outcome: Complete) -> web.Response:
+    """A worker's whole answer, unchanged."""
+    return web.Response(status=outcome.status, headers=outcome.headers, body=outcome.body)
+
+
+def client_gone(response: web.StreamResponse) -> bool:
+    """Whether the client's connection is closed."""
+    request = response._req
+    return request is None or request.transport is None or request.transport.is_closing()
+
+
+async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """The whole body; None if it is larger than the limit."""
+    if not request.body_exists:
+        return b""
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        chunk = await request.content.readany()
+        if not chunk:
+            return b"".join(chunks)
+        size += len(chunk)
+        if size > limit:
+            return None
+        chunks.append(chunk)
--- /dev/null
+++ b/rookwood/dataplane/requests.py
@@ -0,0 +1,112 @@
+"""A client's request after its head was read: what routing needs to know of it."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from rookwood.clusterconfig.document import Route
+from rookwood.dataplane import headers as names
+from rookwood.dataplane.demand import ServiceKey
+
+MILLISECONDS = 1000.0
+CHOICES = 1 << 32
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt and its tokens; the parts before it are told by `chain`."""
+
+    chain: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A request with its route, service and weights. Times are in seconds of the steady clock."""
+
+    id: str
+    method: str
+    target: str
+    route: Route
+    service: str
+    key: ServiceKey | None
+    parts: tuple[PromptPart, ...]
+    headers: CIMultiDict[str]
+    body: bytes
+    arrived: float
+    deadline: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.repeatable
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Draw the service of a split route; the same request always gets the same one."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = zlib.crc32(request_id.encode()) / CHOICES * total
+    for share in route.shares:
+        if share.weight <= 0:
+            continue
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return max(route.shares, key=lambda share: share.weight).service
+
+
+def read_parts(text: str) -> tuple[PromptPart, ...]:
+    """Read X-Prompt-Prefix; parts that can't be read end the list."""
+    parts: list[PromptPart] = []
+    chain = ""
+    for item in text.split(","):
+        identity, _, tokens = item.strip().partition(":")
+        if not identity or not tokens.isdecimal():
+            break
+        chain = f"{chain}/{identity}"
+        parts.append(PromptPart(chain, int(tokens)))
+    return tuple(parts)
+
+
+def read_key(service: str, text: str | None) -> ServiceKey | None:
+    """Read X-Model: a model, or model/adapter."""
+    if not text:
+        return None
+    model, _, adapter = text.partition("/")
+    return ServiceKey(service, model, adapter)
+
+
+def read_time_left(text: str | None) -> float | None:
+    """Read X-Time-Left, in seconds."""
+    try:
+        return max(0.0, float(text) / MILLISECONDS) if text else None
+    except ValueError:
+        return None
+
+
+def build_request(
+    request: web.BaseRequest, route: Route, body: bytes, service: str, arrived: float
+) -> RoutedRequest:
+    """Combine a client's request with its route."""
+    headers = request.headers
+    limit = route.timeout_ms / MILLISECONDS
+    left = read_time_left(headers.get(names.TIME_LEFT))
+    return RoutedRequest(
+        id=headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        target=request.raw_path,
+        route=route,
+        service=service,
+        key=read_key(service, headers.get(names.MODEL)),
+        parts=read_parts(headers.get(names.PROMPT_PREFIX, "")),
+        headers=names.end_to_end(headers),
+        body=body,
+        arrived=arrived,
+        deadline=arrived + (limit if left is None else min(limit, left)),
+    )
--- /dev/null
+++ b/rookwood/dataplane/router.py
@@ -0,0 +1,143 @@
+"""Chooses a worker for each request from what the cluster's view and this dispatcher's traffic tell."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+
+from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.clusterconfig.document import Configuration, Route
+from rookwood.clusterconfig.loading import load_configuration
+from rookwood.clusterconfig.routing import RouteIndex
+from rookwood.dataplane.demand import ServiceKey
+from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
+from rookwood.dataplane.requests import RoutedRequest
+from rookwood.modelplacement.selection import Candidate, choose_worker
+from rookwood.modelplacement.types import WeightsKey
+
+NO_KEY = WeightsKey("")
+
+
+class Router:
+    """The configuration in force and the workers of each service."""
+
+    def __init__(self, zone: str, pool: WorkerPool) -> None:
+        self._zone = zone
+        self._pool = pool
+        self._source = b""
+        self.configuration: Configuration | None = None
+        self._index: RouteIndex | None = None
+        self._workers: dict[str, dict[str, WorkerRecord]] = defaultdict(dict)
+        self._changed = asyncio.Event()
+        self._random = random.Random()
+
+    def configure(self, source: bytes) -> None:
+        """Put a configuration in force."""
+        if source == self._source:
+            return
+        self._source = source
+        self.configuration = load_configuration(source)
+        self._index = RouteIndex(self.configuration)
+        self._notify()
+
+    def worker_changed(self, record: WorkerRecord) -> None:
+        """A worker is new or changed."""
+        self._workers[record.service][record.id] = record
+        self._notify()
+
+    def worker_gone(self, worker: str) -> None:
+        """A worker is gone."""
+        for workers in self._workers.values():
+            workers.pop(worker, None)
+        self._pool.forget(worker)
+        self._notify()
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route of a request."""
+        return self._index.match(host, path) if self._index else None
+
+    def has_workers(self) -> bool:
+        """Whether any worker is known."""
+        return any(self._workers.values())
+
+    async def wait_change(self, deadline: float) -> bool:
+        """Wait until workers or configuration change; False at the deadline."""
+        event = self._changed
+        try:
+            async with asyncio.timeout_at(deadline):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def holders_exist(self, key: ServiceKey | None, service: str) -> bool:
+        """Whether some worker is known to hold the weights."""
+        return any(self._serves(record, key) for record in self._workers[service].values())
+
+    def choose(self, request: RoutedRequest, excluded: set[str], now: float) -> WorkerRecord | None:
+        """A worker that holds the request's weights, or None."""
+        records = self._eligible(request, excluded, now)
+        if not records:
+            return None
+        candidates = [self._candidate(record, request, now) for record in records]
+        key = WeightsKey(request.key.model, request.key.adapter) if request.key else NO_KEY
+        chosen = choose_worker(key, candidates, (), self._random)
+        return self._workers[request.service].get(chosen) if chosen else None
+
+    def _eligible(self, request: RoutedRequest, excluded: set[str], now: float) -> list[WorkerRecord]:
+        records = []
+        for record in self._workers[request.service].values():
+            if record.id in excluded or not self._serves(record, request.key):
+                continue
+            if request.key and self._lacks(record, request.key, now):
+                continue
+            records.append(record)
+        trusted = [record for record in records if self._pool.get(record.id).avoided_until <= now]
+        return trusted or records
+
+    def _lacks(self, record: WorkerRecord, key: ServiceKey, now: float) -> bool:
+        return self._pool.get(record.id).known_to_lack(key.model, key.adapter, now)
+
+    @staticmethod
+    def _serves(record: WorkerRecord, key: ServiceKey | None) -> bool:
+        if record.state is WorkerState.DRAINING:
+            return False
+        return key is None or record.holds(key.model, key.adapter)
+
+    def _candidate(self, record: WorkerRecord, request: RoutedRequest, now: float) -> Candidate:
+        traffic = self._pool.get(record.id)
+        fresh = traffic.load(now) > traffic.in_flight
+        return Candidate(
+            worker=record.id,
+            in_flight=traffic.in_flight,
+            running=traffic.running if fresh else 0,
+            waiting=traffic.waiting if fresh else 0,
+            slots=record.slots,
+            same_zone=record.zone == self._zone,
+            prefix_affinity=prefix_affinity(traffic, request),
+        )
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def prefix_parts(request: RoutedRequest) -> list[tuple[str, str, str]]:
+    """What identifies each cached part of the prompt: weights and all parts up to it."""
+    if request.key is None:
+        return []
+    return [(request.key.model, request.key.adapter, part.chain) for part in request.parts]
+
+
+def prefix_affinity(traffic: WorkerTraffic, request: RoutedRequest) -> float:
+    """The share of the prompt's tokens that were sent to the worker before."""
+    total = sum(part.tokens for part in request.parts)
+    if not total or request.key is None:
+        return 0.0
+    cached = 0
+    for part, identity in zip(request.parts, prefix_parts(request), strict=True):
+        if identity not in traffic.prefixes:
+            break
+        cached += part.tokens
+    return cached / total
--- /dev/null
+++ b/rookwood/modelplacement/permutation.py
@@ -0,0 +1,97 @@
+"""Step 5 of Algorithm 1: permute workers within a range so that the table deviates least from the last.
+
+Groups of up to `EXACT_LIMIT` workers get an optimal assignment (the Hungarian method); larger ones are
+improved by a greedy pass over the pairs that overlap at all, which is linear in the size of the table.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+EXACT_LIMIT = 24
+
+Overlap = Mapping[tuple[str, str], float]  # (packed as, worker) -> overlap with the last table
+
+
+def least_deviation(workers: Sequence[str], overlap: Overlap) -> dict[str, str]:
+    """For each packed position the worker that takes it, so that the sum of overlaps is the largest."""
+    if len(workers) <= EXACT_LIMIT:
+        return _assign_optimally(workers, overlap)
+    return _assign_greedily(workers, overlap)
+
+
+def _assign_greedily(workers: Sequence[str], overlap: Overlap) -> dict[str, str]:
+    members = set(workers)
+    pairs = [(-amount, a != b, a, b) for (a, b), amount in overlap.items() if a in members and b in members]
+    chosen: dict[str, str] = {}
+    taken: set[str] = set()
+    for _, _, position, worker in sorted(pairs):
+        if position not in chosen and worker not in taken:
+            chosen[position] = worker
+            taken.add(worker)
+    for worker in workers:  # where nothing overlaps, a position stays where it was packed
+        if worker not in chosen and worker not in taken:
+            chosen[worker] = worker
+            taken.add(worker)
+    rest = iter([worker for worker in workers if worker not in taken])
+    for position in workers:
+        if position not in chosen:
+            chosen[position] = next(rest)
+    return chosen
+
+
+def _assign_optimally(workers: Sequence[str], overlap: Overlap) -> dict[str, str]:
+    """The Hungarian method with potentials, on costs that are negated overlaps."""
+    size = len(workers)
+    cost = [[-overlap.get((position, worker), 0.0) for worker in workers] for position in workers]
+    row_potential = [0.0] * (size + 1)
+    column_potential = [0.0] * (size + 1)
+    row_of = [0] * (size + 1)  # row assigned to each column; 0: none
+    for row in range(1, size + 1):
+        previous = _augmenting_path(row, cost, row_potential, column_potential, row_of)
+        column = previous.pop()
+        while column:
+            row_of[column] = row_of[previous[column]]
+            column = previous[column]
+    return {workers[row_of[column] - 1]: workers[column - 1] for column in range(1, size + 1)}
+
+
+def _augmenting_path(
+    row: int,
+    cost: Sequence[Sequence[float]],
+    row_potential: list[float],
+    column_potential: list[float],
+    row_of: list[int],
+) -> list[int]:
+    """The previous column of each column on the cheapest path; its free end is appended."""
+    size = len(cost)
+    row_of[0] = row
+    column = 0
+    slack = [math.inf] * (size + 1)
+    previous = [0] * (size + 1)
+    used = [False] * (size + 1)
+    while row_of[column]:
+        used[column] = True
+        current = row_of[column]
+        smallest = math.inf
+        following = 0
+        for candidate in range(1, size + 1):
+            if used[candidate]:
+                continue
+            reduced = cost[current - 1][candidate - 1] - row_potential[current] - column_potential[candidate]
+            if reduced < slack[candidate]:
+                slack[candidate] = reduced
+                previous[candidate] = column
+            if slack[candidate] < smallest:
+                smallest = slack[candidate]
+                following = candidate
+        for candidate in range(size + 1):
+            if used[candidate]:
+                row_potential[row_of[candidate]] += smallest
+                column_potential[candidate] -= smallest
+            else:
+                slack[candidate] -= smallest
+        column = following
+    previous.append(column)
+    return previous
--- /dev/null
+++ b/rookwood_controlplane.py
@@ -0,0 +1,24 @@
+"""Starts the control plane."""
+
+import asyncio
+import sys
+
+from rookwood.cluster.logs import configure_logging
+from rookwood.cluster.settings import SettingsError, load_settings, settings_path
+from rookwood.controlplane.program import ControlPlane
+
+
+def main() -> int:
+    """Run until SIGTERM; 2 if the settings can't be used."""
+    try:
+        settings = load_settings(settings_path())
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    configure_logging(settings.hostname)
+    asyncio.run(ControlPlane(settings).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
