--- a/rookwood/clusterconfig/validation.py
+++ b/rookwood/clusterconfig/validation.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-import cerberus  # type: ignore[import-untyped]
+import cerberus
 
 from rookwood.clusterconfig.document import Configuration
 from rookwood.clusterconfig.faults import Fault, Invalid
