--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -92,15 +92,41 @@
     oldest_wait: float
 
 
+@dataclass(frozen=True, slots=True)
+class WantedWeights:
+    """A dispatcher's placement table wants these weights on this worker."""
+
+    service: str
+    worker: str
+    model: str
+    adapter: str
+
+
 @dataclass(frozen=True, slots=True)
 class DemandReport:
-    """A dispatcher's demand by key; `complete` when keys that are not named have none."""
+    """A dispatcher's demand by key, and what its table wants.
+
+    A `complete` report replaces what was told before; others only add to it.
+    """
 
     identity: str
     keys: tuple[KeyDemand, ...]
+    wanted: tuple[WantedWeights, ...]
     complete: bool
 
 
+@dataclass(frozen=True, slots=True)
+class WorkNotice:
+    """A dispatcher sent a prompt to a worker: how long its prefill takes, and which parts are cached then.
+
+    `parts` are hashes of the prompt's shared beginnings under the weights in use.
+    """
+
+    worker: str
+    seconds: float
+    parts: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Keeps an otherwise silent link known to be alive."""
@@ -116,6 +142,7 @@
     | WorkerUpdates
     | WorkerGone
     | DemandReport
+    | WorkNotice
     | Heartbeat
 )
 
@@ -153,6 +180,13 @@
     ("waiting", "int"),
     ("oldest_wait", "float"),
 )
+_WANTED = _record(
+    "WantedWeights",
+    ("service", "string"),
+    ("worker", "string"),
+    ("model", "string"),
+    ("adapter", "string"),
+)
 _SCHEMAS: dict[type, Any] = {
     Hello: _record("Hello", ("identity", "string"), ("tier", "string"), ("zone", "string")),
     Status: _record(
@@ -174,8 +208,13 @@
     WorkerUpdates: _record("WorkerUpdates", ("records", _array(_WORKER)), ("complete", "boolean")),
     WorkerGone: _record("WorkerGone", ("worker", "string"), ("deleted", "boolean")),
     DemandReport: _record(
-        "DemandReport", ("identity", "string"), ("keys", _array(_KEY_DEMAND)), ("complete", "boolean")
+        "DemandReport",
+        ("identity", "string"),
+        ("keys", _array(_KEY_DEMAND)),
+        ("wanted", _array(_WANTED)),
+        ("complete", "boolean"),
     ),
+    WorkNotice: _record("WorkNotice", ("worker", "string"), ("seconds", "float"), ("parts", _array("long"))),
     Heartbeat: _record("Heartbeat", ("identity", "string")),
 }
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
@@ -224,7 +263,13 @@
         return {"records": [_worker_to_avro(r) for r in message.records], "complete": message.complete}
     if isinstance(message, DemandReport):
         keys = [{name: getattr(key, name) for name in KeyDemand.__slots__} for key in message.keys]
-        return {"identity": message.identity, "keys": keys, "complete": message.complete}
+        wanted = [{name: getattr(item, name) for name in WantedWeights.__slots__} for item in message.wanted]
+        return {
+            "identity": message.identity,
+            "keys": keys,
+            "wanted": wanted,
+            "complete": message.complete,
+        }
     return {name: getattr(message, name) for name in type(message).__slots__}
 
 
@@ -233,7 +278,8 @@
         return WorkerUpdates(tuple(_worker_from_avro(r) for r in value["records"]), value["complete"])
     if kind is DemandReport:
         keys = tuple(KeyDemand(**key) for key in value["keys"])
-        return DemandReport(value["identity"], keys, value["complete"])
+        wanted = tuple(WantedWeights(**item) for item in value["wanted"])
+        return DemandReport(value["identity"], keys, wanted, value["complete"])
     for name, item in value.items():
         if isinstance(item, list):
             value[name] = tuple(item)
--- a/rookwood/cluster/settings.py
+++ b/rookwood/cluster/settings.py
@@ -49,6 +49,7 @@
     load_window: float = 5.0
     load_over: float = 1.1
     synchronise: float = 4.0
+    fenced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,4 +146,5 @@
         load_window=number("cap-win-s", default.load_window),
         load_over=number("cap-over", default.load_over),
         synchronise=number("sync-s", default.synchronise),
+        fenced=bool(document.get("fenced", default.fenced)),
     )
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rookwood.cluster.messages import (
     ConfigurationBody,
@@ -35,6 +35,7 @@
     status: Status | None = None
     linked: bool = False
     unlinked_at: float = 0.0
+    unconfirmed: dict[str, float] = field(default_factory=dict)  # told before its restart, and when
 
 
 class ClusterView:
@@ -68,14 +69,14 @@
             source.linked = False
             source.unlinked_at = now
 
-    def received(self, peer: str, message: Message) -> Message | None:
+    def received(self, peer: str, message: Message, now: float) -> Message | None:
         """Take in a message; returns the request to send back over that link, if any."""
         if isinstance(message, Status):
             return self._take_status(peer, message)
         if isinstance(message, ConfigurationBody):
             self._take_configuration(message)
         elif isinstance(message, WorkerUpdates):
-            self._take_workers(peer, message)
+            self._take_workers(peer, message, now)
         elif isinstance(message, WorkerGone):
             self._take_gone(peer, message)
         return None
@@ -109,6 +110,10 @@
         for peer, source in self._sources.items():
             if not source.linked and now - source.unlinked_at > LINGER:
                 self._absent_at(peer)
+            for worker, since in list(source.unconfirmed.items()):
+                if now - since > LINGER:
+                    del source.unconfirmed[worker]
+                    self._presence.get(worker, set()).discard(peer)
         settled = any(s.linked and s.status is not None and s.status.settled for s in self._sources.values())
         if not settled:
             return
@@ -131,15 +136,25 @@
         if body.source:
             self._on_configuration(body.source)
 
-    def _take_workers(self, peer: str, updates: WorkerUpdates) -> None:
+    def _compare(self, peer: str, source: Source, named: set[str], now: float) -> None:
+        """Workers that a complete list lacks are gone; a source that just started may hear of them yet."""
+        settled = source.status is not None and source.status.settled
+        for worker, present in self._presence.items():
+            if worker in named or peer not in present:
+                continue
+            if settled:
+                present.discard(peer)
+            else:
+                source.unconfirmed.setdefault(worker, now)
+
+    def _take_workers(self, peer: str, updates: WorkerUpdates, now: float) -> None:
+        source = self._sources.setdefault(peer, Source(linked=True))
         if updates.complete:
-            named = {record.id for record in updates.records}
-            for worker, present in self._presence.items():
-                if worker not in named:
-                    present.discard(peer)
+            self._compare(peer, source, {record.id for record in updates.records}, now)
         for record in updates.records:
             if self.registry.was_deleted(record.id):
                 continue
+            source.unconfirmed.pop(record.id, None)
             self._presence.setdefault(record.id, set()).add(peer)
             changed = self.registry.merge(record)
             if changed is not None:
--- a/rookwood/controlplane/demand.py
+++ b/rookwood/controlplane/demand.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from rookwood.cluster.messages import DemandReport, KeyDemand
+from rookwood.cluster.messages import DemandReport, KeyDemand, WantedWeights
 from rookwood.modelplacement.loads import Demand
 from rookwood.modelplacement.types import WeightsKey
 
@@ -18,6 +19,10 @@
 
     told: float = 0.0
     keys: dict[tuple[str, WeightsKey], KeyDemand] = field(default_factory=dict)
+    wanted: tuple[WantedWeights, ...] = ()
+
+
+WantedByWorker = Mapping[str, Mapping[WeightsKey, float]]
 
 
 class DemandSum:
@@ -32,6 +37,7 @@
         known.told = now
         if report.complete:
             known.keys.clear()
+            known.wanted = report.wanted
         for key in report.keys:
             known.keys[key.service, WeightsKey(key.model, key.adapter)] = key
 
@@ -47,6 +53,21 @@
                     sums[key].append(demand)
         return {key: add_demands(demands) for key, demands in sums.items()}
 
+    def wanted(self, service: str) -> WantedByWorker:
+        """What the dispatchers' tables want on each worker of a service."""
+        return add_wants(self._dispatchers.values(), service)
+
+
+def add_wants(dispatchers: Iterable[DispatcherDemand], service: str) -> WantedByWorker:
+    """Per worker the weights that tables want there, with the share of dispatchers that want them."""
+    told = list(dispatchers)
+    shares: dict[str, dict[WeightsKey, float]] = defaultdict(lambda: defaultdict(float))
+    for known in told:
+        for item in known.wanted:
+            if item.service == service:
+                shares[item.worker][WeightsKey(item.model, item.adapter)] += 1.0 / len(told)
+    return shares
+
 
 def add_demands(demands: list[KeyDemand]) -> Demand:
     """The sum of several dispatchers' demands for one key."""
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -14,8 +14,9 @@
 from rookwood.cluster.settings import Bounds
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import HoldingStamp, WorkerRecord, WorkerState
-from rookwood.clusterconfig.document import Configuration, Engine, Service
+from rookwood.clusterconfig.document import Configuration, Engine
 from rookwood.controlplane.demand import DemandSum
+from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_client import (
     OrderCall,
     OrderRefused,
@@ -27,7 +28,7 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
-from rookwood.modelplacement.types import ModelSpec, WeightsKey, WorkerWeights
+from rookwood.modelplacement.types import ModelSpec, WorkerWeights
 
 logger = logging.getLogger("rookwood")
 
@@ -36,7 +37,6 @@
 BUSY_POLL_INTERVAL = 0.06
 ORDER_PATIENCE = 20.0
 FRESH_REPORT_AGE = 0.5
-LEASE_MARGIN = 0.3
 
 
 @dataclass(slots=True)
@@ -46,6 +46,7 @@
     started: float
     report: WorkerReport | None = None
     read_at: float = -1e9
+    due: bool = True
     reading: bool = False
     executing: bool = False
     failures: int = 0
@@ -64,13 +65,20 @@
     """Runs the load planners of all services with weights."""
 
     def __init__(
-        self, owner: str, bounds: Bounds, group: ControlGroup, view: ClusterView, table: WorkerTable
+        self,
+        owner: str,
+        bounds: Bounds,
+        group: ControlGroup,
+        view: ClusterView,
+        table: WorkerTable,
+        tenure: Tenure,
     ) -> None:
         self._owner = owner
         self._bounds = bounds
         self._group = group
         self._view = view
         self._table = table
+        self._tenure = tenure
         self._client: WorkerClient | None = None
         self._demand = DemandSum()
         self._plans: dict[str, ServicePlan] = {}
@@ -92,7 +100,9 @@
             if service.engine is None:
                 continue
             known = self._plans.get(name)
-            plans[name] = known if known and known.engine == service.engine else self._new_plan(service)
+            plans[name] = (
+                known if known and known.engine == service.engine else self._new_plan(service.engine)
+            )
         self._plans = plans
         self._wake.set()
 
@@ -122,30 +132,41 @@
             except Exception:
                 logger.exception("planning failed", extra={"service": name})
 
-    def _new_plan(self, service: Service) -> ServicePlan:
-        engine = service.engine
-        assert engine is not None
-        models = {
-            model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
-            for model in engine.models.values()
-        }
-        planner = LoadPlanner(
-            models, engine.loads_per_s, window_s=self._bounds.load_window, over=self._bounds.load_over
+    def _keep_plan(self, plan: ServicePlan, engine: Engine) -> ServicePlan:
+        """Take another engine into a plan; orders under way stay known."""
+        if plan.engine == engine:
+            return plan
+        plan.engine = engine
+        bounds = self._bounds
+        plan.planner.reconfigure(
+            model_specs(engine), engine.loads_per_s, window_s=bounds.load_window, over=bounds.load_over
+        )
+        return plan
+
+    def _new_plan(self, engine: Engine) -> ServicePlan:
+        return ServicePlan(engine, self._new_planner(engine))
+
+    def _new_planner(self, engine: Engine) -> LoadPlanner:
+        bounds = self._bounds
+        return LoadPlanner(
+            model_specs(engine), engine.loads_per_s, window_s=bounds.load_window, over=bounds.load_over
         )
-        return ServicePlan(engine, planner)
 
     def _begin(self, epoch: int) -> None:
         logger.info("giving load orders", extra={"epoch": epoch})
         self._leading_epoch = epoch
         for plan in self._plans.values():
+            plan.planner = self._new_planner(plan.engine)
+            plan.planner.begin_tenure(self._now())
             plan.workers.clear()
 
     def _leading(self) -> int | None:
         role = self._group.role()
         if not isinstance(role, Primary):
             return None
-        first = role.epoch <= 1
-        if not first and self._now() - role.since < self._bounds.lease + LEASE_MARGIN:
+        if role.epoch == self._leading_epoch:
+            return role.epoch
+        if not self._tenure.may_order(role.epoch, role.since, self._now()):
             return None
         return role.epoch
 
@@ -171,7 +192,8 @@
                 workers.append(describe(plan.engine, record, status, status.report))
         for worker in plan.workers.keys() - present:
             del plan.workers[worker]
-        orders = plan.planner.plan(now, workers, self._demand.total(name, now), {})
+        demand = self._demand.total(name, now)
+        orders = plan.planner.plan(now, workers, demand, self._demand.wanted(name))
         for order in orders:
             self._start(self._execute(plan, order, epoch))
 
@@ -179,10 +201,11 @@
         if status.reading or status.executing:
             return
         busy = status.report is not None and status.report.busy
-        due = BUSY_POLL_INTERVAL if busy else IDLE_REPORT_AGE
-        if now - status.read_at < due:
+        pause = BUSY_POLL_INTERVAL if busy else IDLE_REPORT_AGE
+        if not status.due and now - status.read_at < pause:
             return
         status.reading = True
+        status.due = False
         self._start(self._read(record, status))
 
     async def _read(self, record: WorkerRecord, status: WorkerStatus) -> None:
@@ -215,6 +238,7 @@
         record = self._view.registry.get(order.worker)
         status = plan.workers.get(order.worker)
         if record is None or status is None or self._leading() != epoch:
+            plan.planner.outcome(self._now(), order, False)
             return
         now = self._now()
         plan.planner.ordered(now, order)
@@ -235,7 +259,7 @@
                 plan.planner.outcome(self._now(), order, None)
         finally:
             status.executing = False
-            status.read_at = -1e9
+            status.due = True
             self._wake.set()
 
     async def _follow(self, record: WorkerRecord, status: WorkerStatus, sequence: int) -> None:
@@ -262,6 +286,14 @@
         return asyncio.get_running_loop().time()
 
 
+def model_specs(engine: Engine) -> dict[str, ModelSpec]:
+    """The planner's view of an engine's models."""
+    return {
+        model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
+        for model in engine.models.values()
+    }
+
+
 def describe(
     engine: Engine, record: WorkerRecord, status: WorkerStatus, report: WorkerReport
 ) -> WorkerWeights:
@@ -279,7 +311,5 @@
         queued=report.queued,
         draining=record.state is WorkerState.DRAINING,
         started=status.started,
+        reported=status.read_at,
     )
-
-
-__all__ = ["LoadScheduler", "WeightsKey"]
--- a/rookwood/controlplane/peer_feed.py
+++ b/rookwood/controlplane/peer_feed.py
@@ -7,29 +7,34 @@
 from rookwood.cluster.feed import Connection
 from rookwood.cluster.messages import Message, Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.view import ClusterView
+from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_table import Publish
 
 
 class PeerFeed:
     """Takes in the feeds of the other control machines."""
 
-    def __init__(self, view: ClusterView, publish: Publish) -> None:
+    def __init__(self, view: ClusterView, publish: Publish, tenure: Tenure) -> None:
         self._view = view
         self._publish = publish
+        self._tenure = tenure
 
     def linked(self, peer: str, connection: Connection) -> None:
         """A subscription is open."""
         self._view.linked(peer)
+        self._tenure.linked(peer)
 
     def unlinked(self, peer: str) -> None:
         """A subscription ended."""
-        self._view.unlinked(peer, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._view.unlinked(peer, now)
+        self._tenure.unlinked(peer, now)
 
     def received(self, peer: str, message: Message) -> None:
         """A message of another control machine."""
         if not isinstance(message, Status | WorkerUpdates | WorkerGone):
             return
-        self._view.received(peer, message)
+        self._view.received(peer, message, asyncio.get_running_loop().time())
         if isinstance(message, WorkerUpdates):
             known = (self._view.registry.get(record.id) for record in message.records)
             records = tuple(record for record in known if record is not None)
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -20,6 +20,8 @@
     Status,
     WorkerGone,
     WorkerUpdates,
+    WorkNotice,
+    encode_frame,
 )
 from rookwood.cluster.settings import NodeSettings
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
@@ -29,6 +31,7 @@
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
 from rookwood.controlplane.payload import read_payload
 from rookwood.controlplane.peer_feed import PeerFeed
+from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import (
@@ -63,8 +66,9 @@
         self._view = ClusterView(lambda source: None, self._worker_changed, self._worker_gone)
         self._feed = FeedServer(self)
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
+        self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
         self._scheduler = LoadScheduler(
-            settings.hostname, settings.bounds, self.group, self._view, self._table
+            settings.hostname, settings.bounds, self.group, self._view, self._table, self._tenure
         )
         self._links: LinkSet | None = None
         self._runner: web.AppRunner | None = None
@@ -79,7 +83,7 @@
         await self._feed.start(self._settings.ip, self._settings.feed_port)
         await self._serve_http()
         hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone)
-        peers = PeerFeed(self._view, self._publish)
+        peers = PeerFeed(self._view, self._publish, self._tenure)
         self._links = LinkSet(self._settings.feed_port, hello, peers, self._settings.ip)
         self._tasks = [
             asyncio.create_task(repeat(STATUS_INTERVAL, self._send_status)),
@@ -143,7 +147,7 @@
 
     def _send_status(self) -> None:
         status = self._status()
-        self._view.received(self._settings.ip, status)
+        self._view.received(self._settings.ip, status, asyncio.get_running_loop().time())
         self._feed.broadcast(status)
 
     def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
@@ -160,6 +164,10 @@
 
     def _role_changed(self, role: Role) -> None:
         logger.info("role changed", extra={"role": repr(role)})
+        if isinstance(role, Primary):
+            self._tenure.primary_seen(self._settings.ip)
+        elif isinstance(role, Backup):
+            self._tenure.primary_seen(role.primary)
         self._send_status()
 
     def _worker_changed(self, record: object) -> None:
@@ -178,6 +186,15 @@
             connection.send(self._configuration())
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
+        elif isinstance(message, WorkNotice):
+            self._pass_on(connection, message)
+
+    def _pass_on(self, origin: Connection, notice: WorkNotice) -> None:
+        """Tell the other dispatchers of a prompt that one of them sent."""
+        frame = encode_frame(notice)
+        for connection in self._feed.connections:
+            if connection is not origin and not is_core(connection):
+                connection.send_frame(frame)
 
     def lost(self, connection: Connection) -> None:
         """A subscriber is gone."""
--- a/rookwood/controlplane/worker_api.py
+++ b/rookwood/controlplane/worker_api.py
@@ -44,7 +44,7 @@
 
     async def farewell(self, request: web.Request) -> web.Response:
         """A worker ended."""
-        self._table.delete(request.match_info["id"])
+        self._table.delete(request.match_info["id"], asyncio.get_running_loop().time())
         if self._cut_off():
             return web.json_response({"err": "no primary is known"}, status=503)
         return web.json_response({})
--- a/rookwood/controlplane/worker_table.py
+++ b/rookwood/controlplane/worker_table.py
@@ -34,19 +34,19 @@
         news = record.id not in self._heard
         self._heard[record.id] = now
         before = self._view.registry.get(record.id)
-        self._view.received(self._own_ip, WorkerUpdates((record,), complete=False))
+        self._view.received(self._own_ip, WorkerUpdates((record,), complete=False), now)
         after = self._view.registry.get(record.id)
         if after is None:
             return
         if news or before is None or replace(after, sequence=before.sequence) != before:
             self._publish(WorkerUpdates((after,), complete=False), True)
 
-    def delete(self, worker: str) -> None:
+    def delete(self, worker: str, now: float) -> None:
         """A worker said that it ended."""
         self._heard.pop(worker, None)
         if not self._view.registry.was_deleted(worker):
             gone = WorkerGone(worker, deleted=True)
-            self._view.received(self._own_ip, gone)
+            self._view.received(self._own_ip, gone, now)
             self._publish(gone, True)
 
     def set_holding(self, worker: str, models: tuple[HeldModel, ...], stamp: HoldingStamp) -> None:
@@ -64,7 +64,7 @@
             if now - heard > self._silence:
                 del self._heard[worker]
                 gone = WorkerGone(worker, deleted=False)
-                self._view.received(self._own_ip, gone)
+                self._view.received(self._own_ip, gone, now)
                 self._publish(gone, True)
         self._view.drop_silent(now)
 
--- a/rookwood/coordination/context.py
+++ b/rookwood/coordination/context.py
@@ -52,10 +52,14 @@
         """
         self.contacts[sender] = Contact(incarnation, self.now)
 
+    def heard_at(self, ip: str) -> float:
+        """Return when a machine was last heard, minus infinity if never."""
+        contact = self.contacts.get(ip)
+        return float("-inf") if contact is None else contact.heard_at
+
     def heard_within(self, ip: str, span: float) -> bool:
         """Tell whether a machine was heard within the span before now."""
-        contact = self.contacts.get(ip)
-        return contact is not None and self.now - contact.heard_at <= span
+        return self.now - self.heard_at(ip) <= span
 
     def configuration(self) -> Configuration:
         """Return the newest configuration known, stored here or told by others."""
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -321,10 +321,12 @@
         span = self._context.timing.replace_after
         if self._context.now - self.started_at < span:
             return None
-        for member in members:
-            if member.ip != self._context.ip and not self._context.heard_within(member.ip, span):
-                return member
-        return None
+        silent = [
+            (self._context.heard_at(member.ip), member)
+            for member in members
+            if member.ip != self._context.ip and not self._context.heard_within(member.ip, span)
+        ]
+        return min(silent, key=lambda entry: entry[0])[1] if silent else None
 
     def _drop_silent_learners(self) -> None:
         limit = self._context.now - self._context.timing.learner_silence
--- a/rookwood/dataplane/pool.py
+++ b/rookwood/dataplane/pool.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from rookwood.dataplane.backlog import WorkerBacklog
+
 LOAD_LIFETIME = 1.5  # seconds for which a load that a worker told counts
 FIRST_PENALTY = 0.4
 LAST_PENALTY = 4.0
 MISSING_LIFETIME = 1.0
-REMEMBERED_PREFIXES = 512
 
 
 @dataclass(slots=True)
@@ -24,7 +24,7 @@
     penalty: float = 0.0
     avoided_until: float = -1e9
     missing: dict[tuple[str, str], float] = field(default_factory=dict)
-    prefixes: OrderedDict[tuple[str, str, str], None] = field(default_factory=OrderedDict)
+    backlog: WorkerBacklog = field(default_factory=WorkerBacklog)
 
     def tell_load(self, running: int, waiting: int, slots: int, now: float) -> None:
         """The worker told its load."""
@@ -57,14 +57,6 @@
         """Whether the worker said so a moment ago."""
         return self.missing.get((model, adapter), -1e9) > now
 
-    def remember(self, parts: list[tuple[str, str, str]]) -> None:
-        """Prompt parts that the worker now keeps in its cache."""
-        for part in parts:
-            self.prefixes[part] = None
-            self.prefixes.move_to_end(part)
-        while len(self.prefixes) > REMEMBERED_PREFIXES:
-            self.prefixes.popitem(last=False)
-
 
 class WorkerPool:
     """The traffic of all workers by id."""
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from rookwood.cluster.feed import Connection, LinkSet
-from rookwood.cluster.messages import DemandReport, Hello, Message
+from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice
 from rookwood.cluster.settings import NodeSettings
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
@@ -53,7 +53,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         client = UpstreamClient(self._settings.descriptors)
-        self._proxy = Proxy(self._router, self._pool, self._demand, self._budget, client)
+        self._proxy = Proxy(self._router, self._pool, self._demand, self._budget, client, self._tell_work)
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
         self._links = LinkSet(self._settings.feed_port, hello, self, self._settings.ip)
         self._keep_house()
@@ -114,20 +114,27 @@
         if self._links is None:
             return
         self._links.want({seed.ip for seed in self._settings.seeds} | self._view.members())
+        self._router.step_tables(now)
         reports = self._demand.reports(now)
         if reports:
-            self._report(DemandReport(self._settings.ip, reports, complete=True))
+            wanted = self._router.tables.wanted()
+            self._report(DemandReport(self._settings.ip, reports, wanted, complete=True))
 
     def _weights_wanted(self, key: ServiceKey) -> None:
         """The first request waits for weights: tell the primary at once."""
         now = asyncio.get_running_loop().time()
-        self._report(DemandReport(self._settings.ip, (self._demand.report(key, now),), complete=False))
+        waiting = (self._demand.report(key, now),)
+        self._report(DemandReport(self._settings.ip, waiting, (), complete=False))
 
-    def _report(self, report: DemandReport) -> None:
+    def _tell_work(self, notice: WorkNotice) -> None:
+        self._report(notice)
+
+    def _report(self, message: DemandReport | WorkNotice) -> None:
+        """Send a message to the primary, if it is known and linked."""
         primary = self._view.primary()
         connection = self._links.connection(primary) if self._links and primary else None
         if connection is not None:
-            connection.send(report)
+            connection.send(message)
 
     def linked(self, peer: str, connection: Connection) -> None:
         """A feed is open."""
@@ -139,7 +146,10 @@
 
     def received(self, peer: str, message: Message) -> None:
         """A feed brought a message."""
-        answer = self._view.received(peer, message)
+        if isinstance(message, WorkNotice):
+            self._router.note_told(message, asyncio.get_running_loop().time())
+            return
+        answer = self._view.received(peer, message, asyncio.get_running_loop().time())
         connection = self._links.connection(peer) if self._links else None
         if answer is not None and connection is not None:
             connection.send(answer)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
 
+from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.budget import RetryBudget
@@ -16,19 +18,20 @@
 from rookwood.dataplane.events import EventSplitter, OversizedEventError
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service
-from rookwood.dataplane.router import Router, prefix_parts
+from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
     Broken,
     Complete,
     NotSent,
-    Outcome,
     Rejected,
     Streaming,
     UpstreamClient,
+    UpstreamOutcome,
     UpstreamRequest,
     read_load,
 )
+from rookwood.modelplacement.types import Outcome
 
 logger = logging.getLogger("rookwood")
 
@@ -37,10 +40,14 @@
 MINIMUM_ATTEMPT = 0.02  # seconds that must be left for an attempt to be worth sending
 ANSWER_MARGIN = 0.005
 MAXIMUM_CONNECTION_FAILURES = 3
-DEFAULT_LOAD_TIME = 2.0
-LOAD_OVERHEAD = 1.0
-WAIT_SHARE = 0.8
+WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 RETRY_SOON = 0.3
+SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
+SHORT_URGENCY = 1
+RANK_OFFSET = 2
+LAST_RANK = 7
+ROOM_SHARE = 0.6
+QUIET_BACKLOG = 0.01  # seconds; a prompt sent with less before it tells the worker's reading speed
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,12 +100,14 @@
         demand: DemandMeter,
         budget: RetryBudget,
         client: UpstreamClient,
+        on_work: Callable[[WorkNotice], None],
     ) -> None:
         self._router = router
         self._pool = pool
         self._demand = demand
         self._budget = budget
         self._client = client
+        self._on_work = on_work
         self.in_flight = 0
         self.draining = False
 
@@ -151,15 +160,24 @@
         """Send the request once; a response means that the request is answered."""
         traffic = self._pool.get(worker.id)
         began = self._now()
+        quiet = traffic.backlog.remaining(began) < QUIET_BACKLOG
+        tokens = uncached_tokens(traffic.backlog, request)
+        notice = self._router.note_sent(request, worker, began)
+        if notice is not None:
+            self._on_work(notice)
         traffic.in_flight += 1
         progress.excluded.add(worker.id)
         progress.sends += 1
+        result = Outcome.FAILED
         try:
             outcome = await self._client.send(
                 worker.address, self._upstream_request(request, worker, progress), request.deadline
             )
             self._learn(request, worker, outcome)
+            result = placement_outcome(request, outcome, self._now())
             if isinstance(outcome, Streaming):
+                if quiet and request.key is not None:
+                    self._router.speed.observe(request.key.model, tokens, self._now() - began)
                 return await self._relay(client, request, worker, outcome, progress)
             if isinstance(outcome, Complete):
                 return complete_response(outcome)
@@ -169,6 +187,7 @@
             now = self._now()
             if request.key is not None:
                 self._demand.used(request.key, now - began, now)
+                self._router.tables.record(request.key, worker.id, now - began, result, now)
 
     def _upstream_request(
         self, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
@@ -177,12 +196,26 @@
         left = max(1.0, (request.deadline - self._now()) * MILLISECONDS)
         headers[names.TIME_LEFT] = str(int(left))
         headers[names.WANT_INSTANCE] = worker.id
-        headers[names.PRIORITY] = str(max(0, min(9, request.route.priority)))
+        headers[names.PRIORITY] = str(self._urgency(request, worker))
         if progress.last_event is not None:
             headers[names.LAST_EVENT_ID] = progress.last_event.decode("latin-1")
         return UpstreamRequest(request.method, request.target, headers, request.body, request.id)
 
-    def _learn(self, request: RoutedRequest, worker: WorkerRecord, outcome: Outcome) -> None:
+    def _urgency(self, request: RoutedRequest, worker: WorkerRecord) -> int:
+        """The request's place in the worker's order of admission, 0 first.
+
+        The route's rank decides, but a prompt that is read in a moment goes first while there is room: it
+        delays the others by next to nothing and would otherwise wait for all of them.
+        """
+        rank = max(0, min(LAST_RANK, request.route.priority))
+        traffic = self._pool.get(worker.id)
+        now = self._now()
+        room = traffic.load(now) < ROOM_SHARE * worker.slots
+        if room and self._router.prefill_seconds(traffic, request) < SHORT_READ:
+            return SHORT_URGENCY
+        return rank + RANK_OFFSET
+
+    def _learn(self, request: RoutedRequest, worker: WorkerRecord, outcome: UpstreamOutcome) -> None:
         """Note what an outcome tells of the worker."""
         traffic = self._pool.get(worker.id)
         now = self._now()
@@ -191,8 +224,6 @@
             load = read_load(outcome.headers)
             if load is not None:
                 traffic.tell_load(load.running, load.waiting, load.slots, now)
-            if isinstance(outcome, Streaming):
-                traffic.remember(prefix_parts(request))
         elif isinstance(outcome, Rejected):
             if outcome.status == MISDIRECTED and request.key is not None:
                 traffic.lacks(request.key.model, request.key.adapter, now)
@@ -272,16 +303,10 @@
             self._demand.end_wait(request.key, now)
         return Refusal(503, "weights are not loaded", RETRY_SOON)
 
-    def _patience(self, request: RoutedRequest) -> float:
+    @staticmethod
+    def _patience(request: RoutedRequest) -> float:
         """How long a request may wait for its weights, in seconds."""
-        configuration = self._router.configuration
-        load_time = DEFAULT_LOAD_TIME
-        if configuration is not None and request.key is not None:
-            service = configuration.services.get(request.service)
-            model = service.engine.models.get(request.key.model) if service and service.engine else None
-            if model is not None:
-                load_time = model.load_s
-        return min(load_time + LOAD_OVERHEAD, WAIT_SHARE * (request.deadline - request.arrived))
+        return WAIT_SHARE * (request.deadline - request.arrived)
 
     def _may_repeat(
         self, request: RoutedRequest, progress: RequestProgress, outcome: NotSent | Rejected | Broken
@@ -326,6 +351,17 @@
         return asyncio.get_running_loop().time()
 
 
+def placement_outcome(request: RoutedRequest, outcome: UpstreamOutcome, now: float) -> Outcome:
+    """What an attempt's outcome tells the placement table; lateness is judged by the first streamed byte."""
+    if isinstance(outcome, Rejected):
+        return Outcome.FULL
+    if isinstance(outcome, Complete | Streaming):
+        late = now - request.arrived > request.route.target_ms / MILLISECONDS
+        return Outcome.LATE if late else Outcome.OK
+    timed_out = isinstance(outcome, Broken) and outcome.why == "deadline"
+    return Outcome.TIMED_OUT if timed_out else Outcome.FAILED
+
+
 def refusal_for(
     request: RoutedRequest, progress: RequestProgress, outcome: NotSent | Rejected | Broken
 ) -> Refusal:
--- a/rookwood/dataplane/requests.py
+++ b/rookwood/dataplane/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import zlib
 from dataclasses import dataclass
 
@@ -18,9 +19,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
-    """A part of a prompt and its tokens; the parts before it are told by `chain`."""
+    """A part of a prompt; `identity` stands for the weights, this part and all parts before it."""
 
-    chain: str
+    identity: int
     tokens: int
 
 
@@ -61,16 +62,17 @@
     return max(route.shares, key=lambda share: share.weight).service
 
 
-def read_parts(text: str) -> tuple[PromptPart, ...]:
-    """Read X-Prompt-Prefix; parts that can't be read end the list."""
+def read_parts(weights: str, text: str) -> tuple[PromptPart, ...]:
+    """Read X-Prompt-Prefix for the weights in X-Model; parts that can't be read end the list."""
     parts: list[PromptPart] = []
-    chain = ""
+    chain = weights
     for item in text.split(","):
-        identity, _, tokens = item.strip().partition(":")
-        if not identity or not tokens.isdecimal():
+        name, _, tokens = item.strip().partition(":")
+        if not name or not tokens.isdecimal():
             break
-        chain = f"{chain}/{identity}"
-        parts.append(PromptPart(chain, int(tokens)))
+        chain = f"{chain}/{name}"
+        identity = int.from_bytes(hashlib.blake2b(chain.encode(), digest_size=7).digest(), "big")
+        parts.append(PromptPart(identity, int(tokens)))
     return tuple(parts)
 
 
@@ -104,7 +106,7 @@
         route=route,
         service=service,
         key=read_key(service, headers.get(names.MODEL)),
-        parts=read_parts(headers.get(names.PROMPT_PREFIX, "")),
+        parts=read_parts(headers.get(names.MODEL, ""), headers.get(names.PROMPT_PREFIX, "")),
         headers=names.end_to_end(headers),
         body=body,
         arrived=arrived,
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -6,13 +6,16 @@
 import random
 from collections import defaultdict
 
+from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.clusterconfig.document import Configuration, Route
 from rookwood.clusterconfig.loading import load_configuration
 from rookwood.clusterconfig.routing import RouteIndex
+from rookwood.dataplane.backlog import ReadingSpeed, WorkerBacklog
 from rookwood.dataplane.demand import ServiceKey
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest
+from rookwood.dataplane.tables import TableKeeper
 from rookwood.modelplacement.selection import Candidate, choose_worker
 from rookwood.modelplacement.types import WeightsKey
 
@@ -31,6 +34,8 @@
         self._workers: dict[str, dict[str, WorkerRecord]] = defaultdict(dict)
         self._changed = asyncio.Event()
         self._random = random.Random()
+        self.speed = ReadingSpeed()
+        self.tables = TableKeeper()
 
     def configure(self, source: bytes) -> None:
         """Put a configuration in force."""
@@ -39,6 +44,7 @@
         self._source = source
         self.configuration = load_configuration(source)
         self._index = RouteIndex(self.configuration)
+        self.tables.configure(self.configuration)
         self._notify()
 
     def worker_changed(self, record: WorkerRecord) -> None:
@@ -57,6 +63,10 @@
         """The route of a request."""
         return self._index.match(host, path) if self._index else None
 
+    def step_tables(self, now: float) -> None:
+        """Step the placement tables when it is time."""
+        self.tables.step(self._workers, now)
+
     def has_workers(self) -> bool:
         """Whether any worker is known."""
         return any(self._workers.values())
@@ -82,7 +92,8 @@
             return None
         candidates = [self._candidate(record, request, now) for record in records]
         key = WeightsKey(request.key.model, request.key.adapter) if request.key else NO_KEY
-        chosen = choose_worker(key, candidates, (), self._random)
+        fractions = self.tables.fractions(request.key) if request.key else ()
+        chosen = choose_worker(key, candidates, fractions, self._random)
         return self._workers[request.service].get(chosen) if chosen else None
 
     def _eligible(self, request: RoutedRequest, excluded: set[str], now: float) -> list[WorkerRecord]:
@@ -115,29 +126,43 @@
             waiting=traffic.waiting if fresh else 0,
             slots=record.slots,
             same_zone=record.zone == self._zone,
-            prefix_affinity=prefix_affinity(traffic, request),
+            backlog=traffic.backlog.remaining(now),
+            prefill=self.prefill_seconds(traffic, request),
+            utilisation=traffic.backlog.utilisation(now),
+            streams=traffic.backlog.streams(now),
         )
 
+    def prefill_seconds(self, traffic: WorkerTraffic, request: RoutedRequest) -> float:
+        """How long the worker would read the request's prompt."""
+        if request.key is None or not request.parts:
+            return 0.0
+        tokens = uncached_tokens(traffic.backlog, request)
+        return tokens * self.speed.seconds_per_token(request.key.model)
+
+    def note_sent(self, request: RoutedRequest, record: WorkerRecord, now: float) -> WorkNotice | None:
+        """Count a prompt as sent to a worker; returns what to tell the other dispatchers."""
+        if request.key is None or not request.parts:
+            return None
+        traffic = self._pool.get(record.id)
+        seconds = self.prefill_seconds(traffic, request)
+        parts = tuple(part.identity for part in request.parts)
+        traffic.backlog.add(seconds, parts, now)
+        return WorkNotice(record.id, seconds, parts)
+
+    def note_told(self, notice: WorkNotice, now: float) -> None:
+        """Another dispatcher sent a prompt to a worker."""
+        self._pool.get(notice.worker).backlog.add(notice.seconds, notice.parts, now)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
 
-def prefix_parts(request: RoutedRequest) -> list[tuple[str, str, str]]:
-    """What identifies each cached part of the prompt: weights and all parts up to it."""
-    if request.key is None:
-        return []
-    return [(request.key.model, request.key.adapter, part.chain) for part in request.parts]
-
-
-def prefix_affinity(traffic: WorkerTraffic, request: RoutedRequest) -> float:
-    """The share of the prompt's tokens that were sent to the worker before."""
-    total = sum(part.tokens for part in request.parts)
-    if not total or request.key is None:
-        return 0.0
-    cached = 0
-    for part, identity in zip(request.parts, prefix_parts(request), strict=True):
-        if identity not in traffic.prefixes:
+def uncached_tokens(backlog: WorkerBacklog, request: RoutedRequest) -> int:
+    """Prompt tokens that the worker has to read, as far as dispatchers told what it has read before."""
+    uncached = sum(part.tokens for part in request.parts)
+    for part in request.parts:
+        if part.identity not in backlog.parts:
             break
-        cached += part.tokens
-    return cached / total
+        uncached -= part.tokens
+    return uncached
--- /dev/null
+++ b/rookwood/dataplane/tables.py
@@ -0,0 +1,107 @@
+"""The placement tables of this dispatcher, one for each service with weights."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from rookwood.cluster.messages import WantedWeights
+from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.clusterconfig.document import Configuration, Engine
+from rookwood.dataplane.demand import ServiceKey
+from rookwood.modelplacement.table import Fractions, PlacementTable
+from rookwood.modelplacement.types import ModelSpec, Outcome, WeightsKey, WorkerWeights
+
+STEP_INTERVAL = 2.0  # seconds between two steps of a table
+
+
+@dataclass(slots=True)
+class ServiceTable:
+    """The table of one service, with the engine that it was made for."""
+
+    engine: Engine
+    table: PlacementTable
+
+
+class TableKeeper:
+    """Feeds the tables with this dispatcher's demand and steps them."""
+
+    def __init__(self) -> None:
+        self._tables: dict[str, ServiceTable] = {}
+        self._started: dict[str, float] = {}
+        self._stepped = 0.0
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a configuration; tables of unchanged engines go on."""
+        tables: dict[str, ServiceTable] = {}
+        for name, service in configuration.services.items():
+            if service.engine is None:
+                continue
+            known = self._tables.get(name)
+            if known is not None and known.engine == service.engine:
+                tables[name] = known
+            else:
+                tables[name] = ServiceTable(service.engine, PlacementTable(model_specs(service.engine)))
+        self._tables = tables
+
+    def fractions(self, key: ServiceKey) -> Fractions:
+        """The workers of a key with their fractions."""
+        known = self._tables.get(key.service)
+        return known.table.fractions(WeightsKey(key.model, key.adapter)) if known else ()
+
+    def record(self, key: ServiceKey, worker: str, seconds: float, outcome: Outcome, now: float) -> None:
+        """A request occupied a slot of a worker and ended so."""
+        known = self._tables.get(key.service)
+        if known is None:
+            return
+        weights = WeightsKey(key.model, key.adapter)
+        known.table.record(weights, seconds, now)
+        known.table.record_outcome(worker, weights, outcome, now)
+
+    def step(self, workers: Mapping[str, Mapping[str, WorkerRecord]], now: float) -> bool:
+        """Step all tables if it is time; returns whether it was."""
+        if now - self._stepped < STEP_INTERVAL:
+            return False
+        self._stepped = now
+        present = {worker for records in workers.values() for worker in records}
+        self._started = {worker: self._started.get(worker, now) for worker in present}
+        for name, known in self._tables.items():
+            records = workers.get(name, {}).values()
+            known.table.step(now, self._describe(known.engine, records))
+        return True
+
+    def wanted(self) -> tuple[WantedWeights, ...]:
+        """Which weights the tables want on which workers."""
+        wanted = []
+        for name, known in self._tables.items():
+            for worker, keys in known.table.wanted().items():
+                pairs = sorted((key.model, key.adapter) for key in keys)
+                wanted += [WantedWeights(name, worker, model, adapter) for model, adapter in pairs]
+        return tuple(wanted)
+
+    def _describe(self, engine: Engine, records: Iterable[WorkerRecord]) -> list[WorkerWeights]:
+        return [
+            WorkerWeights(
+                worker=record.id,
+                zone=record.zone,
+                size_mb=engine.size_mb,
+                adapter_slots=engine.adapter_slots,
+                slots=record.slots,
+                models={held.name: held.adapters for held in record.models},
+                busy=False,
+                sequence=0,
+                active=0,
+                queued=0,
+                draining=record.state is WorkerState.DRAINING,
+                started=self._started[record.id],
+            )
+            for record in records
+        ]
+
+
+def model_specs(engine: Engine) -> dict[str, ModelSpec]:
+    """The models of an engine as placement sees them."""
+    return {
+        model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
+        for model in engine.models.values()
+    }
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -59,7 +59,7 @@
     response: aiohttp.ClientResponse
 
 
-Outcome = NotSent | Rejected | Broken | Complete | Streaming
+UpstreamOutcome = NotSent | Rejected | Broken | Complete | Streaming
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +96,7 @@
         """Close all connections."""
         await self._session.close()
 
-    async def send(self, address: str, request: UpstreamRequest, deadline: float) -> Outcome:
+    async def send(self, address: str, request: UpstreamRequest, deadline: float) -> UpstreamOutcome:
         """Send a request and read the answer, or the head of a stream, until the deadline."""
         try:
             async with asyncio.timeout_at(deadline):
@@ -104,7 +104,7 @@
         except TimeoutError:
             return Broken("deadline")
 
-    async def _send(self, address: str, request: UpstreamRequest) -> Outcome:
+    async def _send(self, address: str, request: UpstreamRequest) -> UpstreamOutcome:
         url = URL(f"http://{address}{request.target}", encoded=True)
         try:
             response = await self._session.request(
@@ -116,7 +116,7 @@
             return Broken(repr(error))
         return await self._receive(response, request)
 
-    async def _receive(self, response: aiohttp.ClientResponse, request: UpstreamRequest) -> Outcome:
+    async def _receive(self, response: aiohttp.ClientResponse, request: UpstreamRequest) -> UpstreamOutcome:
         flaw = find_flaw(response, request)
         if flaw is not None:
             response.close()
--- a/rookwood/lab/control_simulation.py
+++ b/rookwood/lab/control_simulation.py
@@ -8,12 +8,13 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 from random import Random
 
 from rookwood.coordination.codec import decode_message, encode_message
 from rookwood.coordination.document import Configuration, Document, Member, Position, Record
 from rookwood.coordination.effects import CommitApplied, Effect, Persist, Resolve, RoleChanged, Send
-from rookwood.coordination.messages import Message
+from rookwood.coordination.messages import Message, Promise, WriteAck
 from rookwood.coordination.outcomes import (
     Committed,
     Confirmed,
@@ -38,6 +39,24 @@
     """A promise of the protocol was broken; the text says which."""
 
 
+class Fault(Enum):
+    """Kinds of trouble."""
+
+    KILL = auto()
+    KILL_ALL = auto()
+    POWER_ALL = auto()
+    FREEZE = auto()
+    CUT = auto()
+    CUT_PAIR = auto()
+    LOSS = auto()
+    DISK_SLOW = auto()
+    DISK_STALL = auto()
+    DISK_FULL = auto()
+    WIPE = auto()
+    REPLACE = auto()
+    TRANSFER = auto()
+
+
 @dataclass(frozen=True)
 class Plan:
     """What one simulated history contains."""
@@ -48,6 +67,7 @@
     troubled: float = 6.0
     calm: float = 7.0
     faults: int = 8
+    kinds: tuple[Fault, ...] = tuple(Fault)
     triggered: float = 0.0
     sync_time: float = 0.004
     operator_pause: float = 0.15
@@ -59,11 +79,13 @@
     """Return the plan that belongs to a seed."""
     random = Random(seed * 7919 + 1)
     members = random.choice((3, 3, 3, 3, 5))
+    kinds = random.sample(tuple(Fault), random.choice((2, 4, 6, len(Fault))))
     return Plan(
         members=members,
         tolerate=members // 2,
-        spares=random.choice((0, 0, 1)),
+        spares=random.choice((0, 0, 1, 2)),
         faults=random.randint(2, 10),
+        kinds=tuple(kinds),
         triggered=random.choice((0.0, 0.02, 0.05)),
         sync_time=random.choice((0.002, 0.005, 0.03)),
         operator_pause=random.choice((0.03, 0.1, 0.2)),
@@ -292,6 +314,8 @@
 
     def _send(self, machine: Machine, to: str, message: Message) -> None:
         lossy = self.now < self._loss_until
+        if isinstance(message, Promise | WriteAck):
+            self._trigger(0.3, lambda: self._fault_power_loss(machine))
         if self.random.random() < (0.25 if lossy else 0.002):
             return
         if self._cut_pairs.get((machine.ip, to), 0.0) > self.now or to not in self.machines:
@@ -361,24 +385,22 @@
     def _fault(self) -> None:
         if self._healed:
             return
-        faults: tuple[Callable[[], None], ...] = (
-            self._fault_kill,
-            self._fault_kill,
-            self._fault_kill_all,
-            self._fault_power_all,
-            self._fault_freeze,
-            self._fault_cut,
-            self._fault_cut_pair,
-            self._fault_loss,
-            self._fault_disk_slow,
-            self._fault_disk_stall,
-            self._fault_disk_full,
-            self._fault_wipe,
-            self._fault_wipe,
-            self._fault_replace,
-            self._fault_transfer,
-        )
-        self.random.choice(faults)()
+        faults: dict[Fault, Callable[[], None]] = {
+            Fault.KILL: self._fault_kill,
+            Fault.KILL_ALL: self._fault_kill_all,
+            Fault.POWER_ALL: self._fault_power_all,
+            Fault.FREEZE: self._fault_freeze,
+            Fault.CUT: self._fault_cut,
+            Fault.CUT_PAIR: self._fault_cut_pair,
+            Fault.LOSS: self._fault_loss,
+            Fault.DISK_SLOW: self._fault_disk_slow,
+            Fault.DISK_STALL: self._fault_disk_stall,
+            Fault.DISK_FULL: self._fault_disk_full,
+            Fault.WIPE: self._fault_wipe,
+            Fault.REPLACE: self._fault_replace,
+            Fault.TRANSFER: self._fault_transfer,
+        }
+        faults[self.random.choice(self.plan.kinds)]()
 
     def _trigger(self, weight: float, fault: Callable[[], None]) -> None:
         """Start a fault within milliseconds of an event that is worth it."""
@@ -427,6 +449,12 @@
                 self._kill(machine.ip, power=True)
             self._boot_later(machine.ip, 1.0)
 
+    def _fault_power_loss(self, victim: Machine) -> None:
+        if self._healed or victim.removed:
+            return
+        self._kill(victim.ip, power=True)
+        self._boot_later(victim.ip, 0.2)
+
     def _fault_power_loss_after_kill(self) -> None:
         if self._healed:
             return
@@ -515,7 +543,19 @@
             self._boot_later(ip, 1.0)
 
     def _may_lose_storage(self) -> bool:
-        return sum(machine.lost_storage for machine in self._running()) < self.plan.tolerate
+        lost = {
+            ip
+            for ip in self._configured_addresses()
+            if self.machines[ip].removed or self.machines[ip].lost_storage
+        }
+        return len(lost) < self.plan.tolerate
+
+    def _configured_addresses(self) -> set[str]:
+        addresses = set(self._seeds) if not self._committed else set()
+        for machine in self._running():
+            if machine.disk.visible is not None:
+                addresses.update(machine.disk.visible.document.configuration.everyone())
+        return addresses
 
     def _heal(self) -> None:
         self._note("heal")
--- a/rookwood/modelplacement/bucket.py
+++ b/rookwood/modelplacement/bucket.py
@@ -28,6 +28,11 @@
         self._tokens -= 1.0
         return True
 
+    def empty(self, now: float) -> None:
+        """Drop all tokens."""
+        self._tokens = 0.0
+        self._filled_at = now
+
     def give_back(self) -> None:
         """Return the token of a load that surely did not begin."""
         self._tokens = min(self.burst, self._tokens + 1.0)
--- a/rookwood/modelplacement/loads.py
+++ b/rookwood/modelplacement/loads.py
@@ -36,14 +36,15 @@
 INTENT_S = 3.0  # an eviction that takes longer no longer keeps its key from being placed elsewhere
 LOST_LOAD_FACTOR = 3.0  # a load that takes so many times its `load_s` no longer counts as under way
 WAITING_WORTH = 2.0  # loss that a waiting request outweighs; it grows by its wait in seconds
-COPY_RATE_MIN = 0.6  # requests a second below which a model gets no copy that nobody waits for
-COPY_GAIN_FACTOR = 2.0  # a further copy must gain so many times what it displaces
+COPY_RATE_MIN = 0.4  # requests a second below which a model gets no copy that nobody waits for
+COPY_GAIN_FACTOR = 1.5  # a further copy must gain so many times what it displaces
 COPY_LOSS_MAX = 0.5  # and displaces nothing worth more than this
 ADAPTER_GAIN_FACTOR = 4.0  # an adapter that nobody waits for displaces one worth so many times less
 SPARE_LOAD_S = 1.0  # with slower loads the wait for an eviction hardly counts, and spare room costs more
 SPARE_AHEAD_S = 0.6  # loads expected within this time find room that was made ahead
 SPARE_LOSS_MAX = 0.3  # only copies worth less than this are evicted for it
 MISS_SMOOTHING_S = 5.0
+MISSES_FOR_SPARE = 1.5  # loads for waiting requests within that time, below which no room is made ahead
 ADAPTERS_PER_STEP = 32  # adapters looked at in one step, so that a step stays cheap
 COPIES_PER_STEP = 4  # models looked at for further copies in one step
 
@@ -100,6 +101,10 @@
         self._book.models = models
         self._fleet.models = models
 
+    def begin_tenure(self, now: float) -> None:
+        """This primary gives orders from now on: others may have spent the store's rate until now."""
+        self._bucket.empty(now)
+
     def pending(self) -> list[LoadOrder]:
         """Orders whose effect no report has shown yet; their workers are worth asking soon."""
         return self._book.pending()
@@ -136,6 +141,7 @@
 
         `wanted` gives, per worker, the keys that dispatchers' tables want there, with summed shares.
         """
+        self._bucket.available(now)  # it fills from the first step on
         self._settle(now, workers)
         self._demand.update(now, {key: d for key, d in demand.items() if key.model in self.models})
         self._fleet.update(now, workers, wanted)
@@ -356,14 +362,15 @@
     def _spare_goal(self, now: float) -> int:
         """How many workers should have room for a model, by how often one is waited for."""
         expected = self._missed.rate(now)
-        if self._typical_load_s > SPARE_LOAD_S or expected * MISS_SMOOTHING_S < 1.0:
+        if self._typical_load_s > SPARE_LOAD_S or expected * MISS_SMOOTHING_S < MISSES_FOR_SPARE:
             return 0
         goal = 1 + math.ceil(expected * SPARE_AHEAD_S)
         return min(goal, self.simultaneous, len(self._fleet.views))
 
     def _spare_workers(self, size_mb: float) -> int:
-        """How many workers have such room, or are evicting something."""
-        return sum(view.free_mb >= size_mb or bool(view.leaving) for view in self._fleet.views.values())
+        """How many workers have such room, or are evicting something, and are not kept for a key."""
+        free = (v for name, v in self._fleet.views.items() if name not in self._intents)
+        return sum(view.free_mb >= size_mb or bool(view.leaving) for view in free)
 
 
 def _store_rate(loads_per_s: float, window_s: float, over: float) -> float:
--- a/rookwood/modelplacement/orders.py
+++ b/rookwood/modelplacement/orders.py
@@ -15,9 +15,10 @@
 from rookwood.modelplacement.types import ModelSpec, WeightsKey, WorkerWeights
 
 EQUAL_SEQUENCE_S = 1.0  # a report this much later that shows no new order tells that it was not taken
-SEND_TIMEOUT_S = 3.0  # an order without any outcome for so long is treated as one of unknown outcome
+EQUAL_SEQUENCE_PATIENT_S = 3.0  # the same for an order that was taken, or whose answer is still awaited
 ADAPTER_ORDER_S = 0.1  # an adapter is loaded by then, so the next order need not wait for a report
 LOAD_MARGIN_S = 0.1  # a load should be over so long after its `load_s`
+MISSING_S = 30.0  # a worker without reports for so long is gone
 REFUSED_PAUSE_S = 0.2  # after a refusal the report is out of date; wait for a better one
 
 
@@ -79,6 +80,7 @@
         self.models = models
         self._pending: dict[str, list[_PendingOrder]] = {}
         self._newest: dict[str, int] = {}  # highest sequence reported by each worker
+        self._seen_at: dict[str, float] = {}
         self._paused_until: dict[str, float] = {}
 
     def begin(self, now: float, order: LoadOrder) -> None:
@@ -103,12 +105,13 @@
         return False
 
     def observe(self, now: float, workers: Iterable[WorkerWeights]) -> list[LoadOrder]:
-        """Settle orders by reports; the settled ones are returned. Workers that are gone are forgotten."""
+        """Settle orders by reports; the settled ones are returned.
+
+        Workers that are missing for long are forgotten: they come back under another name, if at all.
+        """
         present = {weights.worker: weights for weights in workers}
-        for gone in [worker for worker in self._newest if worker not in present]:
-            self._newest.pop(gone)
-            self._pending.pop(gone, None)
-            self._paused_until.pop(gone, None)
+        self._seen_at.update(dict.fromkeys(present, now))
+        self._forget(now)
         settled = []
         for worker, weights in present.items():
             self._newest[worker] = max(weights.sequence, self._newest.get(worker, 0))
@@ -120,6 +123,13 @@
             settled += [p.order for p in done]
         return settled
 
+    def _forget(self, now: float) -> None:
+        for worker in [worker for worker, at in self._seen_at.items() if now - at > MISSING_S]:
+            del self._seen_at[worker]
+            del self._newest[worker]
+            self._pending.pop(worker, None)
+            self._paused_until.pop(worker, None)
+
     def pending(self) -> list[LoadOrder]:
         """All orders that are not settled."""
         return [p.order for orders in self._pending.values() for p in orders]
@@ -180,7 +190,8 @@
             return None if weights.busy else weights.sequence
         last = pending[-1]
         quick = all(p.stage is _Stage.TAKEN and p.order.place and p.order.key.adapter for p in pending)
-        if quick and now >= last.since + ADAPTER_ORDER_S:
+        in_progress = weights.busy and weights.sequence > last.order.if_sequence
+        if quick and not in_progress and now >= last.since + ADAPTER_ORDER_S:
             return max(weights.sequence, last.order.if_sequence + 1)
         return None
 
@@ -196,5 +207,5 @@
     if weights.sequence < expected or weights.busy:
         return False
     reported = now if weights.reported is None else weights.reported
-    patience = SEND_TIMEOUT_S if pending.stage is _Stage.SENT else EQUAL_SEQUENCE_S
+    patience = EQUAL_SEQUENCE_S if pending.stage is _Stage.UNKNOWN else EQUAL_SEQUENCE_PATIENT_S
     return reported >= pending.since + patience
--- a/rookwood/modelplacement/packing.py
+++ b/rookwood/modelplacement/packing.py
@@ -8,16 +8,20 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
 
 from rookwood.modelplacement.hashing import hashed_index
 from rookwood.modelplacement.types import ModelSpec, WeightsKey
 
-HEADROOM = 1.15  # a bin may pass its target by this factor, so that keys are seldom split
+HEADROOM = 1.15  # a bin may pass its target by this factor to take all that is left of a key
 WHOLE_PART = 0.25  # a key that needs less than this part of a bin is not split
-LEAST_SHARE = 0.05  # smallest fraction of a key
-SCAN_LIMIT = 48  # workers tried for one key in its own order, before it counts as a leftover
+LEAST_PART = 0.05  # of a key or a bin: less is not worth a copy of the weights
+SCAN_LIMIT = 48  # workers without room that are tried for one key, before it counts as a leftover
+PURGE_AFTER = 12  # workers tried for one key, from which full ones are taken off the list
 
 
 @dataclass(slots=True)
@@ -60,6 +64,14 @@
                 self.adapter_count += bool(part.adapter)
 
 
+class _Ranked(NamedTuple):
+    """Order in which workers take leftovers."""
+
+    negative_group: float
+    use: float
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class Packed:
     """The result of a packing."""
@@ -90,16 +102,16 @@
     def pack(self) -> Packed:
         """Steps 1 to 4 of the algorithm."""
         groups = self._groups()
-        target = sum(self.utilisation.values()) / sum(item.ramp for item in self.bins)
+        target = math.fsum(self.utilisation.values()) / math.fsum(item.ramp for item in self.bins)
         ranges = self._ranges(groups, target)
         leftovers = []
         for group, keys in groups:
-            members = [self.by_worker[worker] for worker in ranges[group]]
-            for item in members:
+            open_bins = [self.by_worker[worker] for worker in ranges[group]]
+            for item in open_bins:
                 item.max_group = group
-            self.members = {item.worker: item for item in members}
-            leftovers += [(key, left) for key in keys if (left := self._fill(key, members, target)) > 0.0]
-        unplaced = [key for key, left in leftovers if not self._place_leftover(key, left)]
+            self.members = {item.worker: item for item in open_bins}
+            leftovers += [(key, left) for key in keys if (left := self._fill(key, open_bins, target)) > 0.0]
+        unplaced = self._place_leftovers(leftovers)
         return Packed(self.shares, ranges, tuple(unplaced))
 
     def group_of(self, key: WeightsKey) -> float:
@@ -120,7 +132,7 @@
         ranges = {}
         first = 0
         for group, keys in groups:
-            budget = sum(self.utilisation[key] for key in keys) / target
+            budget = math.fsum(self.utilisation[key] for key in keys) / target
             end = first
             while end < len(self.bins) and budget >= self.bins[end].ramp / 2:
                 budget -= self.bins[end].ramp
@@ -129,49 +141,76 @@
             first = end
         return ranges
 
-    def _fill(self, key: WeightsKey, members: Sequence[Bin], target: float) -> float:
+    def _fill(self, key: WeightsKey, open_bins: list[Bin], target: float) -> float:
         """Give a key to workers of its group; the utilisation left over is returned."""
-        total = left = self.utilisation[key]
+        left = self.utilisation[key]
+        least = LEAST_PART * min(left, target)
         share = self.shares.setdefault(key, {})
-        for item in self._candidates(key, members):
-            room = target * item.ramp * HEADROOM - item.load
-            whole = left <= WHOLE_PART * target * item.ramp
-            amount = left if whole and room > 0.0 else min(left, room)
-            if amount < LEAST_SHARE * total or not item.fits(key, self.models[key.model]):
+        rejected = 0
+        for item in self._candidates(key, open_bins):
+            amount = _amount(left, item, target)
+            if amount < least or not item.fits(key, self.models[key.model]):
+                rejected += 1
+                if rejected > SCAN_LIMIT:
+                    break
                 continue
             self._give(key, item, amount, share)
             left -= amount
-            if left <= LEAST_SHARE * total:
-                return 0.0
+            if left <= least:
+                left = 0.0
+                break
+        if rejected + len(share) > PURGE_AFTER:
+            open_bins[:] = [item for item in open_bins if item.load < target * item.ramp * (1.0 - LEAST_PART)]
         return left
 
-    def _candidates(self, key: WeightsKey, members: Sequence[Bin]) -> Iterator[Bin]:
+    def _candidates(self, key: WeightsKey, open_bins: Sequence[Bin]) -> Iterator[Bin]:
         """Workers of the group: those that had the key before, then in the key's own order."""
-        if not members:
-            return
         tried = set()
         for worker in self.preferred.get(key, ()):
             if worker in self.members and worker not in tried:
                 tried.add(worker)
                 yield self.members[worker]
-        start = hashed_index(f"{key.model}/{key.adapter}", len(members))
-        for step in range(min(len(members), SCAN_LIMIT)):
-            item = members[(start + step) % len(members)]
+        start = hashed_index(f"{key.model}/{key.adapter}", len(open_bins))
+        for step in range(len(open_bins)):
+            item = open_bins[(start + step) % len(open_bins)]
             if item.worker not in tried:
                 yield item
 
-    def _place_leftover(self, key: WeightsKey, left: float) -> bool:
-        """Give what is left to the least used worker of the highest group with room."""
-        spec = self.models[key.model]
-        share = self.shares[key]
-        fitting = [item for item in self.bins if item.fits(key, spec)]
-        if fitting:
-            best = min(fitting, key=lambda item: (-item.max_group, item.use, item.worker))
-            best.max_group = max(best.max_group, self.group_of(key))
-            self._give(key, best, left, share)
-            return True
-        return bool(share)
+    def _place_leftovers(self, leftovers: Iterable[tuple[WeightsKey, float]]) -> list[WeightsKey]:
+        """Give what is left to the least used worker of the highest group with room.
+
+        Keys for which there is no room at all are returned.
+        """
+        ranked = [_Ranked(-item.max_group, item.use, item.worker) for item in self.bins]
+        heapify(ranked)
+        unplaced = []
+        for key, left in leftovers:
+            popped = []
+            while ranked:
+                first = heappop(ranked)
+                item = self.by_worker[first.worker]
+                if item.fits(key, self.models[key.model]):
+                    self._give(key, item, left, self.shares[key])
+                    item.max_group = max(item.max_group, self.group_of(key))
+                    popped.append(_Ranked(-item.max_group, item.use, item.worker))
+                    break
+                popped.append(first)
+            else:
+                if not self.shares[key]:
+                    unplaced.append(key)
+            for entry in popped:
+                heappush(ranked, entry)
+        return unplaced
 
     def _give(self, key: WeightsKey, item: Bin, amount: float, share: dict[str, float]) -> None:
         item.add(key, self.models[key.model], amount)
         share[item.worker] = share.get(item.worker, 0.0) + amount
+
+
+def _amount(left: float, item: Bin, target: float) -> float:
+    """What a bin takes of a key: up to the target, or all that is left when that is little more."""
+    capacity = target * item.ramp
+    whole = left <= WHOLE_PART * capacity and item.load < capacity
+    if whole or left <= capacity * HEADROOM - item.load:
+        return left
+    return min(left, capacity - item.load)
--- a/rookwood/modelplacement/selection.py
+++ b/rookwood/modelplacement/selection.py
@@ -1,14 +1,11 @@
 """Choice of the worker for one request, among those that hold its weights.
 
-A key with several workers gets two draws over its fractions, and the less loaded of the two is taken. On
-top of that stands the cached prompt: a worker that was sent the same parts before skips their prefill. A
-wholly cached prompt makes up for `PREFIX_WORTH` more requests at its worker:
-
-    cost = requests at the worker - PREFIX_WORTH * prefix_affinity
-
-The worker with the largest affinity joins the drawn ones, and the lowest cost wins; a tie goes to the
-worker in the same zone, then to the one drawn first. So affinity wins unless its worker is clearly more
-loaded.
+A key with several workers gets two draws over its fractions, and the better of the two is taken. A worker
+that has the prompt's beginning cached joins the drawn ones. They are compared by the time to the request's
+first token: the prompts that the worker still has to read, this prompt's uncached part, and a little for
+each request that is there. To that come the streams that reading this prompt would hold up, and the reading
+by which this request's own stream is likely to be held up: so long prompts and long streams part ways.
+A tie goes to the worker in the same zone, then to the one drawn first.
 """
 
 from __future__ import annotations
@@ -19,14 +16,18 @@
 
 from rookwood.modelplacement.types import WeightsKey
 
-PREFIX_WORTH = 8.0  # requests running elsewhere that a wholly cached prompt makes up for
-FULL_PENALTY = 64.0  # a worker without a free slot is taken only when all others are as full
+REQUEST_COST = 0.006  # seconds by which one more request at the worker delays a first token
+LONG_READ = 0.3  # seconds of reading without a pause that make running streams miss their pauses
+LONG_READ_COST = 0.25  # seconds for each running stream and second of reading
+READ_COST = 0.08
+UTILISATION_COST = 0.8  # seconds; a stream is disturbed by the prompts that come after it
+FULL_PENALTY = 2.0  # a worker without a free slot is taken only when all others are as full
 QUEUE_WEIGHT = 4.0  # a waiting request tells of more than a running one: its worker has no room
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A worker that holds the weights of the request."""
+    """A worker that holds the weights of the request. Times in seconds."""
 
     worker: str
     in_flight: int  # own requests there
@@ -34,19 +35,25 @@
     waiting: int
     slots: int
     same_zone: bool
-    prefix_affinity: float = 0.0  # share of the prompt's parts that this dispatcher has sent there before
+    backlog: float = 0.0  # prompt reading that is still before the worker
+    prefill: float = 0.0  # reading this request's prompt there, without what is cached
+    utilisation: float = 0.0  # share of recent time that the worker spent reading prompts
+    streams: float = 0.0  # requests of all dispatchers that run there, about
 
     @property
     def load(self) -> float:
         """Requests at the worker, those that wait counted more."""
-        present = max(self.in_flight, self.running)
-        full = FULL_PENALTY if present >= self.slots else 0.0
-        return present + QUEUE_WEIGHT * self.waiting + full
+        return max(self.in_flight, self.running) + QUEUE_WEIGHT * self.waiting
 
     @property
     def cost(self) -> float:
-        """Load, less what the cached prompt saves."""
-        return self.load - PREFIX_WORTH * self.prefix_affinity
+        """The expected time to the first token."""
+        full = FULL_PENALTY if max(self.in_flight, self.running) >= self.slots else 0.0
+        first_token = self.backlog + self.prefill + REQUEST_COST * self.load + full
+        long_read = self.backlog + self.prefill > LONG_READ
+        disturbing = (LONG_READ_COST if long_read else READ_COST) * self.prefill * self.streams
+        disturbed = UTILISATION_COST * self.utilisation
+        return first_token + disturbing + disturbed
 
 
 def choose_worker(
@@ -54,19 +61,18 @@
 ) -> str | None:
     """The worker for a request of `key`, or None when nobody holds its weights.
 
-    Workers without a fraction are used only when no worker with one holds the weights: the table is ahead of
-    the loads then, or the tables of other dispatchers differ.
+    Two workers are drawn over the fractions, and two over all that hold the weights: these may be more than
+    the table names, since loads follow the sum of all dispatchers' tables and demand.
     """
     if not candidates:
         return None
+    if len(candidates) == 1:
+        return candidates[0].worker
     shares = dict(fractions)
     weighted = [(c, shares[c.worker]) for c in candidates if shares.get(c.worker, 0.0) > 0.0]
-    if not weighted:
-        weighted = [(c, 1.0) for c in candidates]
-    if len(weighted) == 1:
-        return weighted[0][0].worker
-    contenders = _two_draws(weighted, random)
-    contenders.append(max((c for c, _ in weighted), key=lambda c: c.prefix_affinity))
+    contenders = _two_draws(weighted, random) if weighted else []
+    contenders += _two_draws([(c, 1.0) for c in candidates], random)
+    contenders.append(min(candidates, key=lambda c: c.prefill))
     return min(contenders, key=lambda c: (c.cost, not c.same_zone)).worker
 
 
--- a/rookwood/modelplacement/sites.py
+++ b/rookwood/modelplacement/sites.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
-from rookwood.modelplacement.orders import Holdings, LoadOrder, OrderBook
+from rookwood.modelplacement.orders import MISSING_S, Holdings, LoadOrder, OrderBook
 from rookwood.modelplacement.types import ModelSpec, WeightsKey, WorkerWeights
 from rookwood.modelplacement.value import DemandBook, adapter_loss, copy_loss
 
@@ -14,6 +14,7 @@
 ADAPTER_HOLD_S = 0.5
 COLD_COST_PER_S = 0.3  # a worker that has held the model reads it from its own disk: faster and not priced
 BLOCKED_COST_PER_S = 0.05  # a loading worker takes no adapter that is asked for, per request a second
+EVICTION_COST = 0.1  # an order more, and the wait for it
 ACTIVE_COST = 0.1  # loads are slower at a worker where many requests run
 WANTED_GAIN = 0.05  # a worker on which the dispatchers' tables want the key is preferred
 
@@ -57,6 +58,7 @@
         self._holders: dict[str, set[str]] = {}
         self._placed_at: dict[tuple[str, WeightsKey], float] = {}
         self._held_before: dict[str, set[str]] = {}
+        self._seen_at: dict[str, float] = {}
         self._wanted: Wanted = {}
 
     def update(self, now: float, workers: Sequence[WorkerWeights], wanted: Wanted) -> None:
@@ -130,22 +132,23 @@
         victims, loss = self.victims(now, view, spec.size_mb)
         if math.isinf(loss):
             return None
-        return Site(view, victims, loss, loss + self._placing_cost(view, key, spec))
+        cost = loss + EVICTION_COST * len(victims) + self._placing_cost(view, key, spec)
+        return Site(view, victims, loss, cost)
 
     def victims(self, now: float, view: Holdings, size_mb: float) -> tuple[tuple[str, ...], float]:
         """The models to evict until there is room, and their loss; infinite when it cannot be done."""
         if size_mb <= view.free_mb:
             return (), 0.0
+        losses = sorted((self._copy_loss(now, view, model), model) for model in view.models)
         kept = {model: self._size_of(model, len(adapters)) for model, adapters in view.models.items()}
-        victims: list[str] = []
-        total = 0.0
-        for loss, model in sorted((self._copy_loss(now, view, model), model) for model in view.models):
-            total += loss
-            victims.append(model)
-            del kept[model]
-            if sum(kept.values()) + size_mb <= view.weights.size_mb:
+        room_mb = view.weights.size_mb - size_mb
+        several, total = _fewest_losses(losses, kept, room_mb)
+        for loss, model in losses:  # one larger model may do as well as several small ones
+            if loss > total + EVICTION_COST * (len(several) - 1):
                 break
-        return tuple(victims), total
+            if sum(size for name, size in kept.items() if name != model) <= room_mb:
+                return (model,), loss
+        return several, total
 
     def adapter_rate(self, view: Holdings) -> float:
         """Requests a second for adapters that a worker serves its part of."""
@@ -206,7 +209,9 @@
                 del self.held_adapters[key]
 
     def _forget(self, now: float) -> None:
-        for worker in [worker for worker in self._held_before if worker not in self.views]:
+        self._seen_at.update(dict.fromkeys(self.views, now))
+        for worker in [worker for worker, at in self._seen_at.items() if now - at > MISSING_S]:
+            del self._seen_at[worker]
             del self._held_before[worker]
         longest = max(HOLD_S, ADAPTER_HOLD_S)
         self._placed_at = {
@@ -214,3 +219,19 @@
             for place, at in self._placed_at.items()
             if place[0] in self.views and now - at < longest
         }
+
+
+def _fewest_losses(
+    losses: Sequence[tuple[float, str]], sizes: Mapping[str, float], room_mb: float
+) -> tuple[tuple[str, ...], float]:
+    """The models with the least losses until the others fit into the room, and the sum of their losses."""
+    kept = dict(sizes)
+    victims: list[str] = []
+    total = 0.0
+    for loss, model in losses:
+        total += loss
+        victims.append(model)
+        del kept[model]
+        if sum(kept.values()) <= room_mb:
+            break
+    return tuple(victims), total
--- a/rookwood/modelplacement/table.py
+++ b/rookwood/modelplacement/table.py
@@ -128,14 +128,15 @@
     ) -> dict[WeightsKey, list[str]]:
         """Per key the workers of the last table, then those that hold the weights."""
         preferred = {key: list(self._table.get(key, ())) for key in demand}
-        demanded: dict[str, set[str]] = {}
-        for key in demand:
-            demanded.setdefault(key.model, set()).add(key.adapter)
+        by_model: dict[str, dict[str, list[str]]] = {}
+        for key, holders in preferred.items():
+            by_model.setdefault(key.model, {})[key.adapter] = holders
         position = {worker: index for index, worker in enumerate(self._order)}
         for weights in sorted(usable, key=lambda weights: position[weights.worker]):
-            for model in demanded.keys() & weights.models.keys():
-                for adapter in demanded[model] & (weights.models[model] | {""}):
-                    preferred[WeightsKey(model, adapter)].append(weights.worker)
+            for model in by_model.keys() & weights.models.keys():
+                demanded = by_model[model]
+                for adapter in demanded.keys() & (weights.models[model] | {""}):
+                    demanded[adapter].append(weights.worker)
         return preferred
 
     def _hashed(self, key: WeightsKey) -> Fractions:
--- a/rookwood/modelplacement/value.py
+++ b/rookwood/modelplacement/value.py
@@ -8,11 +8,12 @@
 
 from rookwood.modelplacement.types import WeightsKey
 
-BUSY_PER_COPY = 12.0  # requests running at once that a copy is planned for; tokens slow down beyond
+BUSY_PER_COPY = 2.5  # requests running at once that a copy is planned for; reading prompts pauses streams
 BUSY_TO_KEEP = 8.0  # a copy is spare only when the others would run fewer than this many each
-RATE_FOR_TWO = 1.0  # requests a second from which a model gets a second copy
+RATE_FOR_TWO = 0.4  # requests a second from which a model gets a second copy
+RATE_PER_COPY = 1.5  # requests a second that a copy is planned for
 ADAPTER_RATE_MIN = 0.02  # requests a second from which an adapter counts as asked for
-COPIES_SHARE = 0.6  # part of all places that the copies planned ahead may take
+COPIES_SHARE = 0.62  # part of all places that the copies planned ahead may take
 POPULARITY_S = 60.0  # time constant of the slow average of a model's rate
 POPULARITY_SHARE = 0.5  # weight of the slow average against the rate of now
 RECENT_S = 3.0  # a model asked for within this time is not idle
@@ -147,7 +148,7 @@
     if demand.rate <= 0.0 and not demand.waiting:
         return 0
     by_busy = math.ceil(demand.busy / BUSY_PER_COPY)
-    by_rate = 2 if demand.rate > RATE_FOR_TWO else 1
+    by_rate = max(math.ceil(demand.rate / RATE_PER_COPY), 2 if demand.rate > RATE_FOR_TWO else 1)
     by_adapters = math.ceil(demand.active_adapters / adapter_slots) if adapter_slots else 0
     return max(by_busy, by_rate, by_adapters)
 
--- /dev/null
+++ b/tests/test_relay_tree.py
@@ -0,0 +1,315 @@
+"""The relay tree of the dispatchers, and the choice of a parent, in simulated time."""
+
+import unittest
+from collections import Counter
+from collections.abc import Sequence
+from itertools import product
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rookwood.coordination.document import Position
+from rookwood.coordination.relay_tree import (
+    Dispatcher,
+    ParentChoice,
+    ParentTiming,
+    RelayTree,
+    rank_of,
+)
+
+ROOTS = ("10.9.0.1", "10.9.0.2", "10.9.0.3")
+ZONES = 4
+TICK = 0.1
+TIMING = ParentTiming()
+MOVED_BESIDES_CHILDREN = 4
+
+
+def dispatchers(count: int) -> list[Dispatcher]:
+    return [
+        Dispatcher(f"10.0.{index // 250}.{index % 250}", f"zone-{index % ZONES}") for index in range(count)
+    ]
+
+
+def parents_of(tree: RelayTree, members: Sequence[Dispatcher]) -> dict[str, str]:
+    return {member.identity: tree.parents(member)[0] for member in members}
+
+
+class RelayTreeTest(unittest.TestCase):
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 120), st.integers(0, 50), st.integers(4, 20), st.integers(0, 2**32))
+    def test_links_of_differing_views_form_no_cycle(
+        self, count: int, epoch: int, fan_out: int, seed: int
+    ) -> None:
+        random = Random(seed)
+        members = dispatchers(count)
+        for me in members:
+            view = [member for member in members if random.random() < 0.6]
+            tree = RelayTree(view, ROOTS, epoch, fan_out)
+            parents = tree.parents(me)
+            self.assertEqual(set(parents[-len(ROOTS) :]), set(ROOTS))
+            self.assertEqual(len(set(parents)), len(parents))
+            for parent in set(parents) - set(ROOTS):
+                self.assertLess(rank_of(parent, epoch), rank_of(me.identity, epoch))
+                self.assertTrue(tree.accepts(parent, me.identity))
+                self.assertFalse(tree.accepts(me.identity, parent))
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 150), st.integers(1, 5), st.integers(0, 50), st.integers(4, 20))
+    def test_fan_out_is_bounded_and_roots_are_balanced(
+        self, count: int, root_count: int, epoch: int, fan_out: int
+    ) -> None:
+        roots = [f"root-{index}" for index in range(root_count)]
+        members = dispatchers(count)
+        tree = RelayTree(members, roots, epoch, fan_out)
+        children = Counter(parents_of(tree, members).values())
+        self.assertLessEqual(max(children.values(), default=0), fan_out)
+        direct = min(count, root_count * fan_out)
+        self.assertEqual(sum(children[root] for root in roots), direct)
+        self.assertLessEqual(max(children[root] for root in roots), -(-direct // root_count))
+
+    def test_depth_is_logarithmic_and_every_dispatcher_reaches_a_root(self) -> None:
+        for count, bound in ((8, 1), (70, 2), (320, 3), (1000, 3)):
+            members = dispatchers(count)
+            for epoch in range(4):
+                tree = RelayTree(members, ROOTS, epoch)
+                parents = parents_of(tree, members)
+                for member in members:
+                    node, depth = member.identity, 0
+                    while node not in ROOTS:
+                        node, depth = parents[node], depth + 1
+                    self.assertLessEqual(depth, bound)
+                    self.assertEqual(depth, tree.depth(member.identity))
+
+    def test_loss_of_a_dispatcher_moves_its_children_and_few_others(self) -> None:
+        for count, epoch in product((8, 70, 320), range(4)):
+            members = dispatchers(count)
+            before = parents_of(RelayTree(members, ROOTS, epoch), members)
+            for lost in members[:: max(1, count // 40)]:
+                rest = [member for member in members if member != lost]
+                after = parents_of(RelayTree(rest, ROOTS, epoch), rest)
+                moved = {name for name, parent in after.items() if parent != before[name]}
+                children = {name for name in after if before[name] == lost.identity}
+                self.assertLessEqual(children, moved)
+                self.assertLessEqual(len(moved - children), MOVED_BESIDES_CHILDREN)
+
+    def test_loss_of_a_leaf_below_dispatchers_moves_almost_nobody(self) -> None:
+        members = dispatchers(320)
+        lost_leaves = moved = 0
+        for epoch in range(8):
+            before = parents_of(RelayTree(members, ROOTS, epoch), members)
+            inner = set(before.values())
+            leaves = [m for m in members if m.identity not in inner and before[m.identity] not in ROOTS]
+            for lost in leaves[::20]:
+                rest = [member for member in members if member != lost]
+                after = parents_of(RelayTree(rest, ROOTS, epoch), rest)
+                changed = sum(parent != before[name] for name, parent in after.items())
+                self.assertLessEqual(changed, MOVED_BESIDES_CHILDREN)
+                lost_leaves += 1
+                moved += changed
+        self.assertLessEqual(moved, lost_leaves // 10)
+
+    def test_parent_is_in_the_same_zone_where_possible(self) -> None:
+        members = dispatchers(320)
+        zones = {member.identity: member.zone for member in members}
+        parents = parents_of(RelayTree(members, ROOTS, 1), members)
+        below = [name for name, parent in parents.items() if parent not in ROOTS]
+        same = sum(zones[name] == zones[parents[name]] for name in below)
+        self.assertGreater(same / len(below), 0.9)
+
+    def test_order_of_the_view_does_not_matter(self) -> None:
+        members = dispatchers(100)
+        forward = parents_of(RelayTree(members, ROOTS, 1), members)
+        backward = parents_of(RelayTree(members[::-1], ROOTS[::-1], 1), members)
+        self.assertEqual(forward, backward)
+
+    def test_dispatcher_that_its_view_lacks_is_placed_as_well(self) -> None:
+        members = dispatchers(100)
+        whole = RelayTree(members, ROOTS, 1)
+        for me in members[:10]:
+            others = [member for member in members if member != me]
+            self.assertEqual(RelayTree(others, ROOTS, 1).parents(me), whole.parents(me))
+
+    def test_tree_without_a_root_or_with_a_tiny_fan_out_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            RelayTree(dispatchers(3), (), 1)
+        with self.assertRaises(ValueError):
+            RelayTree(dispatchers(3), ROOTS, 1, fan_out=3)
+
+
+class ParentChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.choice = ParentChoice(("parent", "fallback", "root"), self.now)
+        self.choice.heard("parent", self.now)
+
+    def run_until(self, end: float, *heard: str) -> None:
+        while self.now < end:
+            self.now += TICK
+            for parent in heard:
+                self.choice.heard(parent, self.now)
+            self.choice.tick(self.now)
+
+    def test_parent_that_is_heard_is_kept(self) -> None:
+        self.run_until(60.0, "parent")
+        self.assertEqual((self.choice.current, self.choice.trial), ("parent", None))
+
+    def test_silent_parent_is_left_within_the_limit(self) -> None:
+        self.run_until(TIMING.silence_limit - TICK)
+        self.assertEqual(self.choice.current, "parent")
+        self.run_until(TIMING.silence_limit + 2 * TICK)
+        self.assertEqual(self.choice.current, "fallback")
+
+    def test_fallback_that_never_answers_is_left_sooner(self) -> None:
+        self.choice.failed("parent", self.now)
+        self.run_until(TIMING.open_limit + 2 * TICK)
+        self.assertEqual(self.choice.current, "root")
+
+    def test_parent_that_lags_behind_the_digest_is_left(self) -> None:
+        self.choice.digest(Position(1, 5), self.now)
+        self.run_until(TIMING.lag_limit - TICK, "parent")
+        self.assertEqual(self.choice.current, "parent")
+        self.run_until(TIMING.lag_limit + 2 * TICK, "parent")
+        self.assertEqual(self.choice.current, "fallback")
+
+    def test_parent_that_delivers_within_the_limit_is_kept_under_steady_updates(self) -> None:
+        for sequence in range(1, 200):
+            self.choice.digest(Position(1, sequence), self.now)
+            self.run_until(self.now + TICK, "parent")
+            self.choice.received(Position(1, sequence - 1))
+        self.assertEqual(self.choice.current, "parent")
+
+    def test_suspected_parent_is_left_at_once(self) -> None:
+        self.choice.suspected("parent", self.now)
+        self.assertEqual(self.choice.current, "fallback")
+
+    def test_failure_of_another_parent_changes_nothing_now(self) -> None:
+        self.choice.suspected("fallback", self.now)
+        self.assertEqual(self.choice.current, "parent")
+        self.choice.failed("parent", self.now)
+        self.assertEqual(self.choice.current, "root")
+
+    def test_return_waits_until_the_better_parent_was_heard(self) -> None:
+        self.choice.failed("parent", self.now)
+        self.run_until(TIMING.return_after + 2 * TICK, "fallback")
+        self.assertEqual((self.choice.current, self.choice.trial), ("fallback", "parent"))
+        self.run_until(self.now + TICK, "fallback", "parent")
+        self.assertEqual((self.choice.current, self.choice.trial), ("parent", None))
+
+    def test_dead_parent_is_tried_ever_more_rarely_and_the_link_is_kept(self) -> None:
+        self.choice.failed("parent", self.now)
+        trials = 0
+        trying = False
+        while self.now < 120.0:
+            self.run_until(self.now + TICK, "fallback")
+            self.assertEqual(self.choice.current, "fallback")
+            trials += self.choice.trial is not None and not trying
+            trying = self.choice.trial is not None
+        self.assertLessEqual(trials, 8)
+        self.assertGreaterEqual(trials, 3)
+
+    def test_flapping_parent_is_damped(self) -> None:
+        switches = 0
+        for _ in range(1200):
+            before = self.choice.current
+            if before == "parent":
+                self.choice.failed("parent", self.now)
+            self.run_until(self.now + TICK, "fallback", "parent")
+            switches += self.choice.current != before
+        self.assertLessEqual(switches, 16)
+
+    def test_own_pause_is_not_taken_for_silence_or_lag(self) -> None:
+        self.choice.digest(Position(1, 5), self.now)
+        self.choice.tick(30.0)
+        self.now = 30.0
+        self.choice.received(Position(1, 5))
+        self.run_until(31.0 - 2 * TICK)
+        self.assertEqual(self.choice.current, "parent")
+
+    def test_new_parents_are_taken_after_a_while_without_a_gap(self) -> None:
+        self.choice.set_parents(("better", "root"), self.now)
+        self.run_until(TIMING.return_after - TICK, "parent")
+        self.assertEqual((self.choice.current, self.choice.trial), ("parent", None))
+        self.run_until(TIMING.return_after + 2 * TICK, "parent")
+        self.assertEqual((self.choice.current, self.choice.trial), ("parent", "better"))
+        self.run_until(self.now + TICK, "parent", "better")
+        self.assertEqual(self.choice.current, "better")
+
+    def test_all_excluded_takes_the_one_that_is_free_first(self) -> None:
+        for parent in ("parent", "fallback", "root"):
+            self.now += TICK
+            self.choice.failed(parent, self.now)
+        self.assertEqual(self.choice.current, "parent")
+
+
+class Relay:
+    """Dispatchers with links over which heartbeats pass; a parent takes only what its limits allow."""
+
+    def __init__(self, count: int, epoch: int) -> None:
+        self.now = 0.0
+        self.members = dispatchers(count)
+        self.tree = RelayTree(self.members, ROOTS, epoch)
+        self.dead: set[str] = set()
+        self.choices = {m.identity: ParentChoice(self.tree.parents(m), self.now) for m in self.members}
+        self.linked: dict[str, str] = {}
+        self.switches = 0
+
+    def step(self) -> None:
+        self.now += TICK
+        for name, choice in self.choices.items():
+            if name in self.dead:
+                continue
+            before = choice.current
+            for parent in (choice.current, choice.trial):
+                self._exchange(name, choice, parent)
+            choice.tick(self.now)
+            self.switches += choice.current != before
+
+    def _exchange(self, name: str, choice: ParentChoice, parent: str | None) -> None:
+        if parent is None or parent in self.dead:
+            return
+        if self.linked.get(name) != parent and self._refuses(parent, name):
+            choice.failed(parent, self.now)
+            return
+        self.linked[name] = parent
+        choice.heard(parent, self.now)
+
+    def _refuses(self, parent: str, child: str) -> bool:
+        if parent in ROOTS:
+            return False
+        full = self.children(parent) >= self.tree.children_limit
+        return full or not self.tree.accepts(parent, child)
+
+    def children(self, parent: str) -> int:
+        return sum(p == parent and name not in self.dead for name, p in self.linked.items())
+
+    def attached(self, name: str) -> bool:
+        while name not in ROOTS:
+            if name in self.dead or self.linked.get(name) != self.choices[name].current:
+                return False
+            name = self.linked[name]
+        return True
+
+    def detached(self) -> int:
+        return sum(name not in self.dead and not self.attached(name) for name in self.choices)
+
+
+class MassLossTest(unittest.TestCase):
+    STEPS_TO_ATTACH = 25  # silence of the parent, two fallbacks that never answer, and a step for each
+    STEPS_AFTER = 300
+
+    def test_all_survivors_attach_after_a_third_died_at_once_and_stay_attached(self) -> None:
+        for seed in range(3):
+            relay = Relay(320, seed)
+            for _ in range(5):
+                relay.step()
+            self.assertEqual(relay.detached(), 0)
+            relay.dead = set(Random(seed).sample(sorted(relay.choices), 96))
+            for _ in range(self.STEPS_TO_ATTACH):
+                relay.step()
+            self.assertEqual(relay.detached(), 0)
+            for _ in range(self.STEPS_AFTER):
+                relay.step()
+                self.assertEqual(relay.detached(), 0)
+            for member in relay.members:
+                self.assertLessEqual(relay.children(member.identity), relay.tree.children_limit)
