--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -11,6 +11,8 @@
 
 CALL_LIMIT = 1.0  # seconds
 NOT_CONNECTED = 0  # in place of a status: nothing was sent
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 INSTANCE_HEADER = "X-Want-Instance"
 
 
@@ -101,7 +103,15 @@
                 queued=int(document.get("queued", 0)),
                 active=int(document.get("active", 0)),
             )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
             return ReportFailed(repr(error))
 
     async def order(
@@ -116,7 +126,7 @@
                 status = response.status
         except aiohttp.ClientConnectorError:
             return OrderRefused(NOT_CONNECTED)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except CALL_ERRORS as error:
             return OrderUnknown(repr(error))
         if status in (200, 202):
             return OrderTaken(done=status == 200)
--- a/rookwood/dataplane/events.py
+++ b/rookwood/dataplane/events.py
@@ -58,3 +58,12 @@
         if separator and name == b"id":
             return value.strip()
     return None
+
+
+def is_repeated(event: Event, last: bytes | None) -> bool:
+    """Whether an event does not come after the last one that was passed on; ids are rising numbers."""
+    if last is None or event.id is None:
+        return False
+    if not (event.id.isdigit() and last.isdigit()):
+        return event.id == last
+    return int(event.id) <= int(last)
--- a/rookwood/dataplane/headers.py
+++ b/rookwood/dataplane/headers.py
@@ -36,7 +36,8 @@
 
 def end_to_end(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """The headers without those that concern a single connection only."""
-    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    connection = ",".join(headers.getall("Connection", []))
+    named = {name.strip().lower() for name in connection.split(",")}
     passed: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
         lowered = name.lower()
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -24,6 +24,7 @@
 
 TIER_EDGE = "edge"
 HOUSEKEEPING_INTERVAL = 1.0
+HEADER_LIMIT = 64 * 1024
 CLIENT_KEEPALIVE = 60.0
 INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
 EXIT_MARGIN = 1.2
@@ -74,6 +75,8 @@
             handler_cancellation=True,
             keepalive_timeout=CLIENT_KEEPALIVE,
             access_log=None,
+            max_line_size=HEADER_LIMIT,
+            max_field_size=HEADER_LIMIT,
         )
         runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
         await runner.setup()
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -15,7 +15,7 @@
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.demand import DemandMeter
-from rookwood.dataplane.events import EventSplitter, OversizedEventError
+from rookwood.dataplane.events import EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service
 from rookwood.dataplane.router import Router, uncached_tokens
@@ -42,6 +42,7 @@
 MAXIMUM_CONNECTION_FAILURES = 3
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 RETRY_SOON = 0.3
+FIRST_SERVER_ERROR = 500
 SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
 SHORT_URGENCY = 1
 RANK_OFFSET = 2
@@ -88,6 +89,7 @@
         self.excluded: set[str] = set()
         self.response: web.StreamResponse | None = None
         self.last_event: bytes | None = None
+        self.last_answer: Complete | None = None
 
 
 class Proxy:
@@ -180,7 +182,7 @@
                     self._router.speed.observe(request.key.model, tokens, self._now() - began)
                 return await self._relay(client, request, worker, outcome, progress)
             if isinstance(outcome, Complete):
-                return complete_response(outcome)
+                return self._finish_complete(request, outcome, progress)
             return outcome
         finally:
             traffic.in_flight -= 1
@@ -189,6 +191,17 @@
                 self._demand.used(request.key, now - began, now)
                 self._router.tables.record(request.key, worker.id, now - began, result, now)
 
+    def _finish_complete(
+        self, request: RoutedRequest, outcome: Complete, progress: RequestProgress
+    ) -> web.StreamResponse | Broken:
+        """A whole answer, unless it can't follow what the client has, or may yet go better elsewhere."""
+        if progress.response is not None:
+            return Broken("no stream in place of the rest of one")
+        if outcome.status >= FIRST_SERVER_ERROR and request.repeatable:
+            progress.last_answer = outcome
+            return Broken(f"status {outcome.status}")
+        return complete_response(outcome)
+
     def _upstream_request(
         self, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
     ) -> UpstreamRequest:
@@ -272,6 +285,8 @@
                     if not data:
                         return StreamBroke("partial event") if splitter.partial else StreamEnded()
                     for event in splitter.feed(data):
+                        if is_repeated(event, progress.last_event):
+                            continue
                         if event.id is not None:
                             progress.last_event = event.id
                         await response.write(event.raw)
@@ -338,6 +353,8 @@
             if client.transport is not None:
                 client.transport.close()
             return progress.response
+        if progress.last_answer is not None:
+            return complete_response(progress.last_answer)
         if progress.may_have_run and not request.repeatable and refusal.status == 503:
             refusal = Refusal(502, "the worker's answer was lost")
         logger.info(
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -15,9 +15,8 @@
 IDLE_CONNECTION = 4.0  # seconds for which a kept connection is used again
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 OK_STATUSES = range(200, 300)
-WORKER_FULL = 503
-TOO_MANY = 429
 MISDIRECTED = 421
+PROMISES = frozenset({408, 421, 429, 503})  # to a client these say that the request has not run
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +133,8 @@
             raise
         if response.status == MISDIRECTED or names.NOT_RUN in response.headers:
             return Rejected(response.status)
+        if response.status in PROMISES:
+            return Broken(f"status {response.status} of a request that may have run")
         return Complete(response.status, passed, body)
 
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -9,10 +9,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from rookwood.cluster.workers import HeldModel, WorkerRecord, WorkerState
 
 HOST = "127.0.0.1"
+WAIT_LIMIT = 4.0  # seconds after which a test that waits for something fails
 STREAM_TYPE = "text/event-stream"
 CONNECTION_ERRORS = (asyncio.IncompleteReadError, ConnectionError)
 
@@ -71,6 +73,12 @@
 
 
 Behaviour = Callable[[Exchange], Awaitable[None]]
+Result = TypeVar("Result")
+
+
+async def within(awaitable: Awaitable[Result]) -> Result:
+    """Wait for something that comes soon; raises TimeoutError where it does not."""
+    return await asyncio.wait_for(awaitable, WAIT_LIMIT)
 
 
 class FakeWorker:
--- /dev/null
+++ b/tests/test_cluster_feed.py
@@ -0,0 +1,316 @@
+"""Links over loopback: greetings, updates to all, silent and slow peers, and links that come back."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Iterable
+from unittest import mock
+
+from rookwood.cluster import feed
+from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedLink, FeedServer, LinkSet
+from rookwood.cluster.messages import (
+    ConfigurationBody,
+    FetchConfiguration,
+    Heartbeat,
+    Hello,
+    Message,
+    Status,
+    WorkerGone,
+    encode_frame,
+    read_message,
+)
+from tests.fake_worker import HOST, within
+
+HELLO = Hello("10.0.0.7", "edge", "z1")
+STATUS = Status("10.0.0.1", 3, "10.0.0.1", True, True, 3, 7, 4, ("10.0.0.1",))
+GONE = WorkerGone("i-1", deleted=True)
+LARGE_MESSAGE = ConfigurationBody(1, 1, bytes(1024 * 1024))
+SHORT_SILENCE = 0.15
+KEPT_SILENCE = 0.5  # well above the interval of heartbeats, also on a busy machine
+SHORT_INTERVAL = 0.02
+
+
+class ServerRecorder:
+    """A feed handler that greets with fixed messages and keeps what it is told."""
+
+    def __init__(self, greeting: Iterable[Message] = (STATUS,)) -> None:
+        self._greeting = tuple(greeting)
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.losses: asyncio.Queue[Connection] = asyncio.Queue()
+
+    def greeting(self, connection: Connection) -> Iterable[Message]:
+        """The fixed messages."""
+        return self._greeting
+
+    def received(self, connection: Connection, message: Message) -> None:
+        """Keep the message."""
+        self.messages.put_nowait(message)
+
+    def lost(self, connection: Connection) -> None:
+        """Keep the loss."""
+        self.losses.put_nowait(connection)
+
+
+class LinkRecorder:
+    """A link handler that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.links: asyncio.Queue[Connection] = asyncio.Queue()
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.losses: asyncio.Queue[str] = asyncio.Queue()
+
+    def linked(self, peer: str, connection: Connection) -> None:
+        """Keep the link."""
+        self.links.put_nowait(connection)
+
+    def received(self, peer: str, message: Message) -> None:
+        """Keep the message."""
+        self.messages.put_nowait(message)
+
+    def unlinked(self, peer: str) -> None:
+        """Keep the loss."""
+        self.losses.put_nowait(peer)
+
+
+class FeedCase(unittest.IsolatedAsyncioTestCase):
+    """A feed server on a free port."""
+
+    async def asyncSetUp(self) -> None:
+        self.handler = ServerRecorder()
+        self.server = FeedServer(self.handler)
+        self.port = await free_port()
+        await self.server.start(HOST, self.port)
+        self.addAsyncCleanup(self.server.stop)
+
+    def open_link(self, recorder: LinkRecorder, hello: Hello = HELLO) -> FeedLink:
+        """A link to the server, closed at the end."""
+        link = FeedLink(HOST, self.port, hello, recorder)
+        self.addCleanup(link.close)
+        return link
+
+    async def open_raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A connection on which the test decides about every byte."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def subscribe_raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A raw connection after its greeting."""
+        reader, writer = await self.open_raw()
+        writer.write(encode_frame(HELLO))
+        self.assertEqual(STATUS, await within(read_message(reader)))
+        return reader, writer
+
+
+async def free_port() -> int:
+    """A port of the loopback address on which nobody listens."""
+    server = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
+    port: int = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+class FeedServerTests(FeedCase):
+    async def test_a_subscriber_is_greeted_first(self) -> None:
+        recorder = LinkRecorder()
+        self.open_link(recorder)
+        self.assertEqual(STATUS, await within(recorder.messages.get()))
+        (connection,) = self.server.connections
+        self.assertEqual(HELLO, connection.hello)
+
+    async def test_a_broadcast_reaches_every_subscriber_in_order(self) -> None:
+        recorders = [LinkRecorder() for _ in range(3)]
+        for recorder in recorders:
+            self.open_link(recorder)
+            await within(recorder.messages.get())
+        self.server.broadcast(GONE)
+        self.server.broadcast(STATUS)
+        for recorder in recorders:
+            self.assertEqual([GONE, STATUS], [await within(recorder.messages.get()) for _ in range(2)])
+
+    async def test_a_broadcast_without_subscribers_does_nothing(self) -> None:
+        self.server.broadcast(GONE)
+        self.assertEqual(frozenset(), self.server.connections)
+
+    async def test_what_a_subscriber_sends_is_received(self) -> None:
+        recorder = LinkRecorder()
+        self.open_link(recorder)
+        connection = await within(recorder.links.get())
+        connection.send(FetchConfiguration(7))
+        self.assertEqual(FetchConfiguration(7), await within(self.handler.messages.get()))
+
+    async def test_a_subscriber_that_leaves_is_lost(self) -> None:
+        recorder = LinkRecorder()
+        link = self.open_link(recorder)
+        await within(recorder.messages.get())
+        link.close()
+        lost = await within(self.handler.losses.get())
+        self.assertEqual(HELLO, lost.hello)
+        self.assertEqual(frozenset(), self.server.connections)
+
+    async def test_a_peer_that_does_not_say_hello_is_no_subscriber(self) -> None:
+        reader, writer = await self.open_raw()
+        writer.write(encode_frame(Heartbeat("10.0.0.7")))
+        self.assertEqual(b"", await within(read_to_end(reader)))
+        self.assertEqual(frozenset(), self.server.connections)
+        self.assertTrue(self.handler.losses.empty())
+
+    async def test_garbage_ends_a_subscription(self) -> None:
+        reader, writer = await self.subscribe_raw()
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await within(read_to_end(reader))
+        await within(self.handler.losses.get())
+        self.assertEqual(frozenset(), self.server.connections)
+
+    async def test_a_silent_subscriber_is_dropped(self) -> None:
+        with mock.patch.object(feed, "SILENCE_LIMIT", SHORT_SILENCE):
+            reader, _ = await self.subscribe_raw()
+            await within(read_to_end(reader))
+            await within(self.handler.losses.get())
+
+    async def test_heartbeats_keep_a_quiet_link_open(self) -> None:
+        with (
+            mock.patch.object(feed, "SILENCE_LIMIT", KEPT_SILENCE),
+            mock.patch.object(feed, "HEARTBEAT_INTERVAL", SHORT_INTERVAL),
+        ):
+            recorder = LinkRecorder()
+            self.open_link(recorder)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            while loop.time() - began < 2 * KEPT_SILENCE:
+                self.assertEqual(Heartbeat(HELLO.identity), await within(self.handler.messages.get()))
+                self.server.broadcast(STATUS)
+            self.assertTrue(self.handler.losses.empty())
+            self.assertTrue(recorder.losses.empty())
+
+    async def test_a_subscriber_that_does_not_read_is_dropped(self) -> None:
+        _, writer = await self.subscribe_raw()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        with mock.patch.object(feed, "WRITE_BUFFER_LIMIT", 1024 * 1024):
+            for _ in range(64):
+                self.server.broadcast(LARGE_MESSAGE)
+            await within(self.handler.losses.get())
+        self.assertEqual(frozenset(), self.server.connections)
+
+    async def test_stopping_drops_all_subscribers(self) -> None:
+        reader, _ = await self.subscribe_raw()
+        await self.server.stop()
+        self.assertEqual(b"", await within(read_to_end(reader)))
+
+
+class FeedLinkTests(FeedCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.enterContext(mock.patch.object(feed, "RECONNECT_PAUSE", SHORT_INTERVAL))
+
+    async def test_a_link_opens_again_after_its_server_restarted(self) -> None:
+        recorder = LinkRecorder()
+        self.open_link(recorder)
+        await within(recorder.messages.get())
+        await self.server.stop()
+        self.assertEqual(HOST, await within(recorder.losses.get()))
+        successor = FeedServer(ServerRecorder((STATUS, GONE)))
+        await successor.start(HOST, self.port)
+        self.addAsyncCleanup(successor.stop)
+        self.assertEqual([STATUS, GONE], [await within(recorder.messages.get()) for _ in range(2)])
+
+    async def test_a_link_waits_for_a_server_that_starts_later(self) -> None:
+        await self.server.stop()
+        recorder = LinkRecorder()
+        self.open_link(recorder)
+        successor = FeedServer(ServerRecorder())
+        await successor.start(HOST, self.port)
+        self.addAsyncCleanup(successor.stop)
+        self.assertEqual(STATUS, await within(recorder.messages.get()))
+
+    async def test_a_silent_server_is_left_and_called_again(self) -> None:
+        hellos: asyncio.Queue[Message] = asyncio.Queue()
+
+        async def stay_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                while True:
+                    message = await read_message(reader)
+                    if isinstance(message, Hello):
+                        hellos.put_nowait(message)
+            except LINK_ERRORS:
+                writer.transport.abort()
+
+        silent_server = await asyncio.start_server(stay_silent, HOST, 0)
+        self.addCleanup(silent_server.close)
+        port = silent_server.sockets[0].getsockname()[1]
+        recorder = LinkRecorder()
+        with mock.patch.object(feed, "SILENCE_LIMIT", SHORT_SILENCE):
+            link = FeedLink(HOST, port, HELLO, recorder)
+            self.addCleanup(link.close)
+            self.assertEqual(HELLO, await within(hellos.get()))
+            self.assertEqual(HOST, await within(recorder.losses.get()))
+            self.assertEqual(HELLO, await within(hellos.get()))
+
+    async def test_garbage_from_the_server_ends_the_link(self) -> None:
+        async def answer_garbage(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"\xff" * 64)
+            await reader.read()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(answer_garbage, HOST, 0)
+        self.addCleanup(server.close)
+        recorder = LinkRecorder()
+        link = FeedLink(HOST, server.sockets[0].getsockname()[1], HELLO, recorder)
+        self.addCleanup(link.close)
+        self.assertEqual(HOST, await within(recorder.losses.get()))
+        self.assertTrue(recorder.messages.empty())
+
+    async def test_a_closed_link_stays_closed(self) -> None:
+        recorder = LinkRecorder()
+        link = self.open_link(recorder)
+        await within(recorder.messages.get())
+        link.close()
+        await within(recorder.losses.get())
+        self.assertIsNone(link.connection)
+
+
+class LinkSetTests(FeedCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.recorder = LinkRecorder()
+        self.links = LinkSet(self.port, HELLO, self.recorder, own_ip=HELLO.identity)
+        self.addCleanup(self.links.close)
+
+    async def test_wanted_peers_are_linked_but_not_the_machine_itself(self) -> None:
+        self.links.want([HOST, HELLO.identity])
+        connection = await within(self.recorder.links.get())
+        self.assertEqual({HOST}, self.links.peers)
+        self.assertIs(connection, self.links.connection(HOST))
+        self.assertEqual([connection], self.links.connections())
+
+    async def test_peers_that_are_no_longer_wanted_are_left(self) -> None:
+        self.links.want([HOST])
+        await within(self.recorder.messages.get())
+        self.links.want([])
+        await within(self.handler.losses.get())
+        self.assertEqual(frozenset(), self.links.peers)
+        self.assertIsNone(self.links.connection(HOST))
+
+    async def test_wanting_the_same_peers_again_keeps_the_links(self) -> None:
+        self.links.want([HOST])
+        connection = await within(self.recorder.links.get())
+        self.links.want([HOST])
+        self.assertIs(connection, self.links.connection(HOST))
+        self.assertTrue(self.recorder.losses.empty())
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    """All that still comes; a reset counts as the end."""
+    received = b""
+    try:
+        while data := await reader.read(65536):
+            received += data
+    except ConnectionError:
+        pass
+    return received
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_cluster_messages.py
@@ -0,0 +1,159 @@
+"""Frames between the machines of a cluster: each message survives the wire, and nothing else is accepted."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import get_args
+
+from rookwood.cluster.messages import (
+    HEADER,
+    MAXIMUM_FRAME,
+    ConfigurationBody,
+    DemandReport,
+    FetchConfiguration,
+    FrameError,
+    Heartbeat,
+    Hello,
+    KeyDemand,
+    Message,
+    Status,
+    WantedWeights,
+    WorkerGone,
+    WorkerUpdates,
+    WorkNotice,
+    decode_message,
+    encode_frame,
+    read_message,
+)
+from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+
+WORKER = WorkerRecord(
+    id="i-7f3a91c2",
+    service="huvo11a",
+    address="10.128.0.9:8080",
+    zone="dewan-merdu",
+    slots=64,
+    state=WorkerState.DRAINING,
+    sequence=2**40,
+    models=(
+        HeldModel("daka510000", 1, frozenset({"a1", "a2"})),
+        HeldModel("nymi57a71f", 3, frozenset()),
+    ),
+    holding=HoldingStamp(4, 17),
+)
+PLAIN_WORKER = WorkerRecord("i-2", "wuno96b", "10.0.0.2:80", "", 1, WorkerState.UP, 0, ())
+MESSAGES: tuple[Message, ...] = (
+    Hello("10.0.0.4", "edge", "dewan"),
+    Status("10.0.0.4", 7, "10.0.0.5", True, False, 6, 91, 12, ("10.0.0.4", "10.0.0.5")),
+    Status("10.0.0.4", 0, "", False, True, 0, 0, 0, ()),
+    FetchConfiguration(91),
+    ConfigurationBody(6, 91, b'{"ver":9,"name":"\xc3\xa9"}\x00'),
+    ConfigurationBody(6, 91, b""),
+    WorkerUpdates((WORKER, PLAIN_WORKER), complete=True),
+    WorkerUpdates((), complete=False),
+    WorkerGone("i-7f3a91c2", deleted=True),
+    WorkerGone("i-7f3a91c2", deleted=False),
+    DemandReport(
+        identity="10.0.0.4",
+        keys=(KeyDemand("huvo11a", "daka510000", "a1", 1.5, 0.25, 3, 0.5),),
+        wanted=(WantedWeights("huvo11a", "i-7f3a91c2", "daka510000", "a1"),),
+        complete=True,
+    ),
+    DemandReport(identity="10.0.0.4", keys=(), wanted=(), complete=False),
+    WorkNotice("i-7f3a91c2", 0.25, (2**55, 0)),
+    Heartbeat("10.0.0.4"),
+)
+TYPES_BEYOND_ALL = 255
+FUZZ_SEED = 20261202
+FUZZ_ROUNDS = 3000
+
+
+def body_of(frame: bytes) -> tuple[int, bytes]:
+    """The type number and the body of a frame."""
+    _, number = HEADER.unpack(frame[: HEADER.size])
+    return number, frame[HEADER.size :]
+
+
+def decode_or_refuse(number: int, body: bytes) -> None:
+    """Decode; only FrameError may be raised."""
+    try:
+        decode_message(number, body)
+    except FrameError:
+        return
+
+
+class RoundTripTests(unittest.IsolatedAsyncioTestCase):
+    def test_every_type_of_message_has_an_example_here(self) -> None:
+        self.assertEqual(set(get_args(Message)), {type(message) for message in MESSAGES})
+
+    async def test_every_message_is_read_as_it_was_written(self) -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"".join(encode_frame(message) for message in MESSAGES))
+        for message in MESSAGES:
+            self.assertEqual(message, await read_message(reader))
+
+    async def test_a_frame_may_come_byte_by_byte(self) -> None:
+        reader = asyncio.StreamReader()
+        message = MESSAGES[6]
+        reading = asyncio.create_task(read_message(reader))
+        for number in encode_frame(message):
+            self.assertFalse(reading.done())
+            reader.feed_data(bytes([number]))
+        self.assertEqual(message, await reading)
+
+    async def test_a_frame_that_is_cut_off_is_no_message(self) -> None:
+        frame = encode_frame(MESSAGES[6])
+        for length in range(len(frame)):
+            with self.subTest(length=length):
+                reader = asyncio.StreamReader()
+                reader.feed_data(frame[:length])
+                reader.feed_eof()
+                with self.assertRaises(EOFError):
+                    await read_message(reader)
+
+    async def test_an_oversized_frame_is_refused_before_its_body_is_read(self) -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(HEADER.pack(MAXIMUM_FRAME + 1, 0))
+        with self.assertRaises(FrameError):
+            await read_message(reader)
+
+
+class GarbageTests(unittest.TestCase):
+    def test_an_unknown_type_is_refused(self) -> None:
+        with self.assertRaises(FrameError):
+            decode_message(TYPES_BEYOND_ALL, b"")
+
+    def test_a_body_that_is_cut_short_is_refused(self) -> None:
+        for message in MESSAGES:
+            number, body = body_of(encode_frame(message))
+            for length in range(len(body)):
+                with (
+                    self.subTest(message=type(message).__name__, length=length),
+                    self.assertRaises(FrameError),
+                ):
+                    decode_message(number, body[:length])
+
+    def test_flipped_bits_raise_frame_errors_only(self) -> None:
+        for message in MESSAGES:
+            number, body = body_of(encode_frame(message))
+            for position in range(len(body)):
+                for bit in range(8):
+                    damaged = bytearray(body)
+                    damaged[position] ^= 1 << bit
+                    with self.subTest(message=type(message).__name__, position=position, bit=bit):
+                        decode_or_refuse(number, bytes(damaged))
+
+    def test_random_bytes_raise_frame_errors_only(self) -> None:
+        source = random.Random(FUZZ_SEED)
+        numbers = sorted({body_of(encode_frame(message))[0] for message in MESSAGES})
+        for round_number in range(FUZZ_ROUNDS):
+            number = source.choice(numbers)
+            body = source.randbytes(source.randrange(64))
+            with self.subTest(round=round_number, number=number, body=body.hex()):
+                decode_or_refuse(number, body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_controlplane_orders.py
@@ -0,0 +1,181 @@
+"""Load orders: who may give them, and what reaches a worker."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any, cast
+from unittest import mock
+
+from rookwood.cluster.messages import DemandReport, KeyDemand
+from rookwood.cluster.settings import Bounds
+from rookwood.cluster.tasks import cancel_tasks
+from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import WorkerRecord, parse_heartbeat
+from rookwood.clusterconfig.loading import load_configuration
+from rookwood.controlplane import load_scheduler
+from rookwood.controlplane.load_scheduler import LoadScheduler
+from rookwood.controlplane.tenure import LEASE_MARGIN, Tenure
+from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.coordination.group import Backup, ControlGroup, Primary, Role
+from rookwood.lab.modelworker import ModelSpec, ModelWorker, WeightKey, WorkerSettings
+from tests.fake_worker import within
+
+OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
+OWNER = "node-7"
+SERVICE = "models"
+LEASE = 3.0
+START = 100.0
+OFTEN = 10
+SHORT_INTERVAL = 0.02
+SMALL = ModelSpec("small", size_mb=60.0, load_s=0.02)
+WORKER_SETTINGS = WorkerSettings(
+    service=SERVICE, catalogue=(SMALL,), size_mb=160.0, adapter_slots=2, report_lag_s=0.0
+)
+CONFIGURATION: dict[str, Any] = {
+    "ver": 1,
+    "routes": [],
+    "svcs": [
+        {
+            "name": SERVICE,
+            "health": "/healthz",
+            "max-conns": 64,
+            "runtime": {
+                "slots": 8,
+                "models": [{"name": "small", "size-mb": 60, "load-s": 0.02, "loras": 0, "lora-mb": 1}],
+                "size-mb": 160,
+                "lora-slots": 2,
+                "loads-per-s": 10,
+            },
+        }
+    ],
+}
+WAITING = DemandReport(
+    identity=DISPATCHER,
+    keys=(KeyDemand(SERVICE, "small", "", 5.0, 1.0, 3, 0.5),),
+    wanted=(),
+    complete=True,
+)
+
+
+class TenureTests(unittest.TestCase):
+    def make_tenure(self, fenced: bool) -> Tenure:
+        """A machine that follows a primary, over an open link, until it becomes primary itself."""
+        tenure = Tenure(OWN_IP, LEASE, fenced)
+        tenure.linked(PEER)
+        tenure.primary_seen(PEER)
+        return tenure
+
+    def assert_waits(self, tenure: Tenure) -> None:
+        """The first order comes after the lease time only."""
+        self.assertFalse(tenure.may_order(2, START, START))
+        self.assertFalse(tenure.may_order(2, START, START + LEASE))
+        self.assertTrue(tenure.may_order(2, START, START + LEASE + 2 * LEASE_MARGIN))
+
+    def test_the_first_primary_of_all_need_not_wait(self) -> None:
+        self.assertTrue(Tenure(OWN_IP, LEASE, fenced=False).may_order(1, START, START))
+
+    def test_a_successor_waits_while_the_earlier_primary_is_linked(self) -> None:
+        for fenced in (False, True):
+            tenure = self.make_tenure(fenced)
+            tenure.primary_seen(OWN_IP)
+            self.assert_waits(tenure)
+
+    def test_without_fences_a_successor_waits_also_for_a_lost_primary(self) -> None:
+        tenure = self.make_tenure(fenced=False)
+        tenure.unlinked(PEER, START)
+        tenure.primary_seen(OWN_IP)
+        self.assert_waits(tenure)
+
+    def test_with_fences_the_successor_of_a_lost_primary_need_not_wait(self) -> None:
+        tenure = self.make_tenure(fenced=True)
+        tenure.unlinked(PEER, START)
+        tenure.primary_seen(OWN_IP)
+        self.assertTrue(tenure.may_order(2, START, START))
+
+    def test_a_machine_that_knows_no_earlier_primary_waits(self) -> None:
+        tenure = Tenure(OWN_IP, LEASE, fenced=True)
+        tenure.primary_seen(OWN_IP)
+        self.assert_waits(tenure)
+
+
+class FakeGroup:
+    """A replication group of a fixed role, which notes how often it is asked."""
+
+    def __init__(self, role: Role) -> None:
+        self._role = role
+        self._times_asked = 0
+        self.asked_often = asyncio.Event()
+
+    def role(self) -> Role:
+        """The role."""
+        self._times_asked += 1
+        if self._times_asked >= OFTEN:
+            self.asked_often.set()
+        return self._role
+
+
+class LoadSchedulerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.changed = asyncio.Event()
+        self.view = ClusterView(lambda source: None, self.note_change, lambda worker: None)
+        self.table = WorkerTable(self.view, OWN_IP, 1.0, lambda update, to_core: self.changed.set())
+        self.worker = ModelWorker(WORKER_SETTINGS)
+        await self.worker.start()
+        self.addAsyncCleanup(self.worker.stop)
+
+    def note_change(self, record: WorkerRecord) -> None:
+        """A worker changed."""
+        self.changed.set()
+
+    async def start_scheduler(self, role: Role) -> FakeGroup:
+        """A scheduler that knows the worker and a demand for weights."""
+        group = FakeGroup(role)
+        tenure = Tenure(OWN_IP, LEASE, fenced=True)
+        scheduler = LoadScheduler(
+            OWNER, Bounds(lease=LEASE), cast(ControlGroup, group), self.view, self.table, tenure
+        )
+        scheduler.configure(load_configuration(json.dumps(CONFIGURATION).encode()))
+        document = {"svc": SERVICE, "addr": self.worker.address, "az": "z1", "slots": 8, "seq": 1}
+        now = asyncio.get_running_loop().time()
+        self.table.heartbeat(parse_heartbeat(self.worker.instance, document), now)
+        running = asyncio.create_task(scheduler.run())
+        self.addAsyncCleanup(cancel_tasks, [running])
+        scheduler.take_demand(WAITING)
+        return group
+
+    async def holding(self, model: str) -> None:
+        """Wait until the worker is known to hold the model."""
+        while True:
+            record = self.view.registry.get(self.worker.instance)
+            if record is not None and record.holds(model, ""):
+                return
+            self.changed.clear()
+            await self.changed.wait()
+
+    async def test_weights_in_demand_are_loaded_and_the_holding_becomes_known(self) -> None:
+        role = Primary(1, asyncio.get_running_loop().time())
+        await self.start_scheduler(role)
+        await within(self.holding("small"))
+        orders = self.worker.records.orders
+        self.assertEqual([(WeightKey("small"), 202)], [(o.order.weights, o.status) for o in orders])
+        self.assertEqual((OWNER, 1), (orders[0].order.owner, orders[0].order.fence))
+        self.assertEqual([], self.worker.records.violations)
+
+    async def test_the_epoch_is_the_fence(self) -> None:
+        long_ago = asyncio.get_running_loop().time() - 2 * LEASE
+        await self.start_scheduler(Primary(7, long_ago))
+        await within(self.holding("small"))
+        self.assertEqual({7}, {record.order.fence for record in self.worker.records.orders})
+
+    async def test_neither_a_backup_nor_a_primary_within_its_wait_gives_orders(self) -> None:
+        self.enterContext(mock.patch.object(load_scheduler, "PLAN_INTERVAL", SHORT_INTERVAL))
+        for role in (Backup(PEER, 3, True), Primary(4, asyncio.get_running_loop().time())):
+            group = await self.start_scheduler(role)
+            await within(group.asked_often.wait())
+        self.assertEqual([], self.worker.records.orders)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_controlplane_workers.py
@@ -0,0 +1,350 @@
+"""The control plane towards workers: heartbeats, silence, farewells, demand sums, reports and orders."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from dataclasses import replace
+from typing import cast
+
+from aiohttp import ClientSession, web
+
+from rookwood.cluster.messages import (
+    DemandReport,
+    KeyDemand,
+    Status,
+    WantedWeights,
+    WorkerGone,
+    WorkerUpdates,
+)
+from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+from rookwood.controlplane.demand import DemandSum
+from rookwood.controlplane.worker_api import WorkerApi
+from rookwood.controlplane.worker_client import (
+    NOT_CONNECTED,
+    OrderCall,
+    OrderRefused,
+    OrderTaken,
+    OrderUnknown,
+    ReportFailed,
+    WorkerClient,
+    WorkerReport,
+)
+from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.coordination.group import Backup, ControlGroup, Primary, Role, Unattached
+from rookwood.modelplacement.types import WeightsKey
+from tests.fake_worker import HOST, FakeWorker, answering, break_off, refusing
+
+OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
+BEAT = 1.0
+LONG_SILENCE = 100.0
+WORKER = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
+HELD = (HeldModel("small", 1, frozenset()),)
+SETTLED = Status(OWN_IP, 1, OWN_IP, True, True, 0, 0, 1, (OWN_IP,))
+ORDER = OrderCall(True, "small", "a1", "node-7", 41, 2)
+ACKNOWLEDGEMENT_LIMIT = 4096  # bytes
+KEY = WeightsKey("small", "a1")
+
+Update = WorkerUpdates | WorkerGone
+
+
+class WorkerTableCase(unittest.TestCase):
+    """A worker table whose updates are collected."""
+
+    def setUp(self) -> None:
+        self.gone: list[str] = []
+        self.published: list[tuple[Update, bool]] = []
+        self.view = ClusterView(lambda source: None, lambda record: None, self.gone.append)
+        self.table = WorkerTable(self.view, OWN_IP, BEAT, self.publish)
+        self.view.received(OWN_IP, SETTLED, 0.0)
+
+    def publish(self, update: Update, to_core: bool) -> None:
+        """Collect an update."""
+        self.published.append((update, to_core))
+
+
+class WorkerTableTests(WorkerTableCase):
+    def test_a_new_worker_is_published_to_all(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.assertEqual([(WorkerUpdates((WORKER,), complete=False), True)], self.published)
+
+    def test_a_heartbeat_without_news_is_not_published(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.heartbeat(replace(WORKER, sequence=6), 1.0)
+        self.assertEqual(1, len(self.published))
+
+    def test_draining_is_published_at_once_and_never_undone(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        draining = replace(WORKER, sequence=6, state=WorkerState.DRAINING)
+        self.table.heartbeat(draining, 0.1)
+        self.assertEqual((WorkerUpdates((draining,), complete=False), True), self.published[-1])
+        self.table.heartbeat(replace(WORKER, sequence=7), 0.2)
+        known = self.view.registry.get(WORKER.id)
+        assert known is not None
+        self.assertIs(WorkerState.DRAINING, known.state)
+
+    def test_a_late_heartbeat_changes_nothing(self) -> None:
+        self.table.heartbeat(replace(WORKER, sequence=9), 0.0)
+        self.table.heartbeat(replace(WORKER, sequence=8, slots=2), 0.1)
+        known = self.view.registry.get(WORKER.id)
+        assert known is not None
+        self.assertEqual(WORKER.slots, known.slots)
+
+    def test_a_silent_worker_goes_and_may_come_back(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.expire(LONG_SILENCE)
+        self.assertEqual([WORKER.id], self.gone)
+        self.assertEqual((WorkerGone(WORKER.id, deleted=False), True), self.published[-1])
+        self.table.heartbeat(replace(WORKER, sequence=9), LONG_SILENCE)
+        self.assertIsNotNone(self.view.registry.get(WORKER.id))
+        self.assertIsInstance(self.published[-1][0], WorkerUpdates)
+
+    def test_one_missed_heartbeat_is_not_silence(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.expire(2 * BEAT)
+        self.assertEqual([], self.gone)
+
+    def test_a_worker_that_another_machine_hears_stays(self) -> None:
+        self.view.linked(PEER)
+        self.table.heartbeat(WORKER, 0.0)
+        self.view.received(PEER, WorkerUpdates((WORKER,), complete=True), 0.0)
+        self.table.expire(LONG_SILENCE)
+        self.assertEqual([], self.gone)
+
+    def test_a_deleted_worker_is_published_once_and_stays_deleted(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.delete(WORKER.id, 0.1)
+        self.table.delete(WORKER.id, 0.1)
+        self.table.heartbeat(replace(WORKER, sequence=99), 0.1)
+        self.assertEqual([WORKER.id], self.gone)
+        self.assertEqual(2, len(self.published))
+        self.assertEqual((WorkerGone(WORKER.id, deleted=True), True), self.published[-1])
+        self.assertEqual((), self.table.known().records)
+
+    def test_other_control_machines_are_told_only_of_workers_heard_here(self) -> None:
+        told = replace(WORKER, id="i-2")
+        self.table.heartbeat(WORKER, 0.0)
+        self.view.received(PEER, WorkerUpdates((told,), complete=True), 0.0)
+        self.assertEqual(WorkerUpdates((WORKER,), complete=True), self.table.direct())
+        self.assertEqual({WORKER, told}, set(self.table.known().records))
+        self.assertTrue(self.table.known().complete)
+
+    def test_reported_holdings_are_published_and_win_over_heartbeats(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.set_holding(WORKER.id, HELD, HoldingStamp(3, 1))
+        self.assertEqual(HELD, self.view.registry.get(WORKER.id).models)  # type: ignore[union-attr]
+        self.table.heartbeat(replace(WORKER, sequence=9), 0.1)
+        self.assertEqual(HELD, self.view.registry.get(WORKER.id).models)  # type: ignore[union-attr]
+        self.assertTrue(self.published[-1][1])
+
+    def test_older_reports_of_holdings_are_ignored(self) -> None:
+        self.table.heartbeat(WORKER, 0.0)
+        self.table.set_holding(WORKER.id, HELD, HoldingStamp(3, 2))
+        self.table.set_holding(WORKER.id, (), HoldingStamp(3, 1))
+        self.table.set_holding(WORKER.id, (), HoldingStamp(2, 9))
+        self.assertEqual(HELD, self.view.registry.get(WORKER.id).models)  # type: ignore[union-attr]
+
+
+class FakeGroup:
+    """A replication group whose role the test sets."""
+
+    def __init__(self, role: Role) -> None:
+        self.current = role
+
+    def role(self) -> Role:
+        """The role set."""
+        return self.current
+
+
+class WorkerApiTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.view = ClusterView(lambda source: None, lambda record: None, lambda worker: None)
+        table = WorkerTable(self.view, OWN_IP, BEAT, lambda update, to_core: None)
+        self.group = FakeGroup(Primary(1, 0.0))
+        application = web.Application()
+        WorkerApi(cast(ControlGroup, self.group), table).add_routes(application)
+        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.05)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, HOST, 0).start()
+        self.url = f"http://{HOST}:{runner.addresses[0][1]}/workers/i-1"
+        self.client = ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    async def beat(self, body: bytes | None = None, **changes: object) -> int:
+        """Send a heartbeat; returns the status."""
+        document = {"svc": "models", "addr": "10.0.0.9:80", "az": "z1", "slots": 8, "state": "up", "seq": 1}
+        data = json.dumps({**document, **changes}).encode() if body is None else body
+        async with self.client.put(self.url, data=data) as response:
+            self.assertLessEqual(len(await response.read()), ACKNOWLEDGEMENT_LIMIT)
+            return response.status
+
+    async def test_a_heartbeat_is_acknowledged_and_known(self) -> None:
+        self.assertEqual(200, await self.beat())
+        self.assertIsNotNone(self.view.registry.get("i-1"))
+
+    async def test_a_backup_acknowledges_too(self) -> None:
+        self.group.current = Backup(PEER, 1, True)
+        self.assertEqual(200, await self.beat(state="draining"))
+
+    async def test_a_machine_without_a_primary_sends_the_worker_elsewhere(self) -> None:
+        self.assertEqual(200, await self.beat())
+        self.group.current = Unattached("no primary")
+        self.assertEqual(503, await self.beat(seq=2))
+        self.group.current = Backup(PEER, 2, True)
+        self.assertEqual(200, await self.beat(seq=3))
+
+    async def test_what_is_no_heartbeat_is_refused(self) -> None:
+        for body in (b"", b"{", b"[]", b"7", b"null", b'"text"', b'{"svc":"models"}', b"\xff\xfe"):
+            with self.subTest(body=body):
+                self.assertEqual(400, await self.beat(body))
+        self.assertEqual(0, len(self.view.registry))
+
+    async def test_a_farewell_deletes_for_good(self) -> None:
+        await self.beat()
+        async with self.client.delete(self.url) as response:
+            self.assertEqual(200, response.status)
+        self.assertEqual(200, await self.beat(seq=9))
+        self.assertIsNone(self.view.registry.get("i-1"))
+
+
+class DemandSumTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.demand = DemandSum()
+
+    def report(
+        self,
+        identity: str,
+        now: float,
+        *keys: KeyDemand,
+        wanted: tuple[WantedWeights, ...] = (),
+        complete: bool = True,
+    ) -> None:
+        """One dispatcher's report."""
+        self.demand.take(DemandReport(identity, keys, wanted, complete), now)
+
+    def test_the_demand_of_all_dispatchers_is_added_up(self) -> None:
+        self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
+        self.report(PEER, 0.0, KeyDemand("models", "small", "a1", 1.0, 0.5, 1, 2.0))
+        total = self.demand.total("models", 0.1)[KEY]
+        self.assertEqual((3.0, 1.5, 4, 2.0), (total.rate, total.busy, total.waiting, total.oldest_wait_s))
+
+    def test_a_new_report_replaces_the_one_before(self) -> None:
+        self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
+        self.report(DISPATCHER, 1.0, KeyDemand("models", "small", "a1", 5.0, 1.0, 0, 0.0))
+        self.assertEqual(5.0, self.demand.total("models", 1.0)[KEY].rate)
+
+    def test_only_a_complete_report_drops_keys_it_does_not_name(self) -> None:
+        self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
+        self.report(DISPATCHER, 0.1, KeyDemand("models", "large", "", 1.0, 0.0, 1, 0.0), complete=False)
+        self.assertEqual({KEY, WeightsKey("large")}, set(self.demand.total("models", 0.2)))
+        self.report(DISPATCHER, 0.3, KeyDemand("models", "large", "", 1.0, 0.0, 1, 0.0))
+        self.assertEqual({WeightsKey("large")}, set(self.demand.total("models", 0.4)))
+
+    def test_a_silent_dispatcher_no_longer_counts(self) -> None:
+        self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
+        self.assertEqual({}, self.demand.total("models", LONG_SILENCE))
+
+    def test_what_tables_want_counts_by_the_share_of_dispatchers(self) -> None:
+        wanted = (WantedWeights("models", WORKER.id, "small", "a1"),)
+        self.report(DISPATCHER, 0.0, wanted=wanted)
+        self.report(PEER, 0.0)
+        self.assertEqual(0.5, self.demand.wanted("models")[WORKER.id][KEY])
+        self.report(PEER, 1.0, wanted=wanted)
+        self.assertEqual(1.0, self.demand.wanted("models")[WORKER.id][KEY])
+        self.report(DISPATCHER, 2.0)
+        self.report(PEER, 2.0)
+        self.assertNotIn(WORKER.id, self.demand.wanted("models"))
+
+    def test_services_are_kept_apart(self) -> None:
+        self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
+        self.assertEqual({}, self.demand.total("others", 0.0))
+
+
+REPORT = {
+    "phase": "both",
+    "models": [{"name": "small", "ver": 1, "loras": []}],
+    "busy": True,
+    "seq": 2,
+    "queued": 1,
+    "active": 12,
+    "kv-used": 41000,
+    "kv-max": 90000,
+    "serving": 0,
+}
+
+
+class WorkerClientTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.client = WorkerClient()
+        self.addAsyncCleanup(self.client.close)
+
+    async def start_worker(self, worker: FakeWorker) -> FakeWorker:
+        """Start a worker, stopped at the end."""
+        await worker.start()
+        self.addAsyncCleanup(worker.stop)
+        return worker
+
+    async def order_answered(self, status: int) -> OrderTaken | OrderRefused | OrderUnknown:
+        """Give the order to a worker that answers with the status."""
+        worker = await self.start_worker(FakeWorker(answering(b"", status)))
+        return await self.client.order(worker.address, worker.id, ORDER)
+
+    async def test_a_report_is_read(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering(json.dumps(REPORT).encode())))
+        report = await self.client.report(worker.address, worker.id)
+        self.assertEqual(WorkerReport(HELD, True, 2, 1, 12), report)
+        self.assertEqual(worker.id, worker.requests[0].headers["x-want-instance"])
+        self.assertEqual(("GET", "/report"), (worker.requests[0].method, worker.requests[0].target))
+
+    async def test_no_report_is_a_failure(self) -> None:
+        behaviours = (refusing(421), answering(b"{"), answering(b"[]"), answering(b"7"), break_off)
+        for behaviour in behaviours:
+            worker = await self.start_worker(FakeWorker(behaviour))
+            self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+
+    async def test_an_order_names_owner_fence_and_revision(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering(b"", 202)))
+        self.assertEqual(OrderTaken(done=False), await self.client.order(worker.address, worker.id, ORDER))
+        (request,) = worker.requests
+        self.assertEqual(("POST", "/order"), (request.method, request.target))
+        self.assertEqual(worker.id, request.headers["x-want-instance"])
+        self.assertEqual("application/json", request.headers["content-type"])
+        expected = {
+            "op": "place",
+            "model": "small",
+            "lora": "a1",
+            "if-revision": 2,
+            "owner": "node-7",
+            "fence": 41,
+        }
+        self.assertEqual(expected, json.loads(request.body))
+
+    async def test_an_order_for_a_model_names_no_adapter(self) -> None:
+        document = json.loads(replace(ORDER, place=False, adapter="").body())
+        self.assertEqual("evict", document["op"])
+        self.assertNotIn("lora", document)
+
+    async def test_what_holds_already_is_done(self) -> None:
+        self.assertEqual(OrderTaken(done=True), await self.order_answered(200))
+
+    async def test_a_refusal_gives_its_status(self) -> None:
+        for status in (400, 409, 412, 421):
+            self.assertEqual(OrderRefused(status), await self.order_answered(status))
+
+    async def test_an_order_without_an_answer_may_have_been_taken_and_is_sent_once(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering(b"", 202), break_off))
+        await self.client.order(worker.address, worker.id, ORDER)
+        self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
+        self.assertEqual(2, len(worker.requests))
+
+    async def test_an_order_that_was_not_sent_was_not_taken(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering()))
+        address = worker.address
+        await worker.stop()
+        self.assertEqual(OrderRefused(NOT_CONNECTED), await self.client.order(address, worker.id, ORDER))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_dataplane_parts.py
@@ -0,0 +1,291 @@
+"""The data plane's parts without sockets: event splitting, retry budget, routing inputs, demand, headers."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from rookwood.clusterconfig.document import Route, RouteKind, ServiceShare
+from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.demand import DemandMeter, ServiceKey
+from rookwood.dataplane.events import MAXIMUM_EVENT, Event, EventSplitter, OversizedEventError
+from rookwood.dataplane.headers import end_to_end
+from rookwood.dataplane.pool import WorkerTraffic
+from rookwood.dataplane.requests import choose_service, read_key, read_parts, read_time_left
+from rookwood.dataplane.upstream import ToldLoad, read_load
+
+STREAM = (
+    b"id: 1\ndata: one\n\n"
+    b": comment\nid: 2\ndata: two\ndata: lines\n\n"
+    b"versions: 3\nid:3\ndata: three\n\n"
+    b"data: no id\n\n"
+    b"id: 5\r\ndata: five\r\n\r\n"
+)
+STREAM_IDS = [b"1", b"2", b"3", None, b"5"]
+SERVICE = "models"
+KEY = ServiceKey(SERVICE, "small", "a1")
+REQUESTS = 20_000
+TOLERANCE = 0.02
+
+
+def split(*pieces: bytes) -> list[Event]:
+    """The events of a stream that comes in these pieces."""
+    splitter = EventSplitter()
+    return [event for piece in pieces for event in splitter.feed(piece)]
+
+
+class EventSplitterTests(unittest.TestCase):
+    def test_whole_stream_gives_its_events_unchanged(self) -> None:
+        events = split(STREAM)
+        self.assertEqual(STREAM, b"".join(event.raw for event in events))
+        self.assertEqual(STREAM_IDS, [event.id for event in events])
+
+    def test_every_split_in_two_gives_the_same_events(self) -> None:
+        expected = split(STREAM)
+        for position in range(len(STREAM) + 1):
+            with self.subTest(position=position):
+                self.assertEqual(expected, split(STREAM[:position], STREAM[position:]))
+
+    def test_single_bytes_give_the_same_events(self) -> None:
+        self.assertEqual(split(STREAM), split(*(bytes([byte]) for byte in STREAM)))
+
+    def test_an_event_comes_with_its_last_byte_and_not_before(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual([], splitter.feed(b"id: 1\ndata: one\n"))
+        self.assertTrue(splitter.partial)
+        self.assertEqual([Event(b"id: 1\ndata: one\n\n", b"1")], splitter.feed(b"\n"))
+        self.assertFalse(splitter.partial)
+
+    def test_a_rest_after_whole_events_is_partial(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\n\nid: 2")
+        self.assertTrue(splitter.partial)
+
+    def test_an_event_that_never_ends_is_refused(self) -> None:
+        splitter = EventSplitter()
+        with self.assertRaises(OversizedEventError):
+            splitter.feed(b"data: " + bytes(MAXIMUM_EVENT))
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def take_all(self, budget: RetryBudget, service: str, now: float) -> int:
+        """Take repeats until one is denied."""
+        taken = 0
+        while budget.take(service, now):
+            taken += 1
+        return taken
+
+    def test_a_budget_of_nothing_allows_nothing(self) -> None:
+        budget = RetryBudget(ratio=0.0, window=10.0, slack=0.0)
+        budget.request(SERVICE, 0.0)
+        self.assertFalse(budget.take(SERVICE, 0.0))
+
+    def test_repeats_stay_within_the_share_of_requests_and_the_allowance(self) -> None:
+        budget = RetryBudget(ratio=0.2, window=10.0, slack=10.0)
+        for _ in range(100):
+            budget.request(SERVICE, 0.0)
+        taken = self.take_all(budget, SERVICE, 1.0)
+        self.assertGreater(taken, 0)
+        self.assertLessEqual(taken, 0.2 * 100 + 10.0)
+
+    def test_more_requests_allow_more_repeats(self) -> None:
+        budget = RetryBudget(ratio=0.2, window=10.0, slack=10.0)
+        self.take_all(budget, SERVICE, 0.0)
+        for _ in range(100):
+            budget.request(SERVICE, 1.0)
+        self.assertTrue(budget.take(SERVICE, 1.0))
+
+    def test_the_allowance_is_shared_by_all_dispatchers(self) -> None:
+        slack, dispatchers = 100.0, 5
+        total = 0
+        for _ in range(dispatchers):
+            budget = RetryBudget(ratio=0.0, window=10.0, slack=slack)
+            budget.dispatchers = dispatchers
+            total += self.take_all(budget, SERVICE, 0.0)
+        self.assertGreater(total, 0)
+        self.assertLessEqual(total, slack)
+
+    def test_services_have_budgets_of_their_own(self) -> None:
+        budget = RetryBudget(ratio=0.0, window=10.0, slack=10.0)
+        first = self.take_all(budget, SERVICE, 0.0)
+        self.assertEqual(first, self.take_all(budget, "other", 0.0))
+
+    def test_repeats_come_back_when_the_window_has_passed(self) -> None:
+        budget = RetryBudget(ratio=0.0, window=10.0, slack=10.0)
+        first = self.take_all(budget, SERVICE, 0.0)
+        self.assertFalse(budget.take(SERVICE, 9.9))
+        self.assertEqual(first, self.take_all(budget, SERVICE, 10.1))
+
+    def test_old_requests_no_longer_count(self) -> None:
+        budget = RetryBudget(ratio=0.5, window=10.0, slack=0.0)
+        for _ in range(100):
+            budget.request(SERVICE, 0.0)
+        self.assertFalse(budget.take(SERVICE, 10.1))
+
+    def test_no_window_holds_more_repeats_than_its_requests_allow(self) -> None:
+        ratio, window, slack = 0.2, 2.0, 6.0
+        budget = RetryBudget(ratio, window, slack)
+        requests: list[float] = []
+        repeats: list[float] = []
+        for step in range(1200):
+            now = step * 0.01
+            if step % 300 < 150:  # a burst, then a pause
+                requests.append(now)
+                budget.request(SERVICE, now)
+            while budget.take(SERVICE, now):
+                repeats.append(now)
+        for end in repeats:
+            count = sum(end - window < time <= end for time in repeats)
+            asked = sum(end - window <= time <= end for time in requests)
+            self.assertLessEqual(count, ratio * asked + slack)
+
+
+def route_with(*shares: ServiceShare) -> Route:
+    """A route that is split like this."""
+    return Route("r", "host", "/p/", RouteKind.SAFE, 1000, 500, 0, shares, 1, False, False, 0)
+
+
+class ChooseServiceTests(unittest.TestCase):
+    def test_an_undivided_route_has_one_service(self) -> None:
+        route = route_with(ServiceShare("first", 1.0))
+        self.assertEqual({"first"}, {choose_service(route, f"{n:016x}") for n in range(50)})
+
+    def test_one_request_always_gets_the_same_service(self) -> None:
+        route = route_with(ServiceShare("first", 50), ServiceShare("second", 50))
+        for number in range(200):
+            request_id = f"{number:016x}"
+            self.assertEqual(1, len({choose_service(route, request_id) for _ in range(5)}))
+
+    def test_services_get_their_weights(self) -> None:
+        weights = {"first": 90.0, "second": 10.0, "third": 25.0}
+        route = route_with(*(ServiceShare(name, weight) for name, weight in weights.items()))
+        counts = Counter(choose_service(route, f"{n * 7919:016x}") for n in range(REQUESTS))
+        for name, weight in weights.items():
+            share = weight / sum(weights.values())
+            self.assertAlmostEqual(share, counts[name] / REQUESTS, delta=TOLERANCE)
+
+    def test_a_service_of_weight_zero_gets_nothing(self) -> None:
+        route = route_with(ServiceShare("none", 0.0), ServiceShare("all", 1.0))
+        self.assertEqual({"all"}, {choose_service(route, f"{n:016x}") for n in range(500)})
+
+
+class HeaderTests(unittest.TestCase):
+    def test_headers_of_a_single_connection_are_not_passed(self) -> None:
+        headers = CIMultiDict(
+            {
+                "Connection": "keep-alive, X-Hop",
+                "Keep-Alive": "timeout=5",
+                "Transfer-Encoding": "chunked",
+                "TE": "trailers",
+                "Upgrade": "h2c",
+                "x-hop": "1",
+                "X-Kept": "2",
+            }
+        )
+        self.assertEqual({"X-Kept": "2"}, dict(end_to_end(CIMultiDictProxy(headers))))
+
+    def test_repeated_headers_are_all_passed(self) -> None:
+        headers = CIMultiDict([("X-Many", "1"), ("X-Many", "2")])
+        self.assertEqual(["1", "2"], end_to_end(CIMultiDictProxy(headers)).getall("X-Many"))
+
+    def test_headers_named_in_any_connection_header_are_not_passed(self) -> None:
+        headers = CIMultiDict([("Connection", "X-First"), ("Connection", "X-Second"), ("X-Second", "1")])
+        self.assertEqual({}, dict(end_to_end(CIMultiDictProxy(headers))))
+
+    def test_time_left_is_read_in_seconds(self) -> None:
+        self.assertEqual(1.5, read_time_left("1500"))
+        self.assertEqual(0.0, read_time_left("-3"))
+        self.assertIsNone(read_time_left(None))
+        self.assertIsNone(read_time_left("soon"))
+
+    def test_model_and_adapter_are_read(self) -> None:
+        self.assertEqual(KEY, read_key(SERVICE, "small/a1"))
+        self.assertEqual(ServiceKey(SERVICE, "small", ""), read_key(SERVICE, "small"))
+        self.assertIsNone(read_key(SERVICE, None))
+
+    def test_prompt_parts_are_told_apart_by_what_goes_before(self) -> None:
+        first = read_parts("small", "5c1e07a2:800,91bd3f06:410")
+        second = read_parts("small", "e4402b7d:800,91bd3f06:410")
+        self.assertEqual([800, 410], [part.tokens for part in first])
+        self.assertNotEqual(first[1].identity, second[1].identity)
+        self.assertEqual(first[:1], read_parts("small", "5c1e07a2:800,broken,91bd3f06:410"))
+
+    def test_prompt_parts_belong_to_their_weights(self) -> None:
+        text = "5c1e07a2:800"
+        self.assertNotEqual(read_parts("small", text)[0].identity, read_parts("small/a1", text)[0].identity)
+        self.assertEqual(read_parts("small", text), read_parts("small", text))
+
+    def test_told_load_is_read_where_it_is_sound(self) -> None:
+        self.assertEqual(ToldLoad(3, 0, 8), read_load(CIMultiDict({"X-Load": "3,0,8"})))
+        for text in ("", "3,0", "3,0,8,1", "a,b,c"):
+            self.assertIsNone(read_load(CIMultiDict({"X-Load": text})))
+
+
+class DemandMeterTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.wanted: list[ServiceKey] = []
+        self.meter = DemandMeter(self.wanted.append)
+
+    def test_only_the_first_waiting_request_calls_for_the_weights(self) -> None:
+        self.meter.begin_wait(KEY, 1.0)
+        self.meter.begin_wait(KEY, 2.0)
+        self.assertEqual([KEY], self.wanted)
+        self.meter.end_wait(KEY, 1.0)
+        self.meter.end_wait(KEY, 2.0)
+        self.meter.begin_wait(KEY, 3.0)
+        self.assertEqual([KEY, KEY], self.wanted)
+
+    def test_waiting_requests_are_reported_with_the_oldest_wait(self) -> None:
+        self.meter.request(KEY, 1.0)
+        self.meter.begin_wait(KEY, 1.0)
+        self.meter.begin_wait(KEY, 2.0)
+        (demand,) = self.meter.reports(3.5)
+        self.assertEqual((SERVICE, "small", "a1"), (demand.service, demand.model, demand.adapter))
+        self.assertEqual((2, 2.5), (demand.waiting, demand.oldest_wait))
+
+    def test_the_rate_follows_the_requests_and_fades(self) -> None:
+        for step in range(1000):
+            self.meter.request(KEY, step * 0.1)
+        steady = self.meter.report(KEY, 100.0).rate
+        self.assertAlmostEqual(10.0, steady, delta=1.0)
+        self.assertLess(self.meter.report(KEY, 110.0).rate, steady / 2)
+
+    def test_a_key_that_nobody_asks_for_is_no_longer_reported(self) -> None:
+        self.meter.request(KEY, 0.0)
+        self.assertEqual((), self.meter.reports(1000.0))
+
+
+class WorkerTrafficTests(unittest.TestCase):
+    def test_a_told_load_counts_for_a_while(self) -> None:
+        traffic = WorkerTraffic(in_flight=1)
+        traffic.tell_load(3, 2, 8, 10.0)
+        self.assertEqual(5, traffic.load(10.1))
+        self.assertEqual(1, traffic.load(60.0))
+
+    def test_own_requests_count_where_they_are_more(self) -> None:
+        traffic = WorkerTraffic(in_flight=9)
+        traffic.tell_load(1, 0, 8, 10.0)
+        self.assertEqual(9, traffic.load(10.0))
+
+    def test_repeated_failures_are_avoided_longer_each_time(self) -> None:
+        traffic = WorkerTraffic()
+        traffic.failed(0.0)
+        first = traffic.avoided_until
+        self.assertGreater(first, 0.0)
+        traffic.failed(first)
+        self.assertGreater(traffic.avoided_until - first, first)
+        traffic.succeeded()
+        self.assertLess(traffic.avoided_until, 0.0)
+
+    def test_missing_weights_are_remembered_for_a_moment(self) -> None:
+        traffic = WorkerTraffic()
+        traffic.lacks("small", "a1", 0.0)
+        self.assertTrue(traffic.known_to_lack("small", "a1", 0.1))
+        self.assertFalse(traffic.known_to_lack("small", "", 0.1))
+        self.assertFalse(traffic.known_to_lack("small", "a1", 60.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_dataplane_program.py
@@ -0,0 +1,221 @@
+"""A whole dispatcher process, fed by a control machine that the test plays."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import unittest
+from collections.abc import Iterable
+from unittest import mock
+
+from aiohttp import ClientSession, ClientTimeout, TCPConnector
+
+from rookwood.cluster.feed import Connection, FeedServer
+from rookwood.cluster.messages import (
+    ConfigurationBody,
+    DemandReport,
+    FetchConfiguration,
+    Message,
+    Status,
+    WorkerUpdates,
+)
+from rookwood.cluster.settings import NodeSettings, parse_settings
+from rookwood.cluster.workers import WorkerRecord
+from rookwood.dataplane import program
+from rookwood.dataplane.program import DataPlane
+from tests.fake_worker import HOST, WAIT_LIMIT, FakeWorker, Silence, answering, held_back, within
+from tests.test_dataplane_proxy import CONFIGURATION, MODEL_SERVICE, MODELS, MUTATING, SAFE, SERVICE, SITE
+
+CONTROL_IP = "127.0.0.2"
+HEADER_LIMIT = CONFIGURATION["limits"]["hdr-bytes"]
+HEADER_MARGIN = 2048  # bytes for the other headers of a request
+SHORT_NOTICE = 0.05
+
+
+class ControlMachine:
+    """A primary that serves one configuration and a list of workers."""
+
+    def __init__(self) -> None:
+        self.records: list[WorkerRecord] = []
+        self.source = b""
+        self.messages: asyncio.Queue[Message] = asyncio.Queue()
+        self.server = FeedServer(self)
+
+    def status(self) -> Status:
+        """What it tells of itself."""
+        sequence = 1 if self.source else 0
+        return Status(CONTROL_IP, 1, CONTROL_IP, True, True, 1, sequence, 1, (CONTROL_IP,))
+
+    def greeting(self, connection: Connection) -> Iterable[Message]:
+        """Status and workers."""
+        return self.status(), WorkerUpdates(tuple(self.records), complete=True)
+
+    def received(self, connection: Connection, message: Message) -> None:
+        """Give out the configuration; keep reports of demand."""
+        if isinstance(message, FetchConfiguration):
+            connection.send(ConfigurationBody(1, 1, self.source))
+        elif isinstance(message, DemandReport):
+            self.messages.put_nowait(message)
+
+    def lost(self, connection: Connection) -> None:
+        """Nothing to do."""
+
+
+def free_port(ip: str) -> int:
+    """A port on which nobody listens."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class DataPlaneCase(unittest.IsolatedAsyncioTestCase):
+    """A dispatcher that runs, and the control machine that feeds it."""
+
+    async def asyncSetUp(self) -> None:
+        self.enterContext(mock.patch.object(program, "INGRESS_NOTICE", SHORT_NOTICE))
+        self.control = ControlMachine()
+        self.settings = self.make_settings()
+        await self.control.server.start(CONTROL_IP, self.settings.feed_port)
+        self.addAsyncCleanup(self.control.server.stop)
+        self.running = asyncio.create_task(DataPlane(self.settings).run())
+        self.addAsyncCleanup(self.stop_dispatcher)
+        self.client = ClientSession(
+            connector=TCPConnector(force_close=True), timeout=ClientTimeout(total=WAIT_LIMIT)
+        )
+        self.addAsyncCleanup(self.client.close)
+        await within(self.listening())
+
+    def make_settings(self) -> NodeSettings:
+        """Settings with free ports."""
+        first_port = free_port(CONTROL_IP) - 1
+        document = {
+            "hostname": "e1",
+            "ip": HOST,
+            "az": "z1",
+            "listen": {"edge": f"{HOST}:{free_port(HOST)}", "readyz": f"{HOST}:{free_port(HOST)}"},
+            "port-range": [first_port, first_port + 9],
+            "seeds": [f"{CONTROL_IP}:8080"],
+            "limits": {"nofile": 512},
+        }
+        return parse_settings(document)
+
+    async def stop_dispatcher(self) -> None:
+        """End it as the platform does."""
+        if not self.running.done():
+            os.kill(os.getpid(), signal.SIGTERM)
+        await within(self.running)
+
+    async def listening(self) -> None:
+        """Wait until the dispatcher answers."""
+        while True:
+            try:
+                await self.readiness()
+                return
+            except OSError:
+                await asyncio.sleep(0)
+
+    async def readiness(self) -> int:
+        """The status of its readiness check."""
+        async with self.client.get(f"http://{self.settings.listen['readyz']}/readyz") as response:
+            return response.status
+
+    async def start_worker(self, worker: FakeWorker, service: str = SERVICE) -> FakeWorker:
+        """Start a worker and tell the dispatcher of it."""
+        await worker.start()
+        self.addAsyncCleanup(worker.stop)
+        self.control.records.append(worker.record(service))
+        return worker
+
+    async def feed(self) -> None:
+        """Tell the dispatcher of configuration and workers, and wait until it is ready."""
+        self.control.source = json.dumps(CONFIGURATION).encode()
+        self.control.server.broadcast(WorkerUpdates(tuple(self.control.records), complete=True))
+        self.control.server.broadcast(self.control.status())
+
+        async def ready() -> None:
+            while await self.readiness() != 200:
+                self.control.server.broadcast(WorkerUpdates(tuple(self.control.records), complete=True))
+                self.control.server.broadcast(self.control.status())
+
+        await within(ready())
+
+    async def send(self, target: str, request_id: str = "try-1", **headers: str) -> tuple[int, bytes]:
+        """Send a request; further headers by name, with _ for -."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        sent = {"Host": SITE, "X-Try-Id": request_id, "X-Time-Left": "3000", **named}
+        url = f"http://{self.settings.listen['edge']}{target}"
+        async with self.client.post(url, data=b"question", headers=sent) as response:
+            return response.status, await response.read()
+
+
+class DataPlaneTests(DataPlaneCase):
+    async def test_it_is_ready_once_it_has_configuration_and_workers(self) -> None:
+        self.assertEqual(503, await self.readiness())
+        status, _ = await self.send(SAFE)
+        self.assertEqual(503, status)
+        await self.start_worker(FakeWorker(answering()))
+        await self.feed()
+        self.assertEqual((200, b"answer"), await self.send(MUTATING))
+
+    async def test_headers_within_the_limit_are_served(self) -> None:
+        """A long prompt is told in one header, which may take up most of `hdr-bytes`."""
+        worker = await self.start_worker(FakeWorker(answering()))
+        await self.feed()
+        parts = ",".join(f"{number:08x}:16" for number in range(HEADER_LIMIT // 12))
+        prefix = parts[: HEADER_LIMIT - HEADER_MARGIN].rpartition(",")[0]
+        self.assertEqual((200, b"answer"), await self.send(SAFE, X_Prompt_Prefix=prefix))
+        self.assertEqual(prefix, worker.requests[0].headers["x-prompt-prefix"])
+
+    async def test_a_request_that_waits_for_weights_is_reported_at_once(self) -> None:
+        await self.start_worker(FakeWorker(answering()), MODEL_SERVICE)
+        await self.feed()
+        sending = asyncio.create_task(self.send(MODELS, X_Model="small/a1", X_Time_Left="400"))
+        report = await within(self.control.messages.get())
+        assert isinstance(report, DemandReport)
+        (key,) = report.keys
+        self.assertEqual(
+            (MODEL_SERVICE, "small", "a1", 1), (key.service, key.model, key.adapter, key.waiting)
+        )
+        status, _ = await sending
+        self.assertEqual(503, status)
+
+    async def test_what_is_under_way_at_sigterm_is_finished(self) -> None:
+        release = asyncio.Event()
+        worker = await self.start_worker(FakeWorker(held_back(answering(), release)))
+        await self.feed()
+        sending = asyncio.create_task(self.send(MUTATING))
+        await within(worker.request_came.wait())
+        os.kill(os.getpid(), signal.SIGTERM)
+
+        async def not_ready() -> None:
+            while await self.readiness() != 503:
+                await asyncio.sleep(0)
+
+        await within(not_ready())
+        release.set()
+        self.assertEqual((200, b"answer"), await sending)
+        await within(self.running)
+
+    async def test_a_client_that_leaves_frees_the_worker(self) -> None:
+        silence = Silence()
+        await self.start_worker(FakeWorker(silence))
+        await self.feed()
+        sending = asyncio.create_task(self.send(MUTATING))
+        await within(silence.began.wait())
+        sending.cancel()
+        await within(silence.abandoned.wait())
+
+    async def test_the_configuration_stays_in_force_when_the_control_plane_is_lost(self) -> None:
+        await self.start_worker(FakeWorker(answering()))
+        await self.feed()
+        await self.control.server.stop()
+        self.assertEqual((200, b"answer"), await self.send(SAFE))
+        self.assertEqual(200, await self.readiness())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_dataplane_streams.py
@@ -0,0 +1,313 @@
+"""Event streams through a dispatcher: events pass as they come, and a broken stream never looks complete."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import dataclass
+
+from aiohttp import ClientError
+
+from tests.fake_worker import (
+    Behaviour,
+    Exchange,
+    FakeWorker,
+    Silence,
+    answering,
+    begin_stream,
+    break_off,
+    event,
+    held_back,
+    refusing,
+    seal_of,
+    streaming,
+    streaming_until_broken,
+    within,
+)
+from tests.test_dataplane_proxy import NO_BUDGET, RESUMED, STREAM, TRIES, DispatcherCase
+
+PARTIAL = b"id: 3\ndata: pie"
+
+
+@dataclass(frozen=True)
+class ReceivedStream:
+    """A stream as the client got it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+def events(*numbers: int) -> bytes:
+    """The bytes of these events."""
+    return b"".join(event(number) for number in numbers)
+
+
+class StreamCase(DispatcherCase):
+    """Streams from scripted workers, read by the client as far as they come."""
+
+    async def read_stream(self, prefix: str, request_id: str = "try-1", **headers: str) -> ReceivedStream:
+        """Send a request and read its stream to the end, or until it is cut off."""
+        body = b""
+        async with self.client.post(
+            self.url(prefix), data=b"question", headers=self.headers(request_id, **headers)
+        ) as response:
+            try:
+                async for data in response.content.iter_any():
+                    body += data
+            except ClientError:
+                return ReceivedStream(response.status, dict(response.headers), body, complete=False)
+            return ReceivedStream(response.status, dict(response.headers), body, complete=True)
+
+    async def read_past(
+        self, first: Behaviour, *further: Behaviour, prefix: str = RESUMED
+    ) -> tuple[ReceivedStream, FakeWorker, list[FakeWorker]]:
+        """A stream that surely begins at the first worker; the others are there when it breaks."""
+        release = asyncio.Event()
+        first_worker = await self.start_worker(held_back(first, release))
+        reading = asyncio.create_task(self.read_stream(prefix))
+        await within(first_worker.request_came.wait())
+        others = [await self.start_worker(behaviour) for behaviour in further]
+        release.set()
+        return await reading, first_worker, others
+
+    def assert_cut(self, stream: ReceivedStream, *numbers: int) -> None:
+        """The client got these events, in this order, and saw that the stream is not whole."""
+        self.assertFalse(stream.complete)
+        self.assertEqual(events(*numbers), stream.body)
+
+
+class WholeStreamTests(StreamCase):
+    async def test_a_whole_stream_passes_unchanged(self) -> None:
+        for prefix in (STREAM, RESUMED):
+            with self.subTest(prefix=prefix):
+                worker = await self.start_worker(streaming([1, 2, 3]))
+                stream = await self.read_stream(prefix)
+                self.assertTrue(stream.complete)
+                self.assertEqual((200, events(1, 2, 3)), (stream.status, stream.body))
+                self.assertEqual(seal_of(worker.requests[0]), stream.headers["X-Seal"])
+                self.assertEqual("try-1", stream.headers["X-Try-Id"])
+                self.assertTrue(stream.headers["Content-Type"].startswith("text/event-stream"))
+                self.dispatcher.router.worker_gone(worker.id)
+
+    async def test_events_pass_whatever_chunks_they_come_in(self) -> None:
+        whole = events(1, 2, 3)
+
+        async def stream_bytes(exchange: Exchange) -> None:
+            begin_stream(exchange)
+            for byte in whole:
+                exchange.write_chunk(bytes([byte]))
+            exchange.write_chunk(b"")
+
+        await self.start_worker(stream_bytes)
+        stream = await self.read_stream(RESUMED)
+        self.assertEqual((True, whole), (stream.complete, stream.body))
+
+    async def test_an_event_passes_before_the_next_one_is_there(self) -> None:
+        release = asyncio.Event()
+
+        async def stream_on_release(exchange: Exchange) -> None:
+            begin_stream(exchange)
+            exchange.write_chunk(event(1))
+            await release.wait()
+            exchange.write_chunk(event(2))
+            exchange.write_chunk(b"")
+
+        await self.start_worker(stream_on_release)
+        async with self.client.post(self.url(STREAM), headers=self.headers("try-1")) as response:
+            self.assertEqual(event(1), await response.content.readexactly(len(event(1))))
+            release.set()
+            self.assertEqual(event(2), await response.content.read())
+
+    async def test_a_client_that_resumes_goes_on_at_its_event(self) -> None:
+        worker = await self.start_worker(streaming([13, 14]))
+        stream = await self.read_stream(RESUMED, Last_Event_Id="12")
+        self.assertEqual("12", worker.requests[0].headers["last-event-id"])
+        self.assertEqual((True, events(13, 14)), (stream.complete, stream.body))
+
+
+class ResumedStreamTests(StreamCase):
+    async def test_a_broken_stream_goes_on_at_another_worker(self) -> None:
+        stream, first, (second,) = await self.read_past(
+            streaming_until_broken([1, 2], "first"), streaming([3, 4, 5], "second")
+        )
+        self.assertTrue(stream.complete)
+        self.assertEqual(events(1, 2, 3, 4, 5), stream.body)
+        self.assertEqual(seal_of(first.requests[0], "first"), stream.headers["X-Seal"])
+        self.assertEqual("2", second.requests[0].headers["last-event-id"])
+        self.assertEqual(second.id, second.requests[0].headers["x-want-instance"])
+        self.assertEqual(first.requests[0].body, second.requests[0].body)
+
+    async def test_a_partial_event_is_not_passed(self) -> None:
+        stream, _, (second,) = await self.read_past(
+            streaming_until_broken([1, 2], partial=PARTIAL), streaming([3, 4])
+        )
+        self.assertEqual((True, events(1, 2, 3, 4)), (stream.complete, stream.body))
+        self.assertEqual("2", second.requests[0].headers["last-event-id"])
+
+    async def test_a_stream_may_break_twice(self) -> None:
+        first = streaming_until_broken([1])
+        release = asyncio.Event()
+        second = held_back(streaming_until_broken([2]), release)
+        first_release = asyncio.Event()
+        first_worker = await self.start_worker(held_back(first, first_release))
+        reading = asyncio.create_task(self.read_stream(RESUMED))
+        await within(first_worker.request_came.wait())
+        second_worker = await self.start_worker(second)
+        first_release.set()
+        await within(second_worker.request_came.wait())
+        third_worker = await self.start_worker(streaming([3]))
+        release.set()
+        stream = await reading
+        self.assertEqual((True, events(1, 2, 3)), (stream.complete, stream.body))
+        self.assertEqual("2", third_worker.requests[0].headers["last-event-id"])
+
+    async def test_a_client_that_resumed_itself_is_taken_on_from_its_newest_event(self) -> None:
+        release = asyncio.Event()
+        first = await self.start_worker(held_back(streaming_until_broken([13]), release))
+        reading = asyncio.create_task(self.read_stream(RESUMED, Last_Event_Id="12"))
+        await within(first.request_came.wait())
+        second = await self.start_worker(streaming([14]))
+        release.set()
+        self.assertEqual((True, events(13, 14)), ((await reading).complete, reading.result().body))
+        self.assertEqual("13", second.requests[0].headers["last-event-id"])
+
+    async def test_a_resumption_without_further_events_is_whole(self) -> None:
+        stream, _, _ = await self.read_past(streaming_until_broken([1, 2]), streaming([]))
+        self.assertEqual((True, events(1, 2)), (stream.complete, stream.body))
+
+    async def test_a_rejection_while_resuming_is_not_the_end(self) -> None:
+        stream, _, others = await self.read_past(
+            streaming_until_broken([1]), refusing(503), refusing(503), streaming([2])
+        )
+        if others[2].requests:
+            self.assertEqual((True, events(1, 2)), (stream.complete, stream.body))
+        else:
+            self.assert_cut(stream, 1)
+
+    async def test_no_more_workers_are_tried_than_the_route_allows(self) -> None:
+        stream, first, others = await self.read_past(
+            streaming_until_broken([1]), *(streaming_until_broken([]) for _ in range(TRIES + 1))
+        )
+        self.assert_cut(stream, 1)
+        self.assertEqual(TRIES, 1 + sum(len(worker.requests) for worker in others))
+
+    async def test_an_answer_that_is_no_stream_is_not_joined_to_a_stream(self) -> None:
+        answers = (answering(b"failed", 500), answering(b"whole"), answering(b"late", 504))
+        for number, answer in enumerate(answers):
+            with self.subTest(answer=number):
+                stream, first, (second,) = await self.read_past(streaming_until_broken([1, 2]), answer)
+                self.assert_cut(stream, 1, 2)
+                for worker in (first, second):
+                    self.dispatcher.router.worker_gone(worker.id)
+
+    async def test_an_answer_to_another_request_is_not_joined_to_a_stream(self) -> None:
+        async def stream_of_another(exchange: Exchange) -> None:
+            headers = {"X-Try-Id": "another", "X-Seal": "s", "Content-Type": "text/event-stream"}
+            exchange.write_head(200, {**headers, "Transfer-Encoding": "chunked"})
+            exchange.write_chunk(event(3))
+            exchange.write_chunk(b"")
+
+        stream, _, _ = await self.read_past(streaming_until_broken([1, 2]), stream_of_another)
+        self.assert_cut(stream, 1, 2)
+
+    async def test_without_another_worker_the_stream_is_cut(self) -> None:
+        worker = await self.start_worker(streaming_until_broken([1, 2], partial=PARTIAL))
+        self.assert_cut(await self.read_stream(RESUMED), 1, 2)
+        self.assertEqual(1, len(worker.requests))
+
+    async def test_a_break_before_the_first_event_loses_nothing(self) -> None:
+        stream, _, _ = await self.read_past(streaming_until_broken([]), streaming([1, 2]))
+        if stream.complete:
+            self.assertEqual(events(1, 2), stream.body)
+        else:
+            self.assertEqual(b"", stream.body)
+
+    async def test_a_break_before_the_head_is_repeated_elsewhere(self) -> None:
+        stream, _, _ = await self.read_past(break_off, streaming([1, 2]))
+        self.assertEqual((True, events(1, 2)), (stream.complete, stream.body))
+
+
+class UnresumedStreamTests(StreamCase):
+    async def test_a_broken_stream_is_cut_and_not_sent_again(self) -> None:
+        stream, first, (second,) = await self.read_past(
+            streaming_until_broken([1, 2]), streaming([3, 4]), prefix=STREAM
+        )
+        self.assert_cut(stream, 1, 2)
+        self.assertEqual((1, 0), (len(first.requests), len(second.requests)))
+
+    async def test_a_partial_event_at_the_end_does_not_look_complete(self) -> None:
+        await self.start_worker(streaming_until_broken([1, 2], partial=PARTIAL))
+        stream = await self.read_stream(STREAM)
+        self.assertFalse(stream.complete)
+        self.assertTrue(stream.body.startswith(events(1, 2)))
+
+    async def test_a_stream_that_breaks_before_its_first_event_is_cut(self) -> None:
+        stream, _, (second,) = await self.read_past(streaming_until_broken([]), streaming([1]), prefix=STREAM)
+        self.assert_cut(stream)
+        self.assertEqual([], second.requests)
+
+    async def test_a_stream_that_goes_on_beyond_the_deadline_is_cut(self) -> None:
+        silence = Silence()
+
+        async def stream_and_fall_silent(exchange: Exchange) -> None:
+            begin_stream(exchange)
+            exchange.write_chunk(event(1))
+            await silence(exchange)
+
+        await self.start_worker(stream_and_fall_silent)
+        self.assert_cut(await self.read_stream(STREAM, X_Time_Left="600"), 1)
+        await within(silence.abandoned.wait())
+
+
+class StreamBudgetTests(StreamCase):
+    budget = NO_BUDGET
+
+    async def test_without_budget_a_broken_stream_is_cut(self) -> None:
+        stream, _, (second,) = await self.read_past(streaming_until_broken([1, 2]), streaming([3]))
+        self.assert_cut(stream, 1, 2)
+        self.assertEqual([], second.requests)
+
+
+class LeavingClientTests(StreamCase):
+    async def assert_freed(self, behaviour: Behaviour, silence: Silence, prefix: str) -> None:
+        """The worker's connection closes once the client left, and nobody else gets the request."""
+        worker = await self.start_worker(behaviour)
+        reading = asyncio.create_task(self.read_stream(prefix))
+        await within(silence.began.wait())
+        spare = await self.start_worker(streaming([1]))
+        reading.cancel()
+        await within(silence.abandoned.wait())
+        await within(self.no_request_in_flight())
+        self.assertEqual(0, self.dispatcher.pool.get(worker.id).in_flight)
+        self.assertEqual([], spare.requests)
+        for each in (worker, spare):
+            self.dispatcher.router.worker_gone(each.id)
+
+    async def test_a_client_that_leaves_before_the_first_event_frees_the_slot(self) -> None:
+        for prefix in (STREAM, RESUMED):
+            with self.subTest(prefix=prefix):
+                silence = Silence()
+
+                async def send_the_head_only(exchange: Exchange, silence: Silence = silence) -> None:
+                    begin_stream(exchange)
+                    await silence(exchange)
+
+                await self.assert_freed(send_the_head_only, silence, prefix)
+
+    async def test_a_client_that_leaves_between_events_frees_the_slot(self) -> None:
+        for prefix in (STREAM, RESUMED):
+            with self.subTest(prefix=prefix):
+                silence = Silence()
+
+                async def send_one_event(exchange: Exchange, silence: Silence = silence) -> None:
+                    begin_stream(exchange)
+                    exchange.write_chunk(event(1))
+                    await silence(exchange)
+
+                await self.assert_freed(send_one_event, silence, prefix)
+
+
+if __name__ == "__main__":
+    unittest.main()
