--- a/rookwood/__init__.py
+++ b/rookwood/__init__.py
@@ -1,5 +1,20 @@
-"""Decisions of a dispatcher that pushes jobs to workers. See ``rookwood.policy``."""
+"""Decisions of a dispatcher that pushes jobs to workers. See ``rookwood.policy``.
 
-from rookwood.policy import Policy
+The programs of the whole system live in subpackages and start often: the policy is imported when asked for.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from rookwood.policy import Policy
 
 __all__ = ["Policy"]
+
+
+def __getattr__(name: str) -> Any:
+    """Import the policy at first use."""
+    if name != "Policy":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from rookwood.policy import Policy
+
+    return Policy
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -33,8 +33,9 @@
 logger = logging.getLogger("rookwood")
 
 PLAN_INTERVAL = 0.25
-IDLE_REPORT_AGE = 2.0
+IDLE_REPORT_AGE = 1.0
 BUSY_POLL_INTERVAL = 0.06
+POLLS_PER_LOAD = 20  # a slow load is asked after less often
 ORDER_PATIENCE = 20.0
 FRESH_REPORT_AGE = 0.5
 
@@ -251,7 +252,7 @@
             if isinstance(outcome, OrderTaken):
                 plan.planner.outcome(self._now(), order, True)
                 if not outcome.done:
-                    await self._follow(record, status, order.if_sequence)
+                    await self._follow(record, status, order.if_sequence, poll_interval(plan, order))
             elif isinstance(outcome, OrderRefused):
                 logger.info("order refused", extra={"worker": order.worker, "status": outcome.status})
                 plan.planner.outcome(self._now(), order, False)
@@ -262,12 +263,14 @@
             status.due = True
             self._wake.set()
 
-    async def _follow(self, record: WorkerRecord, status: WorkerStatus, sequence: int) -> None:
+    async def _follow(
+        self, record: WorkerRecord, status: WorkerStatus, sequence: int, interval: float
+    ) -> None:
         """Read reports until the order given on top of `sequence` is done."""
         assert self._client is not None
         deadline = self._now() + ORDER_PATIENCE
         while self._now() < deadline and self._view.registry.get(record.id) is not None:
-            await asyncio.sleep(BUSY_POLL_INTERVAL)
+            await asyncio.sleep(interval)
             report = await self._client.report(record.address, record.id)
             if isinstance(report, ReportFailed):
                 status.failures += 1
@@ -294,6 +297,14 @@
     }
 
 
+def poll_interval(plan: ServicePlan, order: LoadOrder) -> float:
+    """How often to ask after an order, in seconds."""
+    model = plan.engine.models.get(order.key.model)
+    if model is None or order.key.adapter or not order.place:
+        return BUSY_POLL_INTERVAL
+    return max(BUSY_POLL_INTERVAL, model.load_s / POLLS_PER_LOAD)
+
+
 def describe(
     engine: Engine, record: WorkerRecord, status: WorkerStatus, report: WorkerReport
 ) -> WorkerWeights:
--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -9,7 +9,7 @@
 
 from rookwood.cluster.workers import HeldModel, parse_models
 
-CALL_LIMIT = 1.0  # seconds
+CALL_LIMIT = 0.7  # seconds
 NOT_CONNECTED = 0  # in place of a status: nothing was sent
 CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
--- a/rookwood/dataplane/pool.py
+++ b/rookwood/dataplane/pool.py
@@ -7,6 +7,7 @@
 from rookwood.dataplane.backlog import WorkerBacklog
 
 LOAD_LIFETIME = 1.5  # seconds for which a load that a worker told counts
+SILENCE_LIMIT = 1.2  # seconds without a byte from a worker that has requests of this dispatcher
 FIRST_PENALTY = 0.4
 LAST_PENALTY = 4.0
 MISSING_LIFETIME = 1.0
@@ -21,6 +22,7 @@
     waiting: int = 0
     slots: int = 0
     load_told: float = -1e9
+    heard: float = -1e9
     penalty: float = 0.0
     avoided_until: float = -1e9
     missing: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -31,6 +33,10 @@
         self.running, self.waiting, self.slots = running, waiting, slots
         self.load_told = now
 
+    def silent(self, now: float, since: float) -> bool:
+        """Whether nothing came from the worker for a while, though a request waits there since `since`."""
+        return now - max(self.heard, since) > SILENCE_LIMIT
+
     def load(self, now: float) -> int:
         """Requests there: this dispatcher's own, or the worker's recent count if that is higher."""
         if now - self.load_told > LOAD_LIFETIME:
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -15,10 +16,11 @@
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.demand import DemandMeter
-from rookwood.dataplane.events import EventSplitter, OversizedEventError, is_repeated
-from rookwood.dataplane.pool import WorkerPool
+from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
+from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service
 from rookwood.dataplane.router import Router, uncached_tokens
+from rookwood.dataplane.silence import SilenceWatch
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
     Broken,
@@ -43,6 +45,7 @@
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 RETRY_SOON = 0.3
 FIRST_SERVER_ERROR = 500
+SILENT = "silence"
 SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
 SHORT_URGENCY = 1
 RANK_OFFSET = 2
@@ -90,6 +93,7 @@
         self.response: web.StreamResponse | None = None
         self.last_event: bytes | None = None
         self.last_answer: Complete | None = None
+        self.repeat_granted = False
 
 
 class Proxy:
@@ -172,9 +176,10 @@
         progress.sends += 1
         result = Outcome.FAILED
         try:
-            outcome = await self._client.send(
+            sending = self._client.send(
                 worker.address, self._upstream_request(request, worker, progress), request.deadline
             )
+            outcome = await self._await_head(request, progress, traffic, sending)
             self._learn(request, worker, outcome)
             result = placement_outcome(request, outcome, self._now())
             if isinstance(outcome, Streaming):
@@ -191,6 +196,40 @@
                 self._demand.used(request.key, now - began, now)
                 self._router.tables.record(request.key, worker.id, now - began, result, now)
 
+    async def _await_head(
+        self,
+        request: RoutedRequest,
+        progress: RequestProgress,
+        traffic: WorkerTraffic,
+        sending: Coroutine[Any, Any, UpstreamOutcome],
+    ) -> UpstreamOutcome:
+        """Wait for the head; leaves a worker that fell silent if the request may go elsewhere."""
+        outcome: UpstreamOutcome = Broken(SILENT)
+        async with self._watch(request, progress, traffic):
+            outcome = await sending
+            traffic.heard = self._now()
+        return outcome
+
+    def _watch(
+        self, request: RoutedRequest, progress: RequestProgress, traffic: WorkerTraffic
+    ) -> SilenceWatch:
+        def should_leave(since: float) -> bool:
+            return traffic.silent(self._now(), since) and self._may_move(request, progress)
+
+        return SilenceWatch(should_leave)
+
+    def _may_move(self, request: RoutedRequest, progress: RequestProgress) -> bool:
+        """Whether a request at a silent worker may go to another one; takes the repeat from the budget."""
+        now = self._now()
+        if not request.repeatable or progress.sends >= request.route.tries:
+            return False
+        if request.deadline - now < MINIMUM_ATTEMPT:
+            return False
+        if self._router.choose(request, progress.excluded, now) is None:
+            return False
+        progress.repeat_granted = self._budget.take(request.service, now)
+        return progress.repeat_granted
+
     def _finish_complete(
         self, request: RoutedRequest, outcome: Complete, progress: RequestProgress
     ) -> web.StreamResponse | Broken:
@@ -260,7 +299,8 @@
                 progress.response.force_close()
             await progress.response.prepare(client)
         try:
-            ended = await self._copy_events(request, stream, progress, progress.response)
+            traffic = self._pool.get(worker.id)
+            ended = await self._copy_events(request, stream, progress, progress.response, traffic)
         finally:
             stream.response.close()
         if isinstance(ended, StreamEnded):
@@ -276,20 +316,17 @@
         stream: Streaming,
         progress: RequestProgress,
         response: web.StreamResponse,
+        traffic: WorkerTraffic,
     ) -> StreamEnded | StreamBroke:
         splitter = EventSplitter()
+        ended: StreamEnded | StreamBroke = StreamBroke(SILENT)
         try:
-            async with asyncio.timeout_at(request.deadline):
-                while True:
-                    data = await stream.response.content.readany()
-                    if not data:
-                        return StreamBroke("partial event") if splitter.partial else StreamEnded()
-                    for event in splitter.feed(data):
-                        if is_repeated(event, progress.last_event):
-                            continue
-                        if event.id is not None:
-                            progress.last_event = event.id
-                        await response.write(event.raw)
+            async with asyncio.timeout_at(request.deadline), self._watch(request, progress, traffic) as watch:
+                while data := await stream.response.content.readany():
+                    watch.renew()
+                    traffic.heard = self._now()
+                    await self._pass_events(splitter.feed(data), progress, response)
+                ended = StreamBroke("partial event") if splitter.partial else StreamEnded()
         except TimeoutError:
             return StreamBroke("deadline")
         except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
@@ -298,6 +335,18 @@
             return StreamBroke(repr(error))
         except OversizedEventError:
             return StreamBroke("oversized event")
+        return ended
+
+    @staticmethod
+    async def _pass_events(
+        events: list[Event], progress: RequestProgress, response: web.StreamResponse
+    ) -> None:
+        for event in events:
+            if is_repeated(event, progress.last_event):
+                continue
+            if event.id is not None:
+                progress.last_event = event.id
+            await response.write(event.raw)
 
     async def _find_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | Refusal:
         """A worker for the next attempt; waits for weights to be loaded, within limits."""
@@ -339,8 +388,9 @@
             progress.may_have_run = True
             if not request.repeatable:
                 return False
-            if progress.response is not None and progress.last_event is None:
-                return False
+        if progress.repeat_granted:
+            progress.repeat_granted = False
+            return True
         if progress.sends >= request.route.tries:
             return False
         return self._budget.take(request.service, now)
--- a/rookwood_controlplane.py
+++ b/rookwood_controlplane.py
@@ -1,15 +1,19 @@
 """Starts the control plane."""
 
-import asyncio
 import sys
 
-from rookwood.cluster.logs import configure_logging
-from rookwood.cluster.settings import SettingsError, load_settings, settings_path
-from rookwood.controlplane.program import ControlPlane
+from rookwood.cluster.startup import leave_out_tls
 
 
 def main() -> int:
     """Run until SIGTERM; 2 if the settings can't be used."""
+    leave_out_tls()
+    import asyncio
+
+    from rookwood.cluster.logs import configure_logging
+    from rookwood.cluster.settings import SettingsError, load_settings, settings_path
+    from rookwood.controlplane.program import ControlPlane
+
     try:
         settings = load_settings(settings_path())
     except SettingsError as error:
--- a/rookwood_dataplane.py
+++ b/rookwood_dataplane.py
@@ -1,15 +1,19 @@
 """Starts the data plane."""
 
-import asyncio
 import sys
 
-from rookwood.cluster.logs import configure_logging
-from rookwood.cluster.settings import SettingsError, load_settings, settings_path
-from rookwood.dataplane.program import DataPlane
+from rookwood.cluster.startup import leave_out_tls
 
 
 def main() -> int:
     """Run until SIGTERM; 2 if the settings can't be used."""
+    leave_out_tls()
+    import asyncio
+
+    from rookwood.cluster.logs import configure_logging
+    from rookwood.cluster.settings import SettingsError, load_settings, settings_path
+    from rookwood.dataplane.program import DataPlane
+
     try:
         settings = load_settings(settings_path())
     except SettingsError as error:
