Refuse requests that wait for weights before the process ends

Ruled out: the request had not been sent to a worker; the 503 path itself. Change: while draining, waits end half a second before the exit. Test seen to fail without the change.

--- a/rookwood/dataplane/backlog.py
+++ b/rookwood/dataplane/backlog.py
@@ -10,10 +10,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-DEFAULT_SECONDS_PER_TOKEN = 1.0 / 36_000
+DEFAULT_SECONDS_PER_TOKEN = 1.0 / 26_000
 FASTEST = 1.0 / 200_000
 SLOWEST = 1.0 / 8_000
-SMOOTHING = 0.15
+SMOOTHING = 0.25
 LEARNING_TOKENS = 1000  # shorter prompts tell too little of the reading speed
 BASE_DELAY = 0.012  # seconds to a first token beside the prompt
 REMEMBERED_PARTS = 256
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -27,7 +27,8 @@
 HEADER_LIMIT = 64 * 1024
 CLIENT_KEEPALIVE = 60.0
 INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
-EXIT_MARGIN = 1.2
+EXIT_MARGIN = 1.0  # seconds before the process is killed
+REFUSAL_MARGIN = 0.5  # seconds before the exit at which requests that still wait are refused
 DRAIN_POLL = 0.05
 
 
@@ -103,9 +104,10 @@
         """Let requests end; new connections still come until the platform noticed."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        proxy.draining = True
+        ends = began + self._settings.bounds.grace - EXIT_MARGIN
+        proxy.drain(ends - REFUSAL_MARGIN)
         logger.info("data plane drains", extra={"in_flight": proxy.in_flight})
-        while loop.time() - began < self._settings.bounds.grace - EXIT_MARGIN:
+        while loop.time() < ends:
             if proxy.in_flight == 0 and loop.time() - began > INGRESS_NOTICE:
                 return
             await asyncio.sleep(DRAIN_POLL)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -116,6 +116,13 @@
         self._on_work = on_work
         self.in_flight = 0
         self.draining = False
+        self._closes_at: float | None = None
+
+    def drain(self, closes_at: float) -> None:
+        """Let connections end after their next answer; waits for weights end at `closes_at`."""
+        self.draining = True
+        self._closes_at = closes_at
+        self._router.notify()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -354,12 +361,11 @@
         worker = self._router.choose(request, progress.excluded, now)
         if worker is not None and request.deadline - now > MINIMUM_ATTEMPT:
             return worker
-        until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + self._patience(request))
-        if request.key is None or now >= until:
+        if request.key is None or now >= self._wait_limit(request):
             return Refusal(503, "no worker", RETRY_SOON)
         self._demand.begin_wait(request.key, now)
         try:
-            while await self._router.wait_change(until):
+            while await self._router.wait_change(self._wait_limit(request)):
                 worker = self._router.choose(request, progress.excluded, self._now())
                 if worker is not None:
                     return worker
@@ -367,6 +373,11 @@
             self._demand.end_wait(request.key, now)
         return Refusal(503, "weights are not loaded", RETRY_SOON)
 
+    def _wait_limit(self, request: RoutedRequest) -> float:
+        """Until when a request may wait for its weights; never beyond the end of this process."""
+        until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + self._patience(request))
+        return until if self._closes_at is None else min(until, self._closes_at)
+
     @staticmethod
     def _patience(request: RoutedRequest) -> float:
         """How long a request may wait for its weights, in seconds."""
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -45,19 +45,19 @@
         self.configuration = load_configuration(source)
         self._index = RouteIndex(self.configuration)
         self.tables.configure(self.configuration)
-        self._notify()
+        self.notify()
 
     def worker_changed(self, record: WorkerRecord) -> None:
         """A worker is new or changed."""
         self._workers[record.service][record.id] = record
-        self._notify()
+        self.notify()
 
     def worker_gone(self, worker: str) -> None:
         """A worker is gone."""
         for workers in self._workers.values():
             workers.pop(worker, None)
         self._pool.forget(worker)
-        self._notify()
+        self.notify()
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a request."""
@@ -153,7 +153,8 @@
         """Another dispatcher sent a prompt to a worker."""
         self._pool.get(notice.worker).backlog.add(notice.seconds, notice.parts, now)
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/rookwood/modelplacement/loads.py
+++ b/rookwood/modelplacement/loads.py
@@ -3,7 +3,7 @@
 Each step compares what workers report with what is asked for, and returns at most one order a worker:
 
 1. A place that was intended by an earlier eviction goes to the room made for it.
-2. Requests that wait for weights: adapters first, then models, each oldest first. A model takes free room,
+2. Requests that wait for weights: adapters first, then models by urgency. A model takes free room,
    else the copies whose loss is least are evicted and the room is kept for it. An adapter goes to a holder of
    its model.
 3. Adapters that are asked for and are held nowhere, while slots are free.
@@ -37,6 +37,7 @@
 INTENT_S = 3.0  # an eviction that takes longer no longer keeps its key from being placed elsewhere
 LOST_LOAD_FACTOR = 3.0  # a load that takes so many times its `load_s` no longer counts as under way
 WAITING_WORTH = 2.0  # loss that a waiting request outweighs; it grows by its wait in seconds
+BUSY_LOSS = 1.5  # loss from which victims are in steady use
 COPY_RATE_MIN = 0.4  # requests a second below which a model gets no copy that nobody waits for
 COPY_GAIN_FACTOR = 1.5  # a further copy must gain so many times what it displaces
 COPY_LOSS_MAX = 0.5  # and displaces nothing worth more than this
@@ -259,7 +260,7 @@
             if not demand.waiting:
                 continue
             if not self._fleet.copies.get(name):
-                tasks.append((True, -demand.oldest_wait_s, WeightsKey(name)))
+                tasks.append((True, -_urgency(demand), WeightsKey(name)))
                 continue
             for adapter, amount in demand.adapters.items():
                 if amount.waiting:
@@ -278,11 +279,16 @@
         if not self._may_load(now):
             return
         site = self._best_site(now, key)
-        if site is None or site.loss > WAITING_WORTH * demand.waiting + demand.oldest_wait_s:
+        if site is None or self._displaced(site, key) > WAITING_WORTH * demand.waiting + demand.oldest_wait_s:
             return
         self._missed.add(now)
         yield self._open(now, site, key)
 
+    def _displaced(self, site: Site, key: WeightsKey) -> float:
+        """The loss of a site's victims; a busy one is missed for as long as it takes to load it again."""
+        load_s = max(1.0, self.models[key.model].load_s)
+        return min(site.loss, BUSY_LOSS) + load_s * max(0.0, site.loss - BUSY_LOSS)
+
     def _best_site(self, now: float, key: WeightsKey) -> Site | None:
         candidates = (self._fleet.site(now, view, key) for view in self._ready())
         sites = [site for site in candidates if site is not None]
@@ -381,6 +387,11 @@
     return min(RATE_SHARE * loads_per_s, (ceiling - BURST - 1.0) / window_s)
 
 
+def _urgency(demand: ModelDemand) -> float:
+    """Rank of a model that requests wait for: by those that wait and come, and by the longest wait."""
+    return demand.waiting + demand.rate + demand.oldest_wait_s
+
+
 def _order(view: Holdings, place: bool, key: WeightsKey) -> LoadOrder:
     if view.next_sequence is None:
         raise AssertionError("an order to a worker that cannot take one")
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -33,6 +33,7 @@
 HEADER_LIMIT = CONFIGURATION["limits"]["hdr-bytes"]
 HEADER_MARGIN = 2048  # bytes for the other headers of a request
 SHORT_NOTICE = 0.05
+SHORT_DRAIN = 1.0  # seconds between SIGTERM and the end of the process
 
 
 class ControlMachine:
@@ -200,6 +201,18 @@
         self.assertEqual((200, b"answer"), await sending)
         await within(self.running)
 
+    async def test_a_request_that_waits_for_weights_is_refused_before_the_process_ends(self) -> None:
+        """Its wait could last beyond the time that the process has left after SIGTERM."""
+        self.enterContext(mock.patch.object(program, "EXIT_MARGIN", self.settings.bounds.grace - SHORT_DRAIN))
+        await self.start_worker(FakeWorker(answering()), MODEL_SERVICE)
+        await self.feed()
+        sending = asyncio.create_task(self.send(MODELS, X_Model="small/a1", X_Time_Left="60000"))
+        await within(self.control.messages.get())
+        os.kill(os.getpid(), signal.SIGTERM)
+        status, _ = await within(sending)
+        self.assertEqual(503, status)
+        await within(self.running)
+
     async def test_a_client_that_leaves_frees_the_worker(self) -> None:
         silence = Silence()
         await self.start_worker(FakeWorker(silence))
