--- a/tests/test_modelplacement_loads.py
+++ b/tests/test_modelplacement_loads.py
@@ -462,9 +462,9 @@
 class ClosedLoop(unittest.TestCase):
     """The numbers of the deployments; the limits of workers are checked by the simulation itself.
 
-    The planner gives busy models more copies than this simulation rewards, since it does not model that
     The planner gives busy models more copies than this simulation rewards, for it does not model that
     reading prompts holds up streams: rare models come later here, busy ones are nearly always there.
+    """
 
     def run_days(self, simulations: list[Simulation]) -> list[Simulation]:
         for simulation in simulations:
