--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -33,6 +33,7 @@
 logger = logging.getLogger("rookwood")
 
 PLAN_INTERVAL = 0.25
+LEAST_PLAN_PAUSE = 0.02  # however often reports wake the planner
 IDLE_REPORT_AGE = 1.0
 BUSY_POLL_INTERVAL = 0.06
 POLLS_PER_LOAD = 20  # a slow load is asked after less often
@@ -95,15 +96,14 @@
             self._wake.set()
 
     def configure(self, configuration: Configuration) -> None:
-        """Take a new configuration; planners stay where the engine is the same."""
+        """Take a new configuration; planners stay, so that orders under way stay known."""
         plans: dict[str, ServicePlan] = {}
         for name, service in configuration.services.items():
-            if service.engine is None:
+            engine = service.engine
+            if engine is None:
                 continue
             known = self._plans.get(name)
-            plans[name] = (
-                known if known and known.engine == service.engine else self._new_plan(service.engine)
-            )
+            plans[name] = self._keep_plan(known, engine) if known else self._new_plan(engine)
         self._plans = plans
         self._wake.set()
 
@@ -177,6 +177,8 @@
                 await self._wake.wait()
         except TimeoutError:
             pass
+        else:
+            await asyncio.sleep(LEAST_PLAN_PAUSE)
         self._wake.clear()
 
     def _plan_service(self, name: str, plan: ServicePlan, epoch: int) -> None:
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -151,9 +151,10 @@
         self._feed.broadcast(status)
 
     def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
+        frame = encode_frame(message)
         for connection in self._feed.connections:
             if to_core or not is_core(connection):
-                connection.send(message)
+                connection.send_frame(frame)
 
     def _committed(self, snapshot: Snapshot) -> None:
         document = read_payload(snapshot.payload)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -92,6 +92,7 @@
         self.excluded: set[str] = set()
         self.response: web.StreamResponse | None = None
         self.last_event: bytes | None = None
+        self.passed_without_id = False  # then the stream can't be taken up elsewhere
         self.last_answer: Complete | None = None
         self.repeat_granted = False
 
@@ -228,7 +229,9 @@
     def _may_move(self, request: RoutedRequest, progress: RequestProgress) -> bool:
         """Whether a request at a silent worker may go to another one; takes the repeat from the budget."""
         now = self._now()
-        if not request.repeatable or progress.sends >= request.route.tries:
+        if not request.repeatable or progress.passed_without_id:
+            return False
+        if progress.sends >= request.route.tries:
             return False
         if request.deadline - now < MINIMUM_ATTEMPT:
             return False
@@ -353,6 +356,8 @@
                 continue
             if event.id is not None:
                 progress.last_event = event.id
+            elif progress.last_event is None:
+                progress.passed_without_id = True
             await response.write(event.raw)
 
     async def _find_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | Refusal:
@@ -397,7 +402,7 @@
             return progress.connection_failures < MAXIMUM_CONNECTION_FAILURES
         if isinstance(outcome, Broken):
             progress.may_have_run = True
-            if not request.repeatable:
+            if not request.repeatable or progress.passed_without_id:
                 return False
         if progress.repeat_granted:
             progress.repeat_granted = False
--- a/tests/test_dataplane_streams.py
+++ b/tests/test_dataplane_streams.py
@@ -146,6 +146,14 @@
         self.assertEqual((True, events(1, 2, 3, 4)), (stream.complete, stream.body))
         self.assertEqual("2", second.requests[0].headers["last-event-id"])
 
+    async def test_a_stream_without_event_ids_is_cut_and_not_taken_up(self) -> None:
+        """Without an id nobody can tell where another worker would have to go on."""
+        stream, _, (second,) = await self.read_past(
+            streaming_until_broken([], partial=b"data: first\n\n"), streaming([1, 2])
+        )
+        self.assertFalse(stream.complete)
+        self.assertEqual([], second.requests)
+
     async def test_a_stream_may_break_twice(self) -> None:
         first = streaming_until_broken([1])
         release = asyncio.Event()
