Let requests wait for the first configuration and workers after a start

Ruled out: the start itself (0.35 s) and the election (0.35 s). Change: a request waits for the configuration, and one without weights for a first worker, up to 0.45 of its time; a new primary is told of all demand at once.

--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -47,6 +47,7 @@
             self._router.configure, self._router.worker_changed, self._router.worker_gone
         )
         self._links: LinkSet | None = None
+        self._known_primary: str | None = None
         self._proxy: Proxy | None = None
 
     async def run(self) -> None:
@@ -120,6 +121,10 @@
             return
         self._links.want({seed.ip for seed in self._settings.seeds} | self._view.members())
         self._router.step_tables(now)
+        self._report_demand(now)
+
+    def _report_demand(self, now: float) -> None:
+        """Tell the primary of all demand."""
         reports = self._demand.reports(now)
         if reports:
             wanted = self._router.tables.wanted()
@@ -141,6 +146,13 @@
         if connection is not None:
             connection.send(message)
 
+    def _greet_primary(self, now: float) -> None:
+        """A new primary knows of no demand: requests may be waiting already."""
+        primary = self._view.primary()
+        if primary is not None and primary != self._known_primary:
+            self._known_primary = primary
+            self._report_demand(now)
+
     def linked(self, peer: str, connection: Connection) -> None:
         """A feed is open."""
         self._view.linked(peer)
@@ -154,7 +166,9 @@
         if isinstance(message, WorkNotice):
             self._router.note_told(message, asyncio.get_running_loop().time())
             return
-        answer = self._view.received(peer, message, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        answer = self._view.received(peer, message, now)
+        self._greet_primary(now)
         connection = self._links.connection(peer) if self._links else None
         if answer is not None and connection is not None:
             connection.send(answer)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -13,12 +13,13 @@
 
 from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord
+from rookwood.clusterconfig.document import Configuration
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.demand import DemandMeter
 from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
-from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service
+from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
 from rookwood.dataplane.upstream import (
@@ -43,6 +44,7 @@
 ANSWER_MARGIN = 0.005
 MAXIMUM_CONNECTION_FAILURES = 3
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
+STARTUP_PATIENCE = 2.0  # seconds for which a request waits for the first configuration
 RETRY_SOON = 0.3
 FIRST_SERVER_ERROR = 500
 SILENT = "silence"
@@ -138,7 +140,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._now()
-        configuration = self._router.configuration
+        configuration = await self._await_configuration(request, arrived)
         if configuration is None:
             return Refusal(503, "no configuration yet", RETRY_SOON).response()
         body = await read_body(request, configuration.limits.body_bytes or DEFAULT_BODY_LIMIT)
@@ -156,6 +158,15 @@
             self._demand.request(routed.key, arrived)
         return await self._forward(request, routed)
 
+    async def _await_configuration(self, request: web.BaseRequest, arrived: float) -> Configuration | None:
+        """The configuration; a process that just started waits for it a little."""
+        left = read_time_left(request.headers.get(names.TIME_LEFT)) or 0.0
+        until = arrived + min(STARTUP_PATIENCE, WAIT_SHARE * left)
+        while self._router.configuration is None:
+            if not await self._router.wait_change(until):
+                return None
+        return self._router.configuration
+
     async def _forward(self, client: web.BaseRequest, request: RoutedRequest) -> web.StreamResponse:
         progress = RequestProgress()
         while True:
@@ -366,17 +377,28 @@
         worker = self._router.choose(request, progress.excluded, now)
         if worker is not None and request.deadline - now > MINIMUM_ATTEMPT:
             return worker
-        if request.key is None or now >= self._wait_limit(request):
+        if now >= self._wait_limit(request) or not self._worth_waiting(request, progress):
             return Refusal(503, "no worker", RETRY_SOON)
-        self._demand.begin_wait(request.key, now)
-        try:
-            while await self._router.wait_change(self._wait_limit(request)):
-                worker = self._router.choose(request, progress.excluded, self._now())
-                if worker is not None:
-                    return worker
-        finally:
-            self._demand.end_wait(request.key, now)
-        return Refusal(503, "weights are not loaded", RETRY_SOON)
+        if request.key is None:
+            found = await self._await_worker(request, progress)
+        else:
+            self._demand.begin_wait(request.key, now)
+            try:
+                found = await self._await_worker(request, progress)
+            finally:
+                self._demand.end_wait(request.key, now)
+        return found or Refusal(503, "no worker with the weights", RETRY_SOON)
+
+    def _worth_waiting(self, request: RoutedRequest, progress: RequestProgress) -> bool:
+        """Weights are loaded on demand; other workers appear only while a system starts."""
+        return request.key is not None or not progress.excluded
+
+    async def _await_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | None:
+        while await self._router.wait_change(self._wait_limit(request)):
+            worker = self._router.choose(request, progress.excluded, self._now())
+            if worker is not None:
+                return worker
+        return None
 
     def _wait_limit(self, request: RoutedRequest) -> float:
         """Until when a request may wait for its weights; never beyond the end of this process."""
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -162,6 +162,12 @@
         await self.feed()
         self.assertEqual((200, b"answer"), await self.send(MUTATING))
 
+    async def test_a_request_before_the_configuration_is_answered_when_it_is_there(self) -> None:
+        await self.start_worker(FakeWorker(answering()))
+        sending = asyncio.create_task(self.send(MUTATING))
+        await self.feed()
+        self.assertEqual((200, b"answer"), await within(sending))
+
     async def test_headers_within_the_limit_are_served(self) -> None:
         """A long prompt is told in one header, which may take up most of `hdr-bytes`."""
         worker = await self.start_worker(FakeWorker(answering()))
