Take over a changed settings file; offer config check on the command line

Need: settings may change with SIGHUP or without a signal, and both programs ignored it; the check of a configuration file was not reachable. Change: the file is read again when its time changed (each housekeeping and at SIGHUP), a faulty one leaves the old settings in force; rookwood config check FILE.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -27,6 +27,15 @@
     """
 
 
+@main.command("config", context_settings={"ignore_unknown_options": True}, add_help_option=False)
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def config(arguments: tuple[str, ...]) -> None:
+    """Check a configuration of the whole system: `config check FILE`."""
+    from rookwood.cli.config import main as run_config
+
+    sys.exit(run_config(list(arguments)))
+
+
 @main.command(epilog=CODES)
 @click.option(
     "--config", type=click.Path(dir_okay=False), help="The platform's JSON file [default: $PROXY_CONFIG]."
--- a/rookwood/cluster/settings.py
+++ b/rookwood/cluster/settings.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+logger = logging.getLogger("rookwood")
+
 SETTINGS_VARIABLE = "ROOKWOOD_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/rookwood/local.json"
 MILLISECONDS = 1000.0
@@ -103,6 +106,36 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
+class SettingsFile:
+    """The settings file of a running process; it may change with or without a signal."""
+
+    def __init__(self, path: str, settings: NodeSettings) -> None:
+        self._path = path
+        self._changed_at = _modification_time(path)
+        self.settings = settings
+
+    def refresh(self) -> bool:
+        """Read the file again if it changed; a file that can't be used leaves the old settings in force."""
+        changed_at = _modification_time(self._path)
+        if changed_at == self._changed_at:
+            return False
+        self._changed_at = changed_at
+        try:
+            self.settings = load_settings(self._path)
+        except SettingsError as error:
+            logger.warning("settings are not taken over", extra={"reason": str(error)})
+            return False
+        logger.info("settings taken over")
+        return True
+
+
+def _modification_time(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
+
+
 def parse_settings(document: Mapping[str, Any]) -> NodeSettings:
     """Build the settings from the parsed file; unknown keys are ignored."""
     limits = document.get("limits") or {}
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -23,7 +23,7 @@
     WorkNotice,
     encode_frame,
 )
-from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.clusterconfig.loading import load_configuration
@@ -56,6 +56,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
+        self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._started = 0.0
@@ -77,7 +78,7 @@
         """Serve until SIGTERM."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, self._keep_house)
         self._started = loop.time()
         await self.group.start()
         await self._feed.start(self._settings.ip, self._settings.feed_port)
@@ -117,10 +118,12 @@
         await web.TCPSite(self._runner, address.ip, address.port, shutdown_timeout=0.5).start()
 
     def _keep_house(self) -> None:
+        """Periodic work; also done at SIGHUP, which tells of a changed settings file."""
+        self._file.refresh()
         now = asyncio.get_running_loop().time()
         self._table.expire(now)
         if self._links is not None:
-            seeds = {seed.ip for seed in self._settings.seeds}
+            seeds = {seed.ip for seed in self._file.settings.seeds}
             self._links.want(seeds | set(self.group.members()) | self._view.members())
 
     def _status(self) -> Status:
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -10,7 +10,7 @@
 
 from rookwood.cluster.feed import Connection, LinkSet
 from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice
-from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.dataplane.budget import RetryBudget
@@ -37,6 +37,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
+        self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._pool = WorkerPool()
         self._router = Router(settings.zone, self._pool)
@@ -54,7 +55,7 @@
         """Serve until SIGTERM, then finish what is under way."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, self._keep_house)
         client = UpstreamClient(self._settings.descriptors)
         self._proxy = Proxy(self._router, self._pool, self._demand, self._budget, client, self._tell_work)
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
@@ -114,12 +115,14 @@
             await asyncio.sleep(DRAIN_POLL)
 
     def _keep_house(self) -> None:
+        """Periodic work; also done at SIGHUP, which tells of a changed settings file."""
+        self._file.refresh()
         now = asyncio.get_running_loop().time()
         self._view.drop_silent(now)
         self._budget.dispatchers = self._view.dispatchers()
         if self._links is None:
             return
-        self._links.want({seed.ip for seed in self._settings.seeds} | self._view.members())
+        self._links.want({seed.ip for seed in self._file.settings.seeds} | self._view.members())
         self._router.step_tables(now)
         self._report_demand(now)
 
