Collect work notices; test whole programs over loopback with emulated workers

Change: the primary collects notices for 20 ms and sends them in one frame; a dispatcher leaves out its own.

--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -122,11 +122,19 @@
     `parts` are hashes of the prompt's shared beginnings under the weights in use.
     """
 
+    origin: str
     worker: str
     seconds: float
     parts: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkNotices:
+    """Notices of several dispatchers, passed on together."""
+
+    notices: tuple[WorkNotice, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Keeps an otherwise silent link known to be alive."""
@@ -142,7 +150,7 @@
     | WorkerUpdates
     | WorkerGone
     | DemandReport
-    | WorkNotice
+    | WorkNotices
     | Heartbeat
 )
 
@@ -187,6 +195,13 @@
     ("model", "string"),
     ("adapter", "string"),
 )
+_WORK_NOTICE = _record(
+    "WorkNotice",
+    ("origin", "string"),
+    ("worker", "string"),
+    ("seconds", "float"),
+    ("parts", _array("long")),
+)
 _SCHEMAS: dict[type, Any] = {
     Hello: _record("Hello", ("identity", "string"), ("tier", "string"), ("zone", "string")),
     Status: _record(
@@ -214,7 +229,7 @@
         ("wanted", _array(_WANTED)),
         ("complete", "boolean"),
     ),
-    WorkNotice: _record("WorkNotice", ("worker", "string"), ("seconds", "float"), ("parts", _array("long"))),
+    WorkNotices: _record("WorkNotices", ("notices", _array(_WORK_NOTICE))),
     Heartbeat: _record("Heartbeat", ("identity", "string")),
 }
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
@@ -262,15 +277,21 @@
     if isinstance(message, WorkerUpdates):
         return {"records": [_worker_to_avro(r) for r in message.records], "complete": message.complete}
     if isinstance(message, DemandReport):
-        keys = [{name: getattr(key, name) for name in KeyDemand.__slots__} for key in message.keys]
-        wanted = [{name: getattr(item, name) for name in WantedWeights.__slots__} for item in message.wanted]
+        keys = [_plain(key) for key in message.keys]
+        wanted = [_plain(item) for item in message.wanted]
         return {
             "identity": message.identity,
             "keys": keys,
             "wanted": wanted,
             "complete": message.complete,
         }
-    return {name: getattr(message, name) for name in type(message).__slots__}
+    if isinstance(message, WorkNotices):
+        return {"notices": [_plain(notice) for notice in message.notices]}
+    return _plain(message)
+
+
+def _plain(record: Any) -> dict[str, Any]:
+    return {name: getattr(record, name) for name in type(record).__slots__}
 
 
 def _from_avro(kind: type, value: dict[str, Any]) -> Message:
@@ -280,6 +301,8 @@
         keys = tuple(KeyDemand(**key) for key in value["keys"])
         wanted = tuple(WantedWeights(**item) for item in value["wanted"])
         return DemandReport(value["identity"], keys, wanted, value["complete"])
+    if kind is WorkNotices:
+        return WorkNotices(tuple(_work_notice(notice) for notice in value["notices"]))
     for name, item in value.items():
         if isinstance(item, list):
             value[name] = tuple(item)
@@ -287,6 +310,10 @@
     return message
 
 
+def _work_notice(value: dict[str, Any]) -> WorkNotice:
+    return WorkNotice(value["origin"], value["worker"], value["seconds"], tuple(value["parts"]))
+
+
 def encode_frame(message: Message) -> bytes:
     """The message as a whole frame."""
     buffer = io.BytesIO()
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -20,7 +20,7 @@
     Status,
     WorkerGone,
     WorkerUpdates,
-    WorkNotice,
+    WorkNotices,
     encode_frame,
 )
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
@@ -28,6 +28,7 @@
 from rookwood.cluster.view import ClusterView
 from rookwood.clusterconfig.loading import load_configuration
 from rookwood.controlplane.load_scheduler import LoadScheduler
+from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
 from rookwood.controlplane.payload import read_payload
 from rookwood.controlplane.peer_feed import PeerFeed
@@ -66,6 +67,7 @@
         )
         self._view = ClusterView(lambda source: None, self._worker_changed, self._worker_gone)
         self._feed = FeedServer(self)
+        self._notices = NoticeRelay(self._send_notices)
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
         self._scheduler = LoadScheduler(
@@ -190,14 +192,13 @@
             connection.send(self._configuration())
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
-        elif isinstance(message, WorkNotice):
-            self._pass_on(connection, message)
+        elif isinstance(message, WorkNotices):
+            self._notices.take(message)
 
-    def _pass_on(self, origin: Connection, notice: WorkNotice) -> None:
-        """Tell the other dispatchers of a prompt that one of them sent."""
-        frame = encode_frame(notice)
+    def _send_notices(self, notices: WorkNotices) -> None:
+        frame = encode_frame(notices)
         for connection in self._feed.connections:
-            if connection is not origin and not is_core(connection):
+            if not is_core(connection):
                 connection.send_frame(frame)
 
     def lost(self, connection: Connection) -> None:
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from rookwood.cluster.feed import Connection, LinkSet
-from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice
+from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice, WorkNotices
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
@@ -40,7 +40,7 @@
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._pool = WorkerPool()
-        self._router = Router(settings.zone, self._pool)
+        self._router = Router(settings.ip, settings.zone, self._pool)
         self._demand = DemandMeter(self._weights_wanted)
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
@@ -140,9 +140,9 @@
         self._report(DemandReport(self._settings.ip, waiting, (), complete=False))
 
     def _tell_work(self, notice: WorkNotice) -> None:
-        self._report(notice)
+        self._report(WorkNotices((notice,)))
 
-    def _report(self, message: DemandReport | WorkNotice) -> None:
+    def _report(self, message: DemandReport | WorkNotices) -> None:
         """Send a message to the primary, if it is known and linked."""
         primary = self._view.primary()
         connection = self._links.connection(primary) if self._links and primary else None
@@ -166,8 +166,9 @@
 
     def received(self, peer: str, message: Message) -> None:
         """A feed brought a message."""
-        if isinstance(message, WorkNotice):
-            self._router.note_told(message, asyncio.get_running_loop().time())
+        if isinstance(message, WorkNotices):
+            for notice in message.notices:
+                self._router.note_told(notice, asyncio.get_running_loop().time())
             return
         now = asyncio.get_running_loop().time()
         answer = self._view.received(peer, message, now)
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -25,7 +25,8 @@
 class Router:
     """The configuration in force and the workers of each service."""
 
-    def __init__(self, zone: str, pool: WorkerPool) -> None:
+    def __init__(self, identity: str, zone: str, pool: WorkerPool) -> None:
+        self._identity = identity
         self._zone = zone
         self._pool = pool
         self._source = b""
@@ -147,10 +148,12 @@
         seconds = self.prefill_seconds(traffic, request)
         parts = tuple(part.identity for part in request.parts)
         traffic.backlog.add(seconds, parts, now)
-        return WorkNotice(record.id, seconds, parts)
+        return WorkNotice(self._identity, record.id, seconds, parts)
 
     def note_told(self, notice: WorkNotice, now: float) -> None:
-        """Another dispatcher sent a prompt to a worker."""
+        """A dispatcher sent a prompt to a worker; its own notices come back to it and are left out."""
+        if notice.origin == self._identity:
+            return
         self._pool.get(notice.worker).backlog.add(notice.seconds, notice.parts, now)
 
     def notify(self) -> None:
--- a/rookwood/lab/modelworker.py
+++ b/rookwood/lab/modelworker.py
@@ -14,9 +14,10 @@
 import json
 import time
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
+from http import HTTPStatus
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
@@ -29,6 +30,7 @@
 ADAPTER_LOAD_S = 0.005
 LOCAL_LOAD_FACTOR = 0.3  # of `load_s`, where the weights are on the worker's own disk
 PLAIN_BODY_BYTES = 800
+ERROR_BODY = b"the worker failed"
 DEFAULT_TIME_LEFT_MS = 60_000
 MAX_REQUEST_BYTES = 16 * 1024 * 1024
 SHUTDOWN_TIMEOUT_S = 0.05
@@ -175,6 +177,13 @@
     delay_s: float
 
 
+@dataclass(frozen=True)
+class ServerError:
+    """The request runs and fails with this status; the answer carries a seal."""
+
+    status: int = 500
+
+
 @dataclass(frozen=True)
 class Full:
     """The request is refused as though all slots and the queue were taken."""
@@ -188,7 +197,7 @@
     after_event: int = 1
 
 
-Fault = CrashMidStream | CutAnswer | ExtraAnswer | Hang | Slow | Full | Pause
+Fault = CrashMidStream | CutAnswer | ExtraAnswer | Hang | Slow | ServerError | Full | Pause
 
 
 @dataclass
@@ -216,6 +225,7 @@
     started_at: float
     seal: str
     status: int = 200
+    final_event_id: int = 0  # of a stream
     answer: bytearray = field(default_factory=bytearray)  # the part of the body that was sent
     outcome: RunOutcome = RunOutcome.RUNNING
 
@@ -396,6 +406,143 @@
         self._semaphore.release()
 
 
+class PlacementExecutor:
+    """Takes placement orders, one at a time, and keeps the holdings that result.
+
+    `on_change` is called whenever a report would read differently, `on_overload` once an order would exceed
+    the memory or the adapter slots, at which a worker falls.
+    """
+
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        instance: str,
+        records: WorkerRecords,
+        store: WeightStore,
+        local_weights: set[str],
+        on_change: Callable[[], None],
+        on_overload: Callable[[], None],
+    ) -> None:
+        self.holdings = Holdings(settings)
+        self.pending: PlacementOrder | None = None
+        self.revision = 0
+        self._settings = settings
+        self._instance = instance
+        self._records = records
+        self._store = store
+        self._local_weights = local_weights
+        self._on_change = on_change
+        self._on_overload = on_overload
+        self._highest_fence = -1
+        self._fence_owners: dict[int, str] = {}
+        self._running: Counter[WeightKey] = Counter()
+        self._run_ended = asyncio.Condition()
+        self._task: asyncio.Task[None] | None = None
+
+    def take(self, body: bytes) -> HTTPStatus:
+        """Takes an order in, begins it where nothing is against it, and returns the answer's status."""
+        order = self._read(body)
+        if order is None:
+            return HTTPStatus.BAD_REQUEST
+        status = self._judge(order)
+        self._records.orders.append(OrderRecord(order, status, time.monotonic()))
+        if status is HTTPStatus.ACCEPTED:
+            self._begin(order)
+        return status
+
+    def concerns(self, weights: WeightKey) -> bool:
+        """Whether the order under way touches requests for these weights."""
+        return self.pending is not None and concerns(self.pending.weights, weights)
+
+    @contextlib.asynccontextmanager
+    async def in_use(self, weights: WeightKey) -> AsyncIterator[None]:
+        """Keeps these weights from being unloaded for as long as it is entered."""
+        self._running[weights] += 1
+        try:
+            yield
+        finally:
+            self._running[weights] -= 1
+            async with self._run_ended:
+                self._run_ended.notify_all()
+
+    async def stop(self) -> None:
+        """Drops the order under way."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def _read(self, body: bytes) -> PlacementOrder | None:
+        try:
+            order = parse_order(json.loads(body))
+        except ValueError:
+            return None
+        return order if order is not None and self._is_offered(order.weights) else None
+
+    def _is_offered(self, weights: WeightKey) -> bool:
+        spec = self._settings.model(weights.model)
+        return spec is not None and (weights.adapter is None or weights.adapter in spec.adapter_names)
+
+    def _judge(self, order: PlacementOrder) -> HTTPStatus:
+        self._note_fence_owner(order)
+        if self._settings.fenced and order.fence < self._highest_fence:
+            return HTTPStatus.PRECONDITION_FAILED
+        self._highest_fence = max(self._highest_fence, order.fence)
+        if self.pending is not None:
+            return HTTPStatus.CONFLICT
+        if order.expected_revision is not None and order.expected_revision != self.revision:
+            return HTTPStatus.CONFLICT
+        if self.holdings.holds(order.weights) is (order.operation is OrderOperation.PLACE):
+            return HTTPStatus.OK
+        if order.weights.adapter is not None and not self.holdings.holds(WeightKey(order.weights.model)):
+            return HTTPStatus.MISDIRECTED_REQUEST
+        return HTTPStatus.ACCEPTED
+
+    def _note_fence_owner(self, order: PlacementOrder) -> None:
+        owner = self._fence_owners.setdefault(order.fence, order.owner)
+        if owner != order.owner:
+            detail = f"{owner} and {order.owner} both sent {order.fence}"
+            self._note_violation(ViolationKind.SHARED_FENCE, detail)
+
+    def _note_violation(self, kind: ViolationKind, detail: str) -> None:
+        self._records.violations.append(Violation(kind, f"{self._instance}: {detail}", time.monotonic()))
+
+    def _begin(self, order: PlacementOrder) -> None:
+        if order.operation is OrderOperation.PLACE and not self.holdings.has_room_for(order.weights):
+            detail = f"{order.weights} beside {self.holdings.models()}"
+            self._note_violation(ViolationKind.OVER_CAPACITY, detail)
+            self._on_overload()
+            return
+        self.pending = order
+        self.revision += 1
+        self._on_change()
+        self._task = asyncio.get_running_loop().create_task(self._carry_out(order))
+
+    async def _carry_out(self, order: PlacementOrder) -> None:
+        if order.operation is OrderOperation.PLACE:
+            await asyncio.sleep(self._load_time(order.weights))
+            self.holdings.add(order.weights)
+        else:
+            async with self._run_ended:
+                await self._run_ended.wait_for(lambda: not self._has_runs_of(order.weights))
+            self.holdings.discard(order.weights)
+        self.pending = None
+        self._on_change()
+
+    def _load_time(self, weights: WeightKey) -> float:
+        if weights.adapter is not None:
+            return ADAPTER_LOAD_S
+        spec = self._settings.model(weights.model)
+        assert spec is not None, "orders for models outside the catalogue are refused"
+        if weights.model in self._local_weights:
+            return spec.load_s * LOCAL_LOAD_FACTOR
+        self._local_weights.add(weights.model)
+        self._store.loads.append(time.monotonic())
+        return spec.load_s
+
+    def _has_runs_of(self, weights: WeightKey) -> bool:
+        return any(count > 0 and concerns(weights, running) for running, count in self._running.items())
+
+
 class Registrar:
     """Sends a worker's registrations to the control plane, one address after the other until one answers."""
 
@@ -495,7 +642,15 @@
         self.registered = asyncio.Event()
         self.ended = asyncio.Event()
         self.slots = SlotPool(settings.slots, settings.queue_limit)
-        self.holdings = Holdings(settings)
+        self.placement = PlacementExecutor(
+            settings,
+            self.instance,
+            self.records,
+            self.store,
+            self.local_weights,
+            on_change=self._note_state,
+            on_overload=lambda: self._spawn(self.crash()),
+        )
         for name in held:
             weights = WeightKey.parse(name)
             self.holdings.add(weights)
@@ -506,16 +661,15 @@
         self._runner: web.AppRunner | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._faults: deque[PlannedFault] = deque()
-        self._pending_order: PlacementOrder | None = None
-        self._revision = 0
-        self._highest_fence = -1
-        self._fence_owners: dict[int, str] = {}
-        self._running: Counter[WeightKey] = Counter()
-        self._run_ended = asyncio.Condition()
         self._heartbeat_number = 0
         self._left_ms: int | None = None
         self._reports: deque[TimedReport] = deque(maxlen=REPORT_HISTORY)
 
+    @property
+    def holdings(self) -> Holdings:
+        """The weights in its memory."""
+        return self.placement.holdings
+
     @property
     def address(self) -> str:
         """Where it listens, as HOST:PORT."""
@@ -567,6 +721,7 @@
         runner, self._runner = self._runner, None
         if runner is not None:
             await self._close_sockets(runner)
+        await self.placement.stop()
         await self._cancel_tasks()
         if self._registrar is not None:
             await self._registrar.close()
@@ -661,8 +816,8 @@
         document: JsonObject = {
             "phase": "both",
             "models": self.holdings.models(),
-            "busy": self._pending_order is not None,
-            "seq": self._revision,
+            "busy": self.placement.pending is not None,
+            "seq": self.placement.revision,
             "queued": self.slots.waiting,
             "active": self.slots.running,
             "kv-used": 0,
@@ -680,9 +835,9 @@
     async def _answer_health(self, request: web.Request) -> web.StreamResponse:
         self.records.probes += 1
         if not await self.slots.acquire(HEARTBEAT_TIMEOUT_S):
-            return web.Response(status=503, headers=self._own_headers())
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=self._own_headers())
         try:
-            status = 200 if self.state is ServiceState.UP else 503
+            status = HTTPStatus.OK if self.state is ServiceState.UP else HTTPStatus.SERVICE_UNAVAILABLE
             return web.Response(status=status, headers=self._own_headers())
         finally:
             self.slots.release()
@@ -690,113 +845,47 @@
     def _own_headers(self) -> dict[str, str]:
         return {"X-Instance": self.instance, "X-Load": self.slots.load}
 
-    # Placement orders
-
     async def _answer_order(self, request: web.Request) -> web.StreamResponse:
         if self._is_for_another_instance(request):
-            return web.Response(status=421, headers=self._own_headers())
-        order = self._read_order(await request.read())
-        if order is None:
-            return web.Response(status=400, text="the order does not exist or lacks owner or fence")
-        status = self._judge_order(order)
-        self.records.orders.append(OrderRecord(order, status, time.monotonic()))
-        if status == 202:
-            self._begin(order)
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST, headers=self._own_headers())
+        status = self.placement.take(await request.read())
         return web.Response(status=status)
 
-    def _read_order(self, body: bytes) -> PlacementOrder | None:
-        try:
-            order = parse_order(json.loads(body))
-        except ValueError:
-            return None
-        return order if order is not None and self._is_offered(order.weights) else None
-
-    def _is_offered(self, weights: WeightKey) -> bool:
-        spec = self.settings.model(weights.model)
-        return spec is not None and (weights.adapter is None or weights.adapter in spec.adapter_names)
-
-    def _judge_order(self, order: PlacementOrder) -> int:
-        self._note_fence_owner(order)
-        if self.settings.fenced and order.fence < self._highest_fence:
-            return 412
-        self._highest_fence = max(self._highest_fence, order.fence)
-        if self._pending_order is not None:
-            return 409
-        if order.expected_revision is not None and order.expected_revision != self._revision:
-            return 409
-        if self.holdings.holds(order.weights) is (order.operation is OrderOperation.PLACE):
-            return 200
-        if order.weights.adapter is not None and not self.holdings.holds(WeightKey(order.weights.model)):
-            return 421
-        return 202
-
-    def _note_fence_owner(self, order: PlacementOrder) -> None:
-        owner = self._fence_owners.setdefault(order.fence, order.owner)
-        if owner != order.owner:
-            self._note_violation(
-                ViolationKind.SHARED_FENCE, f"{owner} and {order.owner} both sent {order.fence}"
-            )
-
-    def _note_violation(self, kind: ViolationKind, detail: str) -> None:
-        self.records.violations.append(Violation(kind, f"{self.instance}: {detail}", time.monotonic()))
-
-    def _begin(self, order: PlacementOrder) -> None:
-        if order.operation is OrderOperation.PLACE and not self.holdings.has_room_for(order.weights):
-            self._note_violation(
-                ViolationKind.OVER_CAPACITY, f"{order.weights} beside {self.holdings.models()}"
-            )
-            self._spawn(self.crash())
-            return
-        self._pending_order = order
-        self._revision += 1
-        self._note_state()
-        self._spawn(self._carry_out(order))
-
-    async def _carry_out(self, order: PlacementOrder) -> None:
-        if order.operation is OrderOperation.PLACE:
-            await asyncio.sleep(self._load_time(order.weights))
-            self.holdings.add(order.weights)
-        else:
-            async with self._run_ended:
-                await self._run_ended.wait_for(lambda: not self._has_runs_of(order.weights))
-            self.holdings.discard(order.weights)
-        self._pending_order = None
-        self._note_state()
-
-    def _load_time(self, weights: WeightKey) -> float:
-        if weights.adapter is not None:
-            return ADAPTER_LOAD_S
-        spec = self.settings.model(weights.model)
-        assert spec is not None, "orders for models outside the catalogue are refused"
-        if weights.model in self.local_weights:
-            return spec.load_s * LOCAL_LOAD_FACTOR
-        self.local_weights.add(weights.model)
-        self.store.loads.append(time.monotonic())
-        return spec.load_s
-
-    def _has_runs_of(self, weights: WeightKey) -> bool:
-        return any(count > 0 and concerns(weights, running) for running, count in self._running.items())
-
     # Requests
 
     async def _answer_request(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
-        received_at = time.monotonic()
+        deadline = time.monotonic() + time_left_s(request)
+        refused = self._refusal_of(request)
+        if refused is not None:
+            return self._refuse(request, refused)
         fault = self._take_fault()
-        refusal = self._refusal_of(request, fault)
-        if refusal is not None:
-            return self._refuse(request, refusal)
-        deadline = received_at + time_left_s(request)
-        if not await self.slots.acquire(deadline - received_at):
-            return self._refuse(request, Refused(503, "deadline passed in the queue"))
+        if isinstance(fault, Full) or self.slots.full:
+            return self._refuse(request, Refused(HTTPStatus.SERVICE_UNAVAILABLE, "full"))
+        if not await self.slots.acquire(deadline - time.monotonic()):
+            return self._refuse(
+                request, Refused(HTTPStatus.SERVICE_UNAVAILABLE, "deadline passed in the queue")
+            )
         try:
-            run = self._begin_run(request, body)
-            async with self._counted(run):
-                return await self._run_until(deadline, request, run, fault)
+            refused = self._refusal_of(request)
+            if refused is not None:
+                return self._refuse(request, refused)
+            return await self._run(request, body, deadline, fault)
         finally:
             self.slots.release()
             self._note_state()
 
+    async def _run(
+        self, request: web.Request, body: bytes, deadline: float, fault: Fault | None
+    ) -> web.StreamResponse:
+        run = self._begin_run(request, body)
+        try:
+            async with self.placement.in_use(run.weights or WeightKey("")):
+                return await self._run_until(deadline, request, run, fault)
+        finally:
+            if run.outcome is RunOutcome.RUNNING:
+                run.outcome = RunOutcome.ABANDONED
+
     def _take_fault(self) -> Fault | None:
         while self._faults and self._faults[0].times == 0:
             self._faults.popleft()
@@ -807,23 +896,18 @@
             planned.times -= 1
         return planned.fault
 
-    def _refusal_of(self, request: web.Request, fault: Fault | None) -> Refused | None:
+    def _refusal_of(self, request: web.Request) -> Refused | None:
         if self._is_for_another_instance(request):
-            return Refused(421, "another instance is wanted")
+            return Refused(HTTPStatus.MISDIRECTED_REQUEST, "another instance is wanted")
         if "X-Try-Id" not in request.headers:
-            return Refused(400, "no X-Try-Id")
-        if isinstance(fault, Full) or self.slots.full:
-            return Refused(503, "full")
+            return Refused(HTTPStatus.BAD_REQUEST, "no X-Try-Id")
         if not self.settings.catalogue:
             return None
-        return self._refusal_for_weights(WeightKey.parse(request.headers.get("X-Model", "")))
-
-    def _refusal_for_weights(self, weights: WeightKey) -> Refused | None:
-        order = self._pending_order
-        if order is not None and concerns(order.weights, weights):
-            return Refused(503, "an order for these weights is under way")
+        weights = WeightKey.parse(request.headers.get("X-Model", ""))
+        if self.placement.concerns(weights):
+            return Refused(HTTPStatus.SERVICE_UNAVAILABLE, "an order for these weights is under way")
         if not self.holdings.holds(weights):
-            return Refused(421, f"{weights} is not present")
+            return Refused(HTTPStatus.MISDIRECTED_REQUEST, f"{weights} is not present")
         return None
 
     def _is_for_another_instance(self, request: web.Request) -> bool:
@@ -858,19 +942,6 @@
         self._note_state()
         return run
 
-    @contextlib.asynccontextmanager
-    async def _counted(self, run: Run) -> AsyncIterator[None]:
-        weights = run.weights or WeightKey("")
-        self._running[weights] += 1
-        try:
-            yield
-        finally:
-            if run.outcome is RunOutcome.RUNNING:
-                run.outcome = RunOutcome.ABANDONED
-            self._running[weights] -= 1
-            async with self._run_ended:
-                self._run_ended.notify_all()
-
     async def _run_until(
         self, deadline: float, request: web.Request, run: Run, fault: Fault | None
     ) -> web.StreamResponse:
@@ -879,15 +950,17 @@
             response.force_close()
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
-                if self.settings.catalogue:
+                if isinstance(fault, ServerError):
+                    await self._send_error(request, response, run, fault)
+                elif self.settings.catalogue:
                     await self._send_stream(request, response, run, fault)
                 else:
                     await self._send_plain(request, response, run, fault)
         except TimeoutError:
             run.outcome = RunOutcome.TIMED_OUT
             if not response.prepared:
-                run.status = 504
-                return web.Response(status=504, headers=self._answer_headers(run))
+                run.status = HTTPStatus.GATEWAY_TIMEOUT
+                return web.Response(status=HTTPStatus.GATEWAY_TIMEOUT, headers=self._answer_headers(run))
             close_connection(request)
         except AnswerCutError:
             run.outcome = RunOutcome.CUT
@@ -904,6 +977,16 @@
             headers["Versions"] = "1"
         return headers
 
+    async def _send_error(
+        self, request: web.Request, response: web.StreamResponse, run: Run, fault: ServerError
+    ) -> None:
+        run.status = fault.status
+        response.set_status(fault.status)
+        response.content_length = len(ERROR_BODY)
+        await response.prepare(request)
+        await write(response, run, ERROR_BODY)
+        await response.write_eof()
+
     async def _send_plain(
         self, request: web.Request, response: web.StreamResponse, run: Run, fault: Fault | None
     ) -> None:
@@ -927,7 +1010,8 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        for event_id in range(run.last_event_id + 1, self._last_event_of(request) + 1):
+        run.final_event_id = self._last_event_of(request)
+        for event_id in range(run.last_event_id + 1, run.final_event_id + 1):
             event = event_bytes(event_id, run.label)
             await self._meet_fault_within_stream(response, run, event_id, fault)
             await write(response, run, event)
@@ -973,7 +1057,7 @@
 class Refused:
     """Why a request is rejected."""
 
-    status: int
+    status: HTTPStatus
     reason: str
 
 
--- a/rookwood/lab/systemstage.py
+++ b/rookwood/lab/systemstage.py
@@ -30,7 +30,8 @@
 from types import TracebackType
 from typing import Self
 
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout, StreamReader, TCPConnector
+from yarl import URL
 
 from rookwood.lab.modelworker import (
     JsonObject,
@@ -119,11 +120,6 @@
     tries: int = 2
     resume: bool = False
 
-    @property
-    def path(self) -> str:
-        """The path that clients call."""
-        return f"{self.prefix}2f"
-
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
@@ -671,6 +667,7 @@
 
     try_id: str
     route: RouteSpec
+    sent_path: str
     sent_body_digest: str
     last_event_id: int = 0
     status: int = 0  # where no head came
@@ -740,6 +737,8 @@
     time_left_ms: int = 8_000
     last_event_id: int = 0
     events: int = 5
+    path_end: str = "2f"  # what follows the prefix of the route, sent as it is
+    chunked: bool = False  # whether the body comes without a length
 
 
 DEFAULT_OPTIONS = TryOptions()
@@ -748,18 +747,19 @@
 class OpenStream:
     """An answer that a test reads piece by piece."""
 
-    def __init__(self, response: ClientResponse | None, answer: ClientAnswer) -> None:
+    def __init__(self, content: StreamReader | None, answer: ClientAnswer) -> None:
         self.answer = answer
-        self._response = response
+        self._content = content
         self._parser = EventParser()
+        self._events_given = 0  # to the caller of `read_event`
 
     async def read_event(self) -> StreamEvent | None:
         """The next event; None at the end of the answer, whole or not."""
-        already = len(self.answer.events)
-        while len(self.answer.events) == already:
+        while len(self.answer.events) == self._events_given:
             if not await self._read_some():
                 return None
-        return self.answer.events[already]
+        self._events_given += 1
+        return self.answer.events[self._events_given - 1]
 
     async def read_to_end(self) -> ClientAnswer:
         """Reads whatever is left."""
@@ -768,10 +768,10 @@
         return self.answer
 
     async def _read_some(self) -> bool:
-        if self._response is None:
+        if self._content is None:
             return False
         try:
-            data = await self._response.content.readany()
+            data = await self._content.readany()
         except (ClientError, OSError, TimeoutError) as error:
             self.answer.failure = repr(error)
             return False
@@ -829,12 +829,18 @@
     ) -> AsyncIterator[OpenStream]:
         """Sends one try and gives its answer while it comes."""
         body = STREAM_BODY if route.kind is RouteKind.STREAM else MUTATING_BODY
-        answer = ClientAnswer(secrets.token_hex(8), route, body_digest(body), options.last_event_id)
+        answer = ClientAnswer(
+            try_id=secrets.token_hex(8),
+            route=route,
+            sent_path=route.prefix + options.path_end,
+            sent_body_digest=body_digest(body),
+            last_event_id=options.last_event_id,
+        )
         self.answers.append(answer)
         started_at = time.monotonic()
         response = await self._begin(data_plane, answer, body, model, options)
         try:
-            yield OpenStream(response, answer)
+            yield OpenStream(None if response is None else response.content, answer)
         finally:
             answer.elapsed_s = time.monotonic() - started_at
             if response is not None:
@@ -852,12 +858,13 @@
         model: str | None,
         options: TryOptions,
     ) -> ClientResponse | None:
-        url = f"http://{data_plane.edge_address}{answer.route.path}"
+        url = URL(f"http://{data_plane.edge_address}{answer.sent_path}", encoded=True)
+        data = in_chunks(body) if options.chunked else body
         timeout = ClientTimeout(total=options.time_left_ms / 1000 + 1.0)
         headers = request_headers(answer, model, options)
         try:
             response = await self._session.post(
-                url, data=body, headers=headers, timeout=timeout, allow_redirects=False
+                url, data=data, headers=headers, timeout=timeout, allow_redirects=False
             )
         except (ClientError, OSError, TimeoutError) as error:
             answer.failure = repr(error)
@@ -866,6 +873,13 @@
         return response
 
 
+async def in_chunks(body: bytes) -> AsyncIterator[bytes]:
+    """The body in two parts, for a request without a length."""
+    half = len(body) // 2
+    yield body[:half]
+    yield body[half:]
+
+
 def request_headers(answer: ClientAnswer, model: str | None, options: TryOptions) -> dict[str, str]:
     """The headers of a try."""
     headers = {
@@ -942,7 +956,7 @@
         if answer is None:
             yield RuleBreak(Rule.UNASKED, f"{run.label} of the unknown id {run.try_id}")
             return
-        asked = ("POST", answer.route.path, answer.sent_body_digest)
+        asked = ("POST", answer.sent_path, answer.sent_body_digest)
         if (run.method, run.path, run.body_digest) != asked:
             yield RuleBreak(Rule.UNASKED, f"{run.label} was changed: {run.method} {run.path}")
 
@@ -966,11 +980,11 @@
         if run is None or run.try_id != answer.try_id or answer.answered_try_id != answer.try_id:
             yield RuleBreak(Rule.MIXED, f"{answer.try_id}: success under the seal {answer.seal}")
         elif answer.is_stream:
-            yield from self._judge_stream(answer)
+            yield from self._judge_stream(answer, run)
         elif answer.complete and (bytes(run.answer) != answer.body or run.outcome is not RunOutcome.COMPLETE):
             yield RuleBreak(Rule.MIXED, f"{answer.try_id}: the body is not that of {run.label}")
 
-    def _judge_stream(self, answer: ClientAnswer) -> Iterator[RuleBreak]:
+    def _judge_stream(self, answer: ClientAnswer, first_run: Run) -> Iterator[RuleBreak]:
         first = answer.last_event_id + 1
         if answer.event_ids != list(range(first, first + len(answer.events))):
             yield RuleBreak(Rule.ORDER, f"{answer.try_id}: the events {answer.event_ids} after {first - 1}")
@@ -980,7 +994,7 @@
         runs = [self._by_label.get(label) for label in labels]
         if any(run is None or run.try_id != answer.try_id for run in runs):
             yield RuleBreak(Rule.MIXED, f"{answer.try_id}: events of {labels}")
-        elif answer.complete and not ends_like(runs[-1] if runs else None, answer):
+        elif answer.complete and answer.event_ids[-1:] != [first_run.final_event_id]:
             yield RuleBreak(Rule.ORDER, f"{answer.try_id}: complete after {answer.event_ids[-1:]}")
 
     def _judge_worker(self, worker: ModelWorker) -> Iterator[RuleBreak]:
@@ -990,14 +1004,6 @@
             yield RuleBreak(Rule.DRAIN, f"{run.label} came after the draining was acknowledged")
 
 
-def ends_like(run: Run | None, answer: ClientAnswer) -> bool:
-    """Whether the stream ends where this run, which must be whole, ended."""
-    if run is None or run.outcome is not RunOutcome.COMPLETE:
-        return False
-    made = EventParser().feed(bytes(run.answer))
-    return bool(made) and made[-1] == answer.events[-1]
-
-
 # The whole
 
 
@@ -1014,6 +1020,7 @@
         self._tolerated_machines = (control_planes - 1) // 2
         self.workers: list[ModelWorker] = []
         self.store = WeightStore()
+        self._replaced: list[SystemProcess] = []
         self._directory = Path(tempfile.mkdtemp(prefix="rookwood-stage-"))
         self._network = choose_network()
         self._hosts = itertools.count(1)
@@ -1065,8 +1072,9 @@
         settings: WorkerSettings | None = None,
         host: str | None = None,
         port: int = 0,
+        registers: bool = True,
     ) -> ModelWorker:
-        """Starts a worker; it registers itself from now on."""
+        """Starts a worker; it registers itself from now on, unless told otherwise."""
         timing = replace(
             settings or service.worker_settings(),
             heartbeat_interval_s=self.timing.heartbeat_ms / 1000,
@@ -1074,7 +1082,7 @@
         )
         worker = ModelWorker(
             timing,
-            self.control_addresses,
+            self.control_addresses if registers else (),
             host=host or self._next_ip(),
             port=port,
             held=held,
@@ -1099,6 +1107,24 @@
         await self.wait_until_ready()
         return workers
 
+    async def replace_control_plane(self, machine: SystemProcess) -> SystemProcess:
+        """Takes a control plane away for good and starts an empty one at another address.
+
+        The seeds of the new one, as of all processes before, still name the machine that is gone.
+        """
+        await machine.kill()
+        number = len(self._replaced) + len(self.control_planes)
+        self._replaced.append(machine)
+        successor = self._machine(
+            ProcessRole.CONTROL_PLANE, number, self._next_ip(), machine.settings.seeds, bootstrap=False
+        )
+        self.control_planes[self.control_planes.index(machine)] = successor
+        self.operator.addresses = self.control_addresses
+        for worker in self.workers:
+            worker.control_addresses[:] = self.control_addresses
+        await successor.start()
+        return successor
+
     async def wait_for_workers(self, *workers: ModelWorker, within_s: float = PATIENCE_S) -> None:
         """Waits until the control plane has acknowledged these workers, or all."""
         for worker in workers or self.workers:
@@ -1133,6 +1159,15 @@
             return False
         return answer.json() == configuration.document()
 
+    async def wait_for_control_planes(
+        self, configuration: Configuration, within_s: float = PATIENCE_S
+    ) -> None:
+        """Waits until every control plane takes part and gives this configuration."""
+        for machine in self.control_planes:
+            await eventually(
+                partial(self.answers_as, machine, configuration), f"{machine.name} takes part", within_s
+            )
+
     async def find_primary(self, within_s: float = PATIENCE_S) -> SystemProcess:
         """The control plane that itself answers GET /config, without sending the caller elsewhere."""
         give_up_at = time.monotonic() + within_s
@@ -1161,7 +1196,9 @@
     def _next_ip(self) -> str:
         return self._network.ip(next(self._hosts))
 
-    def _machine(self, role: ProcessRole, number: int, ip: str, seeds: tuple[str, ...]) -> SystemProcess:
+    def _machine(
+        self, role: ProcessRole, number: int, ip: str, seeds: tuple[str, ...], bootstrap: bool = True
+    ) -> SystemProcess:
         name = f"{role.short_name}-{number + 1}"
         data_directory = None
         if role is ProcessRole.CONTROL_PLANE:
@@ -1175,7 +1212,7 @@
             zones=ZONES,
             ports=self._network.ports,
             seeds=seeds,
-            bootstrap=True,
+            bootstrap=bootstrap,
             data_directory=data_directory,
             tolerated_machines=self._tolerated_machines,
             timing=self.timing,
@@ -1183,7 +1220,7 @@
         return SystemProcess(settings, self._directory)
 
     def _print_logs(self) -> None:
-        for machine in self.processes:
+        for machine in [*self._replaced, *self.processes]:
             tail = machine.log().splitlines()[-LOG_TAIL_LINES:]
             print(f"--- {machine.name} ({machine.settings.ip}), exit status {machine.exit_status}")
             print("\n".join(tail))
--- a/tests/test_cluster_messages.py
+++ b/tests/test_cluster_messages.py
@@ -23,6 +23,7 @@
     WorkerGone,
     WorkerUpdates,
     WorkNotice,
+    WorkNotices,
     decode_message,
     encode_frame,
     read_message,
@@ -62,7 +63,7 @@
         complete=True,
     ),
     DemandReport(identity="10.0.0.4", keys=(), wanted=(), complete=False),
-    WorkNotice("i-7f3a91c2", 0.25, (2**55, 0)),
+    WorkNotices((WorkNotice("10.1.0.5", "i-7f3a91c2", 0.25, (2**55, 0)), WorkNotice("", "", 0.0, ()))),
     Heartbeat("10.0.0.4"),
 )
 TYPES_BEYOND_ALL = 255
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -122,7 +122,7 @@
 
     async def start(self, budget: tuple[float, float, float]) -> None:
         """Listen without a configuration."""
-        self.router = Router("z1", self.pool)
+        self.router = Router("e1", "z1", self.pool)
         self.client = UpstreamClient(256)
         demand = DemandMeter(self.wanted.put_nowait)
         self.proxy = Proxy(
