--- a/rookwood/lab/modelworker.py
+++ b/rookwood/lab/modelworker.py
@@ -25,6 +25,7 @@
 HEARTBEAT_ANSWER_LIMIT = 4096  # bytes
 HEARTBEAT_REDIRECTS = 2
 REGISTRATION_RETRY_S = 0.05  # pause before the next round after every address failed
+CANCELLATION_RETRY_S = 0.2
 UNACKNOWLEDGED_DRAIN_S = 3.0
 REPORT_HISTORY = 256  # states kept for lagging reports
 ADAPTER_LOAD_S = 0.005
@@ -614,6 +615,19 @@
     document: JsonObject
 
 
+async def cancel_until_ended(tasks: Iterable[asyncio.Task[None]]) -> None:
+    """Cancels tasks until they ended.
+
+    A cancellation that meets a time limit in the same moment can be lost; waiting for a task that was
+    cancelled only once could then last for ever.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCELLATION_RETRY_S)
+
+
 class ModelWorker:
     """One incarnation of a worker. `start` it, and `stop`, `crash` or `drain` it at the end."""
 
@@ -768,9 +782,7 @@
 
     async def _cancel_tasks(self) -> None:
         others = [task for task in self._tasks if task is not asyncio.current_task()]
-        for task in others:
-            task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        await cancel_until_ended(others)
 
     # Registration
 
--- a/tests/test_modelworker.py
+++ b/tests/test_modelworker.py
@@ -26,6 +26,7 @@
     ViolationKind,
     WeightStore,
     WorkerSettings,
+    cancel_until_ended,
     inject_into_any,
 )
 from rookwood.lab.systemstage import EventParser, eventually
@@ -514,6 +515,24 @@
         self.assertEqual((report["seq"], report["busy"]), (0, False))
 
 
+class CancellationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_task_that_loses_its_first_cancellation_is_ended(self) -> None:
+        begun = asyncio.Event()
+
+        async def lose_one_cancellation() -> None:
+            begun.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                await asyncio.Event().wait()
+
+        task = asyncio.create_task(lose_one_cancellation())
+        await begun.wait()
+        async with asyncio.timeout(5.0):
+            await cancel_until_ended([task])
+        self.assertTrue(task.cancelled())
+
+
 class EventParserTest(unittest.TestCase):
     """The reading of events."""
 
