--- a/tests/test_controlplane_orders.py
+++ b/tests/test_controlplane_orders.py
@@ -19,7 +19,9 @@
 from rookwood.controlplane.tenure import LEASE_MARGIN, Tenure
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import Backup, ControlGroup, Primary, Role
-from rookwood.lab.modelworker import ModelSpec, ModelWorker, WeightKey, WorkerSettings
+from rookwood.lab.emulatedworker.settings import WorkerSettings
+from rookwood.lab.emulatedworker.weights import ModelSpec, WeightKey
+from rookwood.lab.emulatedworker.worker import ModelWorker
 from tests.fake_worker import within
 
 OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
--- a/tests/test_modelworker.py
+++ b/tests/test_modelworker.py
@@ -8,28 +8,24 @@
 
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout, web
 
-from rookwood.lab.modelworker import (
+from rookwood.lab.emulatedworker.faults import (
     CrashMidStream,
     CutAnswer,
     ExtraAnswer,
     Fault,
     Full,
     Hang,
-    JsonObject,
-    ModelSpec,
-    ModelWorker,
     Pause,
-    RunOutcome,
     ServerError,
-    ServiceState,
     Slow,
-    ViolationKind,
-    WeightStore,
-    WorkerSettings,
-    cancel_until_ended,
-    inject_into_any,
 )
-from rookwood.lab.systemstage import EventParser, eventually
+from rookwood.lab.emulatedworker.records import RunOutcome, ViolationKind
+from rookwood.lab.emulatedworker.registration import ServiceState
+from rookwood.lab.emulatedworker.settings import WorkerSettings
+from rookwood.lab.emulatedworker.weights import JsonObject, ModelSpec, WeightStore
+from rookwood.lab.emulatedworker.worker import ModelWorker, cancel_until_ended, inject_into_any
+from rookwood.lab.systemstage.events import EventParser
+from rookwood.lab.systemstage.waiting import eventually
 
 SMALL = ModelSpec("small", size_mb=60.0, load_s=0.02, adapters=3, adapter_mb=10.0)
 LARGE = ModelSpec("large", size_mb=90.0, load_s=0.02)
--- a/tests/test_system_config.py
+++ b/tests/test_system_config.py
@@ -8,17 +8,17 @@
 from dataclasses import replace
 from functools import partial
 
-from rookwood.lab.modelworker import JsonObject
-from rookwood.lab.systemstage import (
+from rookwood.lab.emulatedworker.weights import JsonObject
+from rookwood.lab.systemstage.configuration import (
     Configuration,
     ConfigurationPatch,
     RouteKind,
     RouteSpec,
-    SystemProcess,
-    SystemStage,
-    eventually,
     small_configuration,
 )
+from rookwood.lab.systemstage.machines import SystemProcess
+from rookwood.lab.systemstage.stage import SystemStage
+from rookwood.lab.systemstage.waiting import eventually
 
 FIRST: Configuration = small_configuration(version=3)
 NEW_ROUTE = RouteSpec("new", "pages", "/new/", RouteKind.MUTATING)
--- a/tests/test_system_day.py
+++ b/tests/test_system_day.py
@@ -6,14 +6,12 @@
 import unittest
 from dataclasses import replace
 
-from rookwood.lab.modelworker import ModelWorker, Pause
-from rookwood.lab.systemstage import (
-    Configuration,
-    SystemStage,
-    TryOptions,
-    eventually,
-    small_configuration,
-)
+from rookwood.lab.emulatedworker.faults import Pause
+from rookwood.lab.emulatedworker.worker import ModelWorker
+from rookwood.lab.systemstage.client import TryOptions
+from rookwood.lab.systemstage.configuration import Configuration, small_configuration
+from rookwood.lab.systemstage.stage import SystemStage
+from rookwood.lab.systemstage.waiting import eventually
 
 CONFIGURATION: Configuration = small_configuration()
 STREAM = CONFIGURATION.route("resumable")
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -5,25 +5,21 @@
 import asyncio
 import unittest
 
-from rookwood.lab.modelworker import (
+from rookwood.lab.emulatedworker.faults import (
     CrashMidStream,
     CutAnswer,
     ExtraAnswer,
     Full,
     Hang,
     Pause,
-    Run,
-    RunOutcome,
     ServerError,
-    inject_into_any,
-)
-from rookwood.lab.systemstage import (
-    Configuration,
-    SystemStage,
-    TryOptions,
-    eventually,
-    small_configuration,
 )
+from rookwood.lab.emulatedworker.records import Run, RunOutcome
+from rookwood.lab.emulatedworker.worker import inject_into_any
+from rookwood.lab.systemstage.client import TryOptions
+from rookwood.lab.systemstage.configuration import Configuration, small_configuration
+from rookwood.lab.systemstage.stage import SystemStage
+from rookwood.lab.systemstage.waiting import eventually
 
 CONFIGURATION: Configuration = small_configuration()
 RESUMABLE = CONFIGURATION.route("resumable")
--- a/tests/test_system_judge.py
+++ b/tests/test_system_judge.py
@@ -9,28 +9,17 @@
 from aiohttp import StreamReader
 from aiohttp.base_protocol import BaseProtocol
 
-from rookwood.lab.modelworker import (
-    ModelWorker,
-    Run,
-    RunOutcome,
-    Violation,
-    ViolationKind,
-    WeightStore,
-    WorkerSettings,
-    body_digest,
-    event_bytes,
-)
-from rookwood.lab.systemstage import (
-    ClientAnswer,
-    Judge,
-    OpenStream,
-    RouteSpec,
-    Rule,
-    StreamEvent,
-    SystemStage,
-    Timing,
-    small_configuration,
-)
+from rookwood.lab.emulatedworker.answers import body_digest, event_bytes
+from rookwood.lab.emulatedworker.records import Run, RunOutcome, Violation, ViolationKind
+from rookwood.lab.emulatedworker.settings import WorkerSettings
+from rookwood.lab.emulatedworker.weights import WeightStore
+from rookwood.lab.emulatedworker.worker import ModelWorker
+from rookwood.lab.systemstage.client import ClientAnswer, OpenStream
+from rookwood.lab.systemstage.configuration import RouteSpec, small_configuration
+from rookwood.lab.systemstage.events import StreamEvent
+from rookwood.lab.systemstage.judge import Judge, Rule
+from rookwood.lab.systemstage.machines import Timing
+from rookwood.lab.systemstage.stage import SystemStage
 
 CONFIGURATION = small_configuration()
 PAGE = CONFIGURATION.route("page")
--- a/tests/test_system_restarts.py
+++ b/tests/test_system_restarts.py
@@ -7,18 +7,13 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from rookwood.lab.modelworker import ModelWorker, Pause, inject_into_any
-from rookwood.lab.systemstage import (
-    Configuration,
-    RouteKind,
-    RouteSpec,
-    StageError,
-    SystemProcess,
-    SystemStage,
-    TryOptions,
-    eventually,
-    small_configuration,
-)
+from rookwood.lab.emulatedworker.faults import Pause
+from rookwood.lab.emulatedworker.worker import ModelWorker, inject_into_any
+from rookwood.lab.systemstage.client import TryOptions
+from rookwood.lab.systemstage.configuration import Configuration, RouteKind, RouteSpec, small_configuration
+from rookwood.lab.systemstage.machines import SystemProcess
+from rookwood.lab.systemstage.stage import SystemStage
+from rookwood.lab.systemstage.waiting import StageError, eventually
 
 FIRST: Configuration = small_configuration(version=3)
 SECOND: Configuration = FIRST.with_route(8, RouteSpec("new", "pages", "/new/", RouteKind.MUTATING))
