--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 # Needs PROXY_CONFIG, the path of a configuration file; see README.md.
--- a/rookwood/conf/read.py
+++ b/rookwood/conf/read.py
@@ -305,7 +305,6 @@
         elif not all(files):
             self.fault(here, "certificate", "'certificate', 'key' and 'authority' are all needed")
 
-
     def _check_duties(self, duties: Duties, gateway: Gateway | None, here: Origin) -> None:
         if gateway is None:
             self.fault(here, "duties", "needs the section 'gateway', for its name and keys", "gateway {")
--- a/rookwood/duties/address.py
+++ b/rookwood/duties/address.py
@@ -81,9 +81,7 @@
         if token is None:
             return False
         opens, self._serial = token != self._open, self._serial + 1
-        channel.send(
-            Announce(DUTY, token.term, token.holder, token.life, self._address, self._serial, opens)
-        )
+        channel.send(Announce(DUTY, token.term, token.holder, token.life, self._address, self._serial, opens))
         answer = await channel.receive(self._limit)
         while isinstance(answer, Announced) and answer.serial < self._serial:  # of one that was given up
             answer = await channel.receive(self._limit)
--- a/rookwood/net/decisions.py
+++ b/rookwood/net/decisions.py
@@ -346,5 +346,3 @@
 
         wait = (due - micros(self.clock.now() - EPOCH)) / 1_000_000
         self._timers[serial] = asyncio.get_running_loop().call_later(max(0.0, wait), elapsed)
-
-
--- a/rookwood/net/dispatcher.py
+++ b/rookwood/net/dispatcher.py
@@ -118,9 +118,7 @@
             (b"POST", b"/ops/drain/stop"): self._resume,
         }
         self._management = Management(clock, calls, room)
-        self._handover = Handover(
-            config.handover, self._remember, self._succeeded, alone=self._succeeds
-        )
+        self._handover = Handover(config.handover, self._remember, self._succeeded, alone=self._succeeds)
         by_name = {c.name: c for c in config.settings.classes}
         core = Core(
             *(config.name, clock, by_name, config.settings.zone, Tier(config.settings.dispatchers), bounds),
--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -275,9 +275,7 @@
                 return True
         return False
 
-    async def _answer(
-        self, connection: Connection, request_id: str, sign: Callable[[Stage], None]
-    ) -> Result:
+    async def _answer(self, connection: Connection, request_id: str, sign: Callable[[Stage], None]) -> Result:
         wire = connection.wire
         while isinstance(event := await wire.event(), h11.InformationalResponse):
             pass
--- a/rookwood/net/inbound.py
+++ b/rookwood/net/inbound.py
@@ -38,6 +38,7 @@
 YOUNG = timedelta(milliseconds=300)
 READY = b"/-/ready"
 
+
 def readiness(service: Service) -> Answer:
     """The same at either address."""
     return Answer(200 if service.ready else 503, f"{service.phase.value}\n".encode())
--- a/rookwood/net/request.py
+++ b/rookwood/net/request.py
@@ -117,9 +117,7 @@
 
     def minds(self, request: InboundRequest) -> bool: ...
 
-    async def served(
-        self, request: InboundRequest, run: Callable[[Course], Awaitable[Answer]]
-    ) -> Answer: ...
+    async def served(self, request: InboundRequest, run: Callable[[Course], Awaitable[Answer]]) -> Answer: ...
 
 
 class Abroad(Protocol):
@@ -253,9 +251,7 @@
                         if end is End.SERVED:
                             return Answer(200, result.body)
 
-    async def _try(
-        self, request: InboundRequest, attempt: Attempt, ticket: Ticket, course: Course
-    ) -> Result:
+    async def _try(self, request: InboundRequest, attempt: Attempt, ticket: Ticket, course: Course) -> Result:
         def sign(stage: Stage) -> None:
             (ticket.started if stage is Stage.STARTED else ticket.moving)()
 
--- a/rookwood/replicas/group.py
+++ b/rookwood/replicas/group.py
@@ -316,8 +316,7 @@
         every = tuple(entries)
         pieces = [every[at : at + PART] for at in range(0, len(every), PART)] or [()]
         writes = tuple(
-            Write(self.promised, self._number, piece, found, n, len(pieces))
-            for n, piece in enumerate(pieces)
+            Write(self.promised, self._number, piece, found, n, len(pieces)) for n, piece in enumerate(pieces)
         )
         pending = self._pending[self._number] = Pending(writes, {self.me: set(range(len(writes)))}, ticket)
         if confirms and self._takeover:
--- a/rookwood/wirehost.py
+++ b/rookwood/wirehost.py
@@ -171,9 +171,7 @@
     if tag == "ELAPSED":
         return api.Timer(line.whole("label"))
     if tag == "HINT_UPDATE":
-        return api.Note(
-            line.whole("handle"), line.whole("n"), line.text("worker"), line.whole("what") == 1
-        )
+        return api.Note(line.whole("handle"), line.whole("n"), line.text("worker"), line.whole("what") == 1)
     if tag == "UNDER_WAY":
         return api.Note(line.whole("handle"), line.whole("n"), line.text("worker"), True, True)
     if tag == "ABANDONED":
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -486,7 +486,7 @@
     async def story() -> None:
         endpoint = Endpoint(st.served)
         async with stage(tmp_path, endpoint) as s:
-            odd = st.entry("a {[\\\" b", endpoint.address)
+            odd = st.entry('a {[\\" b', endpoint.address)
             for rev, indent in ((2, 2), (3, None), (4, 1)):
                 told = {"rev": rev, "all": True, "targets": [odd, st.entry("s-0", endpoint.address)]}
                 text = json.dumps(told, indent=indent).encode() + b"\n"
@@ -494,7 +494,7 @@
                     s.discovery.lines.put_nowait(text[at : at + 50])
                 s.discovery.lines.put_nowait(b"\n")
                 await until(lambda rev=rev: s.dispatcher._destinations.revision == rev)  # type: ignore[misc]
-            assert len(s.discovery.asked) == 1 and s.dispatcher._destinations.accepts("a {[\\\" b")
+            assert len(s.discovery.asked) == 1 and s.dispatcher._destinations.accepts('a {[\\" b')
 
     play(story())
 
@@ -534,9 +534,7 @@
     assert key in broke and not [r for r in caplog.records if r.levelno >= logging.ERROR]
 
 
-@pytest.mark.parametrize(
-    "line", [b'{"a":"' + b'\\"' * 60_000, b"[\n" * 200_000], ids=["string", "brackets"]
-)
+@pytest.mark.parametrize("line", [b'{"a":"' + b'\\"' * 60_000, b"[\n" * 200_000], ids=["string", "brackets"])
 def test_spoilt_list_stalls_nobody(tmp_path: Path, line: bytes) -> None:
     """A string without an end, and brackets without one: both are looked at once, not over and over."""
 
