An answer without a length is whole only after an orderly end of file

Cause: aiohttp ends a body that has neither a length nor chunks with a plain end of file whatever ended the connection, so that an answer or event stream reset on the way passed as a whole one; reports and orders the same. Ruled out: framed bodies (a reset or close at every byte of them was told before, and still is).

rookwood/httpclient holds the client of both programs. Its connections fail the body on a reset, a kernel error or a close of this side, and end when bytes come after a whole answer, so that no later request meets them. The library's private attributes are one, in connections.py; repetition is now prevented by a public middleware, and the stream code needs the private `_req` no more. test_httpclient_library.py fails where the library changes.

Found beside it, each with a test: GET /report was sent twice by the library when a kept connection broke; orders and reports followed redirections, to another worker where the answer said so; a surplus head that the true answer's head continued made a 200 of a worker's 500; a 101 was waited for until the deadline; an answer without `models` and `seq` was taken for a report of a worker that holds nothing.

Tests: real sockets, reset and closed after each byte of head and body, plain and stream, with a length, in chunks and without either.

--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from dataclasses import dataclass
 
-import aiohttp
+from yarl import URL
 
 from rookwood.cluster.workers import HeldModel, parse_models
+from rookwood.httpclient.client import HttpClient
+from rookwood.httpclient.outcomes import Broken, NotSent
 
 CALL_LIMIT = 0.7  # seconds
+CONNECTIONS = 100
+IDLE_CONNECTION = 15.0  # seconds for which a kept connection is used again
 NOT_CONNECTED = 0  # in place of a status: nothing was sent
-CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 INSTANCE_HEADER = "X-Want-Instance"
+REPORTED = 200
+HOLDS_ALREADY = 200
+TAKEN_STATUSES = (HOLDS_ALREADY, 202)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,57 +84,73 @@
         return json.dumps(document).encode()
 
 
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """A whole answer to a call."""
+
+    status: int
+    body: bytes
+
+
 class WorkerClient:
-    """HTTP calls to workers, each for one incarnation only."""
+    """HTTP calls to workers, each for one incarnation only and sent at most once."""
 
     def __init__(self) -> None:
-        timeout = aiohttp.ClientTimeout(total=CALL_LIMIT, sock_connect=CALL_LIMIT / 2)
-        self._session = aiohttp.ClientSession(timeout=timeout, cookie_jar=aiohttp.DummyCookieJar())
+        self._http = HttpClient(
+            connections=CONNECTIONS, idle_limit=IDLE_CONNECTION, connect_limit=CALL_LIMIT / 2
+        )
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._http.close()
 
     async def report(self, address: str, worker: str) -> WorkerReport | ReportFailed:
         """Read a worker's report."""
-        headers = {INSTANCE_HEADER: worker}
-        try:
-            async with self._session.get(f"http://{address}/report", headers=headers) as response:
-                if response.status != 200:
-                    return ReportFailed(f"status {response.status}")
-                document = json.loads(await response.read())
-            return WorkerReport(
-                models=parse_models(document.get("models")),
-                busy=bool(document.get("busy")),
-                sequence=int(document.get("seq", 0)),
-                queued=int(document.get("queued", 0)),
-                active=int(document.get("active", 0)),
-            )
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-        ) as error:
-            return ReportFailed(repr(error))
+        answer = await self._call("GET", f"http://{address}/report", {INSTANCE_HEADER: worker}, None)
+        if isinstance(answer, NotSent | Broken):
+            return ReportFailed(answer.why)
+        if answer.status != REPORTED:
+            return ReportFailed(f"status {answer.status}")
+        return parse_report(answer.body)
 
     async def order(
         self, address: str, worker: str, call: OrderCall
     ) -> OrderTaken | OrderRefused | OrderUnknown:
         """Give an order."""
         headers = {INSTANCE_HEADER: worker, "Content-Type": "application/json"}
-        url = f"http://{address}/order"
-        try:
-            async with self._session.post(url, data=call.body(), headers=headers) as response:
-                await response.read()
-                status = response.status
-        except aiohttp.ClientConnectorError:
+        answer = await self._call("POST", f"http://{address}/order", headers, call.body())
+        if isinstance(answer, NotSent):
             return OrderRefused(NOT_CONNECTED)
-        except CALL_ERRORS as error:
-            return OrderUnknown(repr(error))
-        if status in (200, 202):
-            return OrderTaken(done=status == 200)
-        return OrderRefused(status)
+        if isinstance(answer, Broken):
+            return OrderUnknown(answer.why)
+        if answer.status in TAKEN_STATUSES:
+            return OrderTaken(done=answer.status == HOLDS_ALREADY)
+        return OrderRefused(answer.status)
+
+    async def _call(
+        self, method: str, url: str, headers: dict[str, str], body: bytes | None
+    ) -> CallAnswer | NotSent | Broken:
+        try:
+            async with asyncio.timeout(CALL_LIMIT):
+                answer = await self._http.send(method, URL(url), headers, body)
+                if isinstance(answer, NotSent | Broken):
+                    return answer
+                whole = await answer.read_all()
+        except TimeoutError as error:
+            return Broken(repr(error))
+        return whole if isinstance(whole, Broken) else CallAnswer(answer.status, whole)
+
+
+def parse_report(body: bytes) -> WorkerReport | ReportFailed:
+    """Read the JSON text of a report."""
+    try:
+        document = json.loads(body)
+        return WorkerReport(
+            models=parse_models(document["models"]),
+            busy=bool(document.get("busy")),
+            sequence=int(document["seq"]),
+            queued=int(document.get("queued", 0)),
+            active=int(document.get("active", 0)),
+        )
+    except FORMAT_ERRORS as error:
+        return ReportFailed(repr(error))
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
 from rookwood.cluster.messages import WorkNotice
@@ -24,9 +23,7 @@
 from rookwood.dataplane.silence import SilenceWatch
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
-    Broken,
     Complete,
-    NotSent,
     Rejected,
     Streaming,
     UpstreamClient,
@@ -34,6 +31,7 @@
     UpstreamRequest,
     read_load,
 )
+from rookwood.httpclient.outcomes import Broken, NotSent
 from rookwood.modelplacement.types import Outcome
 
 logger = logging.getLogger("rookwood")
@@ -323,7 +321,7 @@
             traffic = self._pool.get(worker.id)
             ended = await self._copy_events(request, stream, progress, progress.response, traffic)
         finally:
-            stream.response.close()
+            stream.answer.close()
         if isinstance(ended, StreamEnded):
             await progress.response.write_eof()
             return progress.response
@@ -343,17 +341,15 @@
         ended: StreamEnded | StreamBroke = StreamBroke(SILENT)
         try:
             async with asyncio.timeout_at(request.deadline), self._watch(request, progress, traffic) as watch:
-                while data := await stream.response.content.readany():
+                while data := await stream.answer.read_some():
+                    if isinstance(data, Broken):
+                        return StreamBroke(data.why)
                     watch.renew()
                     traffic.heard = self._now()
                     await self._pass_events(splitter.feed(data), progress, response)
                 ended = StreamBroke("partial event") if splitter.partial else StreamEnded()
         except TimeoutError:
             return StreamBroke("deadline")
-        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
-            if response.task is not None and client_gone(response):
-                raise
-            return StreamBroke(repr(error))
         except OversizedEventError:
             return StreamBroke("oversized event")
         return ended
@@ -485,12 +481,6 @@
     return web.Response(status=outcome.status, headers=outcome.headers, body=outcome.body)
 
 
-def client_gone(response: web.StreamResponse) -> bool:
-    """Whether the client's connection is closed."""
-    request = response._req
-    return request is None or request.transport is None or request.transport.is_closing()
-
-
 async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """The whole body; None if it is larger than the limit."""
     if not request.body_exists:
--- /dev/null
+++ b/rookwood/httpclient/client.py
@@ -0,0 +1,129 @@
+"""A client that sends each request at most once and never takes a broken answer for a whole one."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp.client_middlewares import ClientHandlerType
+from multidict import CIMultiDictProxy
+from yarl import URL
+
+from rookwood.httpclient.connections import AnswerConnector
+from rookwood.httpclient.outcomes import Broken, NotSent
+
+SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+FIRST_FINAL_STATUS = 200  # below are interim answers, and 101, which nobody here asks for
+STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
+
+
+class BrokenConnectionError(aiohttp.ClientError):
+    """A connection broke after the request may have been sent on it."""
+
+
+class Answer:
+    """The head of an answer, and its body as far as it is read."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """The status code."""
+        return self._response.status
+
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """The headers as they came."""
+        return self._response.headers
+
+    @property
+    def content_type(self) -> str:
+        """The media type without parameters."""
+        return self._response.content_type
+
+    async def read_all(self) -> bytes | Broken:
+        """Read the whole body; the connection is given up if that fails."""
+        try:
+            return await self._response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            self.close()
+            return Broken(repr(error))
+        except BaseException:
+            self.close()
+            raise
+
+    async def read_some(self) -> bytes | Broken:
+        """Read what has arrived, waiting for at least one byte; empty at the end of a whole body."""
+        try:
+            return await self._response.content.readany()
+        except (aiohttp.ClientError, OSError) as error:
+            return Broken(repr(error))
+
+    def close(self) -> None:
+        """Give the answer up; its connection ends unless the whole answer was read."""
+        self._response.close()
+
+
+class HttpClient:
+    """HTTP connections; what comes of a request is a value."""
+
+    def __init__(self, *, connections: int, idle_limit: float, connect_limit: float) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=AnswerConnector(limit=connections, keepalive_timeout=idle_limit),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=SKIPPED_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_limit),
+            middlewares=(send_once,),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def send(
+        self, method: str, url: URL, headers: Mapping[str, str], body: bytes | None
+    ) -> Answer | NotSent | Broken:
+        """Send a request and wait for the head of its answer."""
+        try:
+            response = await self._session.request(
+                method, url, data=body, headers=headers, allow_redirects=False
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NotSent(repr(error))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return Broken(repr(error))
+        flaw = find_head_flaw(response)
+        if flaw is not None:
+            response.close()
+            return Broken(flaw)
+        return Answer(response)
+
+
+async def send_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
+    """Keep the library from sending a request again after a kept connection broke under it.
+
+    It repeats some methods after two kinds of errors; the error raised here in their place is neither.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise BrokenConnectionError(repr(error)) from error
+
+
+def find_head_flaw(response: aiohttp.ClientResponse) -> str | None:
+    """Why a head can't be that of one final answer, if so.
+
+    Where a surplus answer breaks off in its head, the next one continues it: the status is then the first
+    answer's and the headers are the second one's, whose status line stands in a reason or a header value.
+    """
+    if response.status < FIRST_FINAL_STATUS:
+        return f"status {response.status} is no final answer"
+    for text in (response.reason or "", *response.headers.values()):
+        if STATUS_LINE.search(text):
+            return "two heads in one"
+    return None
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -16,6 +18,7 @@
 HOST = "127.0.0.1"
 WAIT_LIMIT = 4.0  # seconds after which a test that waits for something fails
 STREAM_TYPE = "text/event-stream"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 CONNECTION_ERRORS = (asyncio.IncompleteReadError, ConnectionError)
 
 
@@ -66,11 +69,18 @@
             return
 
     async def break_off(self) -> None:
-        """Reset the connection, after what was written has been handed to the network."""
+        """Close the connection in order, after what was written has been handed to the network."""
         await self._writer.drain()
         self._writer.close()
         raise ConnectionResetError
 
+    async def reset(self) -> None:
+        """Reset the connection, after what was written has been handed to the network."""
+        await self._writer.drain()
+        self._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self._writer.transport.abort()
+        raise ConnectionResetError
+
 
 Behaviour = Callable[[Exchange], Awaitable[None]]
 Result = TypeVar("Result")
@@ -287,3 +297,20 @@
         await exchange.break_off()
 
     return stream
+
+
+def streaming_unframed_until_reset(numbers: Sequence[int], worker: str = "w") -> Behaviour:
+    """Send these events in a body that ends with its connection, then reset it."""
+
+    async def stream(exchange: Exchange) -> None:
+        headers = {
+            "X-Try-Id": exchange.request.id,
+            "X-Seal": seal_of(exchange.request, worker),
+            "Content-Type": STREAM_TYPE,
+        }
+        exchange.write_head(200, headers)
+        for number in numbers:
+            exchange.write(event(number))
+        await exchange.reset()
+
+    return stream
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -34,7 +34,16 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import Backup, ControlGroup, Primary, Role, Unattached
 from rookwood.modelplacement.types import WeightsKey
-from tests.fake_worker import HOST, FakeWorker, answering, break_off, refusing
+from tests.fake_worker import (
+    HOST,
+    Behaviour,
+    Exchange,
+    FakeWorker,
+    answering,
+    break_off,
+    refusing,
+    whole_answer,
+)
 
 OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
 BEAT = 1.0
@@ -339,6 +348,53 @@
         self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
         self.assertEqual(2, len(worker.requests))
 
+    async def test_an_unframed_answer_that_is_reset_tells_nothing(self) -> None:
+        async def cut(exchange: Exchange) -> None:
+            exchange.write(whole_answer(exchange.request, json.dumps(REPORT).encode(), Content_Length=None))
+            await exchange.reset()
+
+        worker = await self.start_worker(FakeWorker(cut))
+        self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+        self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
+
+    async def test_an_unframed_report_that_is_closed_in_the_middle_is_no_report(self) -> None:
+        body = json.dumps(REPORT).encode()
+
+        def closing_after(size: int) -> Behaviour:
+            async def cut(exchange: Exchange) -> None:
+                exchange.write(whole_answer(exchange.request, body[:size], Content_Length=None))
+                await exchange.break_off()
+
+            return cut
+
+        worker = await self.start_worker(FakeWorker(*(closing_after(size) for size in range(len(body)))))
+        for _ in range(len(body)):
+            self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+
+    async def test_an_answer_without_the_parts_of_a_report_is_no_report(self) -> None:
+        for part in ("models", "seq"):
+            body = json.dumps({name: value for name, value in REPORT.items() if name != part}).encode()
+            worker = await self.start_worker(FakeWorker(answering(body)))
+            self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+
+    async def test_a_call_is_sent_once_though_a_kept_connection_breaks(self) -> None:
+        report = answering(json.dumps(REPORT).encode())
+        for broken in (break_off, Exchange.reset):
+            worker = await self.start_worker(FakeWorker(report, broken, report))
+            await self.client.report(worker.address, worker.id)
+            self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+            self.assertEqual((2, 1), (len(worker.requests), worker.connections))
+
+    async def test_no_call_follows_a_redirection(self) -> None:
+        """Another place is another worker, which the call is not for."""
+        other = await self.start_worker(FakeWorker(answering(json.dumps(REPORT).encode())))
+        for status in (301, 302, 303, 307, 308):
+            away = answering(b"", status, Location=f"http://{other.address}/order")
+            worker = await self.start_worker(FakeWorker(away))
+            self.assertEqual(OrderRefused(status), await self.client.order(worker.address, worker.id, ORDER))
+            self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+        self.assertEqual([], other.requests)
+
     async def test_an_order_that_was_not_sent_was_not_taken(self) -> None:
         worker = await self.start_worker(FakeWorker(answering()))
         address = worker.address
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -574,6 +574,26 @@
 
         await self.assert_never_passed(cut)
 
+    async def test_a_body_without_a_length_that_is_reset(self) -> None:
+        async def cut(exchange: Exchange) -> None:
+            exchange.write(whole_answer(exchange.request, b"half", Content_Length=None))
+            await exchange.reset()
+
+        await self.assert_never_passed(cut)
+
+    async def test_an_answer_that_switches_protocols(self) -> None:
+        await self.assert_never_passed(answering(b"", 101, Connection="upgrade", Upgrade="other"))
+
+    async def test_a_surplus_head_that_the_true_answer_continues(self) -> None:
+        async def join_heads(exchange: Exchange) -> None:
+            exchange.write(b"HTTP/1.1 200 O" + whole_answer(exchange.request, b"failed", 500))
+
+        async def join_at_a_value(exchange: Exchange) -> None:
+            exchange.write(b"HTTP/1.1 200 OK\r\nX-Other: " + whole_answer(exchange.request, b"failed", 500))
+
+        await self.assert_never_passed(join_heads)
+        await self.assert_never_passed(join_at_a_value)
+
     async def test_a_head_that_is_cut_short(self) -> None:
         async def cut(exchange: Exchange) -> None:
             exchange.write(b"HTTP/1.1 200 OK\r\nX-Try-Id: ")
@@ -628,6 +648,26 @@
         await self.assert_own_answer_or_none(worker, "second")
         await self.assert_own_answer_or_none(worker, "third")
 
+    async def test_bytes_on_an_idle_connection_end_it(self) -> None:
+        """The next request is sent on a new connection, so that it can't meet the surplus."""
+        surplus_sent = asyncio.Event()
+
+        async def answer_twice(exchange: Exchange) -> None:
+            await self.answer_own(exchange)
+            await within(answered.wait())
+            exchange.write(b"HTTP/1.1 200 OK\r\nX-Part-Of-A-Surplus: ")
+            await exchange.caller_closed()
+            surplus_sent.set()
+            raise ConnectionResetError
+
+        answered = asyncio.Event()
+        worker = await self.start_worker(answer_twice, self.answer_own)
+        self.assertEqual(200, (await self.send(MUTATING, "first")).status)
+        answered.set()
+        await within(surplus_sent.wait())
+        self.assertEqual(200, (await self.send(MUTATING, "second")).status)
+        self.assertEqual(2, worker.connections)
+
     async def test_bytes_beyond_the_length_of_a_body(self) -> None:
         async def answer_more(exchange: Exchange) -> None:
             await self.answer_own(exchange)
--- a/tests/test_dataplane_streams.py
+++ b/tests/test_dataplane_streams.py
@@ -21,6 +21,7 @@
     refusing,
     seal_of,
     streaming,
+    streaming_unframed_until_reset,
     streaming_until_broken,
     within,
 )
@@ -139,6 +140,13 @@
         self.assertEqual(second.id, second.requests[0].headers["x-want-instance"])
         self.assertEqual(first.requests[0].body, second.requests[0].body)
 
+    async def test_an_unframed_stream_that_is_reset_goes_on_at_another_worker(self) -> None:
+        stream, _, (second,) = await self.read_past(
+            streaming_unframed_until_reset([1, 2]), streaming([1, 2, 3, 4])
+        )
+        self.assertEqual((True, events(1, 2, 3, 4)), (stream.complete, stream.body))
+        self.assertEqual(1, len(second.requests))
+
     async def test_a_partial_event_is_not_passed(self) -> None:
         stream, _, (second,) = await self.read_past(
             streaming_until_broken([1, 2], partial=PARTIAL), streaming([3, 4])
@@ -245,6 +253,12 @@
         self.assert_cut(stream, 1, 2)
         self.assertEqual((1, 0), (len(first.requests), len(second.requests)))
 
+    async def test_a_reset_between_events_of_an_unframed_stream_does_not_look_complete(self) -> None:
+        await self.start_worker(streaming_unframed_until_reset([1, 2]))
+        stream = await self.read_stream(STREAM)
+        self.assertFalse(stream.complete)
+        self.assertTrue(events(1, 2).startswith(stream.body))
+
     async def test_a_partial_event_at_the_end_does_not_look_complete(self) -> None:
         await self.start_worker(streaming_until_broken([1, 2], partial=PARTIAL))
         stream = await self.read_stream(STREAM)
--- /dev/null
+++ b/tests/test_httpclient_library.py
@@ -0,0 +1,106 @@
+"""What `rookwood.httpclient` builds on in aiohttp. A failure means that the library has changed there."""
+
+from __future__ import annotations
+
+import inspect
+import unittest
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from rookwood.httpclient.client import Answer, HttpClient
+from rookwood.httpclient.connections import AnswerConnector, AnswerProtocol
+from rookwood.httpclient.outcomes import Broken
+from tests.fake_worker import Exchange, FakeWorker, answering, break_off, whole_answer, within
+
+PARAMETERS = {
+    "feed_data": ["self", "data", "size"],
+    "data_received": ["self", "data"],
+    "eof_received": ["self"],
+    "connection_lost": ["self", "exc"],
+    "close": ["self"],
+    "abort": ["self"],
+    "force_close": ["self"],
+}
+
+
+async def reset_in_body(exchange: Exchange) -> None:
+    """Send half of a body without a length, then reset the connection."""
+    exchange.write(whole_answer(exchange.request, b"half", Content_Length=None))
+    await exchange.reset()
+
+
+class LibraryCase(unittest.IsolatedAsyncioTestCase):
+    """A client of the library's own, and one of ours."""
+
+    async def asyncSetUp(self) -> None:
+        self.plain = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.plain.close)
+        self.client = HttpClient(connections=4, idle_limit=4.0, connect_limit=1.0)
+        self.addAsyncCleanup(self.client.close)
+
+    async def start_worker(self, worker: FakeWorker) -> FakeWorker:
+        """Start a worker, stopped at the end."""
+        await worker.start()
+        self.addAsyncCleanup(worker.stop)
+        return worker
+
+    async def read_plain(self, worker: FakeWorker) -> bytes:
+        """A body as the library reads it."""
+        async with self.plain.get(f"http://{worker.address}/") as response:
+            return await response.read()
+
+    async def read(self, worker: FakeWorker) -> bytes | Broken:
+        """A body as our client reads it."""
+        answer = await self.client.send("GET", URL(f"http://{worker.address}/"), {}, None)
+        if isinstance(answer, Answer):
+            return await within(answer.read_all())
+        assert isinstance(answer, Broken)
+        return answer
+
+
+class InsideTests(LibraryCase):
+    def test_the_overridden_methods_have_their_parameters(self) -> None:
+        for name, parameters in PARAMETERS.items():
+            with self.subTest(method=name):
+                signature = inspect.signature(getattr(ResponseHandler, name))
+                self.assertEqual(parameters, list(signature.parameters))
+        parameters_of_request = inspect.signature(ResponseHandler.set_response_params).parameters.values()
+        kinds = {parameter.kind for parameter in parameters_of_request if parameter.name != "self"}
+        self.assertEqual({inspect.Parameter.KEYWORD_ONLY}, kinds)
+        self.assertIsInstance(inspect.getattr_static(ResponseHandler, "writing_paused"), property)
+
+    async def test_connections_use_the_protocol_of_our_own(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering()))
+        connector = AnswerConnector(limit=1, keepalive_timeout=1.0)
+        async with (
+            aiohttp.ClientSession(connector=connector) as session,
+            session.get(f"http://{worker.address}/") as response,
+        ):
+            self.assertIsInstance(connector._factory(), AnswerProtocol)
+            await response.read()
+            (kept,) = connector._conns.values()
+            self.assertIsInstance(kept[0][0], AnswerProtocol)
+
+
+class ReasonTests(LibraryCase):
+    """Where one of these fails in its first half, the library has mended what our own code is there for."""
+
+    async def test_the_library_takes_a_reset_for_the_end_of_a_body(self) -> None:
+        worker = await self.start_worker(FakeWorker(reset_in_body))
+        self.assertEqual(b"half", await self.read_plain(worker))
+        self.assertIsInstance(await self.read(worker), Broken)
+
+    async def test_the_library_repeats_a_request_whose_kept_connection_breaks(self) -> None:
+        worker = await self.start_worker(FakeWorker(answering(b"1"), break_off, answering(b"2")))
+        self.assertEqual([b"1", b"2"], [await self.read_plain(worker) for _ in range(2)])
+        self.assertEqual(3, len(worker.requests))
+        worker = await self.start_worker(FakeWorker(answering(b"1"), break_off, answering(b"2")))
+        self.assertEqual(b"1", await self.read(worker))
+        self.assertIsInstance(await self.read(worker), Broken)
+        self.assertEqual(2, len(worker.requests))
+
+
+if __name__ == "__main__":
+    unittest.main()
