A member favours one candidate for a bounded time; candidates no longer depose one another

Cause: members that time out together each won a pre-vote, since a member granted every one while it heard no primary. Each then spent an epoch; the later one's own promise made it refuse the heartbeats of the one just elected, which stepped down. Found by simulated histories without faults but with processes that pause at random, as on a busy machine.

Change: a pre-vote or promise makes a member prefer that candidate for 1.2 s; a candidate gives up 1.1 s after its pre-vote; of two that ask each other the lower address goes first; an ended candidate is forgotten, a stalled one passed over. Votes are asked for while the own promise is synced, which saves one sync.

The mutant epoch_promised_twice is now searched without favour, which otherwise hides it.

--- a/rookwood/coordination/context.py
+++ b/rookwood/coordination/context.py
@@ -5,8 +5,8 @@
 
 from rookwood.coordination.document import Configuration, Document, Position
 from rookwood.coordination.effects import CommitApplied, Effect, Send
-from rookwood.coordination.journal import Journal
-from rookwood.coordination.messages import Message
+from rookwood.coordination.journal import Journal, PromiseStep
+from rookwood.coordination.messages import Message, Promise
 from rookwood.coordination.outcomes import Snapshot
 from rookwood.coordination.timing import Timing
 
@@ -44,6 +44,15 @@
         if to != self.ip:
             self.effects.append(Send(to, message))
 
+    def run_promise(self, step: PromiseStep) -> None:
+        """Tell a candidate the promise that is durable now, unless a later one took its place."""
+        stored = self.journal.durable
+        if stored.promised != step.epoch:
+            return
+        position = stored.document.position
+        document = stored.document if position > step.known else None
+        self.send(step.candidate, Promise(step.epoch, step.incarnation, position, document))
+
     def hear(self, sender: str, incarnation: int) -> None:
         """Note a message's sender, and which life of that process it comes from.
 
--- a/rookwood/coordination/election.py
+++ b/rookwood/coordination/election.py
@@ -14,6 +14,7 @@
         self._ballot = context.random.getrandbits(62)
         self._granted = {context.ip}
         self.highest_promise = context.journal.latest.promised
+        self.started_at = context.now
         self.deadline = context.now + context.timing.pre_vote_limit
         for ip in context.configuration().everyone():
             context.send(ip, PreVoteRequest(self._ballot))
@@ -32,23 +33,25 @@
 
 
 class Candidacy:
-    """Collects promises of one epoch, and the newest document that the promising members hold."""
+    """Collects promises of one epoch, and the newest document that the promising members hold.
 
-    def __init__(self, context: Context, epoch: int) -> None:
+    The others are asked while the own promise is being synced; nothing is won before it is. A candidacy
+    ends before the favour that its voters granted with the pre-vote lapses.
+    """
+
+    def __init__(self, context: Context, epoch: int, favoured_since: float) -> None:
         self._context = context
         self.epoch = epoch
         self.newest: Document = context.journal.latest.document
-        self.deadline = context.now + context.timing.election_limit
+        self.deadline = favoured_since + context.timing.election_limit
         self._own_promise = False
         self._promises: dict[str, int] = {}
-        self._resend_at = context.now + context.timing.resend
         context.journal.update(context.journal.latest.with_promise(epoch), OwnPromiseStep(epoch))
+        self._ask()
 
     def on_own_promise(self) -> None:
-        """Go on to ask for votes, the own promise being durable."""
+        """Count the own promise, which is durable now."""
         self._own_promise = True
-        self.deadline = self._context.now + self._context.timing.election_limit
-        self._ask()
 
     def on_promise(self, sender: str, incarnation: int, promise: Promise) -> None:
         """Count a promise that was given to this life of the candidate."""
@@ -72,12 +75,12 @@
 
     def tick(self) -> None:
         """Ask again those that have not answered."""
-        if self._own_promise and self._context.now >= self._resend_at:
+        if self._context.now >= self._resend_at:
             self._ask()
 
     def next_wakeup(self) -> float:
         """Return when to look at this candidacy again."""
-        return min(self.deadline, self._resend_at) if self._own_promise else self.deadline
+        return min(self.deadline, self._resend_at)
 
     def _ask(self) -> None:
         self._resend_at = self._context.now + self._context.timing.resend
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -38,6 +38,7 @@
 )
 from rookwood.coordination.outcomes import Backup, NotPrimary, Primary, Role, Snapshot, Unattached
 from rookwood.coordination.timing import Timing
+from rookwood.coordination.voting import Voter
 
 TOKEN_BITS = 62
 
@@ -74,7 +75,7 @@
         self._primary_epoch = 0
         self._primary_heard_at = float("-inf")
         self._primary_expected_until = float("-inf")
-        self._promised_to: tuple[str, int] | None = None
+        self._voter = Voter(self._context)
         self._election_at = now + self._context.timing.start_silence * (1 + random.random())
         self._role: Role = Unattached("starting")
 
@@ -157,6 +158,8 @@
             if suspected_at < self._primary_expected_until:
                 self._primary_expected_until = suspected_at
                 self._reset_election_timer(self._context.timing.disconnect_silence)
+        if self._voter.candidate_ended(peer):
+            self._reset_election_timer(0.0)
         return self._finish()
 
     def propose(self, ticket: int, change: Change, now: float) -> list[Effect]:
@@ -227,7 +230,9 @@
 
     def _start_pre_vote(self) -> None:
         self._reset_election_timer(0.0)
-        if self._may_stand():
+        if self._voter.favours_another(self._context.ip):
+            self._reset_election_timer(self._voter.favoured_until() - self._context.now)
+        elif self._may_stand():
             self._pre_vote = PreVote(self._context)
             self._check_pre_vote()
 
@@ -238,13 +243,13 @@
 
     def _check_pre_vote(self) -> None:
         if self._pre_vote is not None and self._pre_vote.is_won():
-            self._start_candidacy(self._pre_vote.highest_promise)
+            self._start_candidacy(self._pre_vote.highest_promise, self._pre_vote.started_at)
 
-    def _start_candidacy(self, highest_promise: int) -> None:
+    def _start_candidacy(self, highest_promise: int, favoured_since: float) -> None:
         self._pre_vote = None
         epoch = max(highest_promise, self._context.journal.latest.promised) + 1
-        self._promised_to = (self._context.ip, self._context.incarnation)
-        self._candidacy = Candidacy(self._context, epoch)
+        self._voter.promise_to_itself()
+        self._candidacy = Candidacy(self._context, epoch, favoured_since)
 
     def _check_candidacy(self) -> None:
         candidacy = self._candidacy
@@ -355,6 +360,7 @@
         self._pre_vote = None
         if self._candidacy is not None and epoch >= self._candidacy.epoch:
             self._candidacy = None
+        self._voter.end_favour()
         self._primary = primary
         self._primary_epoch = epoch
         self._primary_heard_at = self._context.now
@@ -375,8 +381,14 @@
         if context.configuration().token_of(sender) is None:
             self._tell_membership(sender)
             return
-        granted = not self._hears_primary() and self._leadership is None
-        context.send(sender, PreVoteReply(request.ballot, granted, context.journal.latest.promised))
+        if self._voter.answer_pre_vote(sender, request, self._is_willing(sender)):
+            self._pre_vote = None
+
+    def _is_willing(self, candidate: str) -> bool:
+        """Tell whether this member hears no primary and is no candidate that goes first."""
+        if self._hears_primary() or self._leadership is not None or self._candidacy is not None:
+            return False
+        return self._pre_vote is None or candidate < self._context.ip
 
     def _on_vote_request(self, sender: str, incarnation: int, request: VoteRequest) -> None:
         context = self._context
@@ -385,26 +397,12 @@
         if context.configuration().token_of(sender) is None:
             self._tell_membership(sender)
             return
-        journal = context.journal
-        promised = journal.latest.promised
         step = PromiseStep(sender, incarnation, request.epoch, request.position)
-        if request.epoch == promised and self._promised_to == (sender, incarnation):
-            self._repeat_promise(step)
-        elif request.epoch <= promised:
-            context.send(sender, Refused(request.epoch, promised))
-        elif journal.healthy:
+        if self._voter.answer_vote(step):
             self._step_down()
             self._pre_vote = None
             self._candidacy = None
-            self._promised_to = (sender, incarnation)
             self._reset_election_timer(context.timing.primary_silence)
-            journal.update(journal.latest.with_promise(request.epoch), step)
-
-    def _repeat_promise(self, step: PromiseStep) -> None:
-        if self._context.journal.is_settled():
-            self._run_step(step)
-        else:
-            self._context.journal.await_latest(step)
 
     def _tell_membership(self, to: str) -> None:
         document = self._context.journal.latest.document
@@ -421,7 +419,7 @@
         if request.epoch < self._context.journal.latest.promised or not self._may_stand():
             return
         if self._leadership is None and self._candidacy is None:
-            self._start_candidacy(request.epoch)
+            self._start_candidacy(request.epoch, self._context.now)
 
     # Durable writes
 
@@ -442,10 +440,7 @@
         stored = context.journal.durable
         match step:
             case PromiseStep():
-                if stored.promised == step.epoch:
-                    position = stored.document.position
-                    document = stored.document if position > step.known else None
-                    context.send(step.candidate, Promise(step.epoch, step.incarnation, position, document))
+                context.run_promise(step)
             case WriteStep():
                 context.send(step.primary, WriteAck(step.position.epoch, stored.document.position))
             case OwnPromiseStep():
--- a/rookwood/coordination/timing.py
+++ b/rookwood/coordination/timing.py
@@ -14,7 +14,8 @@
     disconnect_silence: float = 0.25
     lease: float = 0.9
     pre_vote_limit: float = 0.5
-    election_limit: float = 1.5
+    election_limit: float = 1.1
+    favour: float = 1.2
     resend: float = 0.2
     write_resend: float = 0.5
     inquiry: float = 0.3
--- a/rookwood/lab/control_simulation.py
+++ b/rookwood/lab/control_simulation.py
@@ -32,7 +32,10 @@
 SEPARATOR = b","
 CALL_LIMIT = 3.0
 LONG_LEASE = Timing(lease=3.0, primary_silence=0.4, replace_after=0.8)
+NO_FAVOUR = Timing(favour=0.0)
 MAX_TRIGGERED_FAULTS = 6
+SHORTEST_DELAY = 0.0005
+LOSSY_DELAY = 0.3
 
 
 class InvariantError(Exception):
@@ -73,6 +76,8 @@
     promise_loss_weight: float = 0.3
     longest: float = 4.0
     sync_time: float = 0.004
+    longest_delay: float = 0.003
+    longest_pause: float = 0.0
     operator_pause: float = 0.15
     timing: Timing = Timing()
     encode: bool = False
@@ -92,7 +97,7 @@
         triggered=random.choice((0.0, 0.02, 0.05)),
         sync_time=random.choice((0.002, 0.005, 0.03)),
         operator_pause=random.choice((0.03, 0.1, 0.2)),
-        timing=random.choice((Timing(), Timing(), LONG_LEASE)),
+        timing=random.choice((Timing(), Timing(), LONG_LEASE, NO_FAVOUR)),
         encode=random.random() < 0.1,
     )
 
@@ -144,6 +149,7 @@
     uncertain: int = 0
     confirmed: int = 0
     primaries: int = 0
+    highest_epoch: int = 0
     events: int = 0
     digest: int = 0
 
@@ -185,6 +191,9 @@
         for _ in range(self.plan.faults):
             self.at(self.random.uniform(1.0, end_of_trouble), self._fault)
         self.at(1.0, self._operator)
+        if self.plan.longest_pause:
+            for ip in self._seeds:
+                self._pause(ip)
         self._run_until(end_of_trouble)
         self._heal()
         self._run_until(end_of_trouble + self.plan.calm)
@@ -355,7 +364,8 @@
             message = decode_message(encode_message(message))
         copies = 2 if self.random.random() < (0.1 if lossy else 0.01) else 1
         for _ in range(copies):
-            delay = self.random.uniform(0.0005, 0.3 if lossy and self.random.random() < 0.3 else 0.003)
+            longest = LOSSY_DELAY if lossy and self.random.random() < 0.3 else self.plan.longest_delay
+            delay = self.random.uniform(SHORTEST_DELAY, longest)
             self._deliver_after(delay, machine, to, message)
 
     def _deliver_after(self, delay: float, machine: Machine, to: str, message: Message) -> None:
@@ -465,6 +475,15 @@
         self._kill(victim.ip, power=self.random.random() < 0.4)
         self._boot_later(victim.ip, 3.0)
 
+    def _pause(self, ip: str) -> None:
+        """Keep a process from running for a moment, again and again, as a busy machine does."""
+        if self._healed:
+            return
+        machine = self.machines[ip]
+        machine.frozen_until = self.now + self.random.uniform(0.0, self.plan.longest_pause)
+        runs_until = machine.frozen_until + self.random.uniform(0.0, self.plan.longest_pause)
+        self.at(runs_until, lambda: self._pause(ip))
+
     def _fault_kill_all(self) -> None:
         for machine in self._running():
             self._kill(machine.ip)
@@ -746,6 +765,7 @@
         if self._primaries.setdefault(effect.role.epoch, holder) != holder:
             self._fail(f"epoch {effect.role.epoch} has two primaries")
         self.report.primaries = len(self._primaries)
+        self.report.highest_epoch = max(self._primaries)
         self._trigger(4.0, self._fault)
 
     def _check_end(self) -> None:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -401,6 +401,65 @@
         assert isinstance(reply, PreVoteReply)
         self.assertFalse(reply.granted)
 
+    def test_member_favours_one_candidate_for_a_bounded_time(self) -> None:
+        self.harness.receive(C, A, PreVoteRequest(1))
+        self.harness.receive(C, B, PreVoteRequest(2))
+        self.assertEqual(self.granted(), [True, False])
+        self.harness.now += Timing().favour + 0.01
+        self.harness.receive(C, B, PreVoteRequest(3))
+        self.assertEqual(self.granted(), [True])
+
+    def test_candidate_that_stalls_is_passed_over_afterwards(self) -> None:
+        for number in range(5):
+            self.harness.receive(C, A, PreVoteRequest(number))
+            self.harness.now += Timing().favour * 0.6
+        self.assertEqual(self.granted(), [True, True, False, False, False])
+        self.harness.receive(C, B, PreVoteRequest(9))
+        self.assertEqual(self.granted(), [True])
+
+    def test_candidate_whose_process_ended_is_not_favoured(self) -> None:
+        self.harness.receive(C, A, PreVoteRequest(1))
+        self.harness.apply(C, self.harness.replicas[C].disconnected(A, self.harness.now))
+        self.harness.receive(C, B, PreVoteRequest(2))
+        self.assertEqual(self.granted(), [True, True])
+
+    def test_member_that_promised_keeps_a_second_candidate_waiting(self) -> None:
+        self.harness.receive(C, A, VoteRequest(1, Position()))
+        self.harness.receive(C, B, VoteRequest(2, Position()))
+        self.harness.sync_all()
+        self.assertEqual(len(self.harness.take(Promise, A)), 1)
+        self.assertEqual(self.harness.take(Promise, B) + self.harness.take(Refused, B), [])
+        self.harness.now += Timing().favour + 0.01
+        self.harness.receive(C, B, VoteRequest(2, Position()))
+        self.harness.sync_all()
+        self.assertEqual(len(self.harness.take(Promise, B)), 1)
+
+    def test_of_two_that_stand_at_once_the_lower_address_goes_first(self) -> None:
+        self.harness.now += 2.0
+        for ip in (A, B):
+            self.harness.tick(ip)
+        self.harness.receive(B, A, self.harness.take(PreVoteRequest, B)[0])
+        self.harness.receive(A, B, self.harness.take(PreVoteRequest, A)[0])
+        replies = {to: message for _, to, message in self.harness.sent if isinstance(message, PreVoteReply)}
+        self.assertTrue(replies[A].granted)
+        self.assertFalse(replies[B].granted)
+
+    def test_candidate_gives_up_before_the_favour_of_its_voters_lapses(self) -> None:
+        self.assertLess(Timing().election_limit, Timing().favour)
+        self.harness.receive(A, "test", TransferNow(0))
+        self.harness.sync_all()
+        self.assertEqual(len(self.harness.take(VoteRequest)), 2)
+        self.harness.now += Timing().election_limit
+        self.harness.tick(A)
+        for voter in (B, C):
+            promise = Promise(1, self.harness.incarnations[A], Position(), None)
+            self.harness.receive(A, voter, promise)
+        self.assertEqual(self.harness.take(Write), [])
+
+    def granted(self) -> list[bool]:
+        replies = self.harness.take(PreVoteReply)
+        return [reply.granted for reply in replies if isinstance(reply, PreVoteReply)]
+
     def test_silence_of_the_primary_leads_to_an_election(self) -> None:
         self.harness.lead(A)
         self.harness.down.add(A)
--- a/tests/test_replication_mutants.py
+++ b/tests/test_replication_mutants.py
@@ -10,12 +10,13 @@
 from rookwood.coordination.document import Configuration, Document, Position, Record
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.election import Candidacy
-from rookwood.coordination.journal import AdmittedStep, Journal
+from rookwood.coordination.journal import AdmittedStep, Journal, PromiseStep
 from rookwood.coordination.leadership import Leadership
-from rookwood.coordination.messages import Inquiry, Promise, Situation, VoteRequest, Write, WriteAck
+from rookwood.coordination.messages import Inquiry, Promise, Situation, Write, WriteAck
 from rookwood.coordination.outcomes import Confirmed, Declined, NotPrimary
 from rookwood.coordination.replication import Replica
-from rookwood.lab.control_simulation import LONG_LEASE, Fault, InvariantError, Plan, Simulation
+from rookwood.coordination.voting import Voter
+from rookwood.lab.control_simulation import LONG_LEASE, NO_FAVOUR, Fault, InvariantError, Plan, Simulation
 
 Patch = AbstractContextManager[Any]
 SEEDS_TO_SEARCH = 400
@@ -63,17 +64,19 @@
 
 
 def promise_before_sync() -> Patch:
-    original = Replica._on_vote_request
+    original = Voter.answer_vote
 
-    def on_vote_request(self: Replica, sender: str, incarnation: int, request: VoteRequest) -> None:
-        original(self, sender, incarnation, request)
+    def answer_vote(self: Voter, step: PromiseStep) -> bool:
+        promised = original(self, step)
         record = self._context.journal.latest
-        if self._promised_to == (sender, incarnation) and record.promised == request.epoch:
+        if self._promised_to == (step.candidate, step.incarnation) and record.promised == step.epoch:
             document = record.document
-            newer = document if document.position > request.position else None
-            self._context.send(sender, Promise(request.epoch, incarnation, document.position, newer))
+            newer = document if document.position > step.known else None
+            promise = Promise(step.epoch, step.incarnation, document.position, newer)
+            self._context.send(step.candidate, promise)
+        return promised
 
-    return patch.object(Replica, "_on_vote_request", on_vote_request)
+    return patch.object(Voter, "answer_vote", answer_vote)
 
 
 def stale_copy_elected() -> Patch:
@@ -102,14 +105,14 @@
 
 
 def epoch_promised_twice() -> Patch:
-    original = Replica._on_vote_request
+    original = Voter.answer_vote
 
-    def on_vote_request(self: Replica, sender: str, incarnation: int, request: VoteRequest) -> None:
-        if request.epoch == self._context.journal.latest.promised:
-            self._promised_to = (sender, incarnation)
-        original(self, sender, incarnation, request)
+    def answer_vote(self: Voter, step: PromiseStep) -> bool:
+        if step.epoch == self._context.journal.latest.promised:
+            self._promised_to = (step.candidate, step.incarnation)
+        return original(self, step)
 
-    return patch.object(Replica, "_on_vote_request", on_vote_request)
+    return patch.object(Voter, "answer_vote", answer_vote)
 
 
 def confirmed_without_round() -> Patch:
@@ -221,6 +224,17 @@
     operator_pause=0.05,
     timing=LONG_LEASE,
 )
+CONTENDED = Plan(
+    troubled=5.0,
+    calm=5.0,
+    faults=6,
+    kinds=(Fault.KILL, Fault.CUT, Fault.LOSS, Fault.FREEZE),
+    longest=1.5,
+    triggered=0.05,
+    sync_time=0.03,
+    longest_delay=0.03,
+    timing=NO_FAVOUR,
+)
 
 
 class MutantTest(unittest.TestCase):
@@ -266,7 +280,7 @@
         self.assert_found(older_epoch_accepted(), STALE_PRIMARY)
 
     def test_epoch_promised_twice(self) -> None:
-        self.assert_found(epoch_promised_twice())
+        self.assert_found(epoch_promised_twice(), CONTENDED)
 
     def test_confirmed_without_round(self) -> None:
         self.assert_found(confirmed_without_round(), STALE_PRIMARY)
@@ -288,7 +302,7 @@
     """The replication itself holds under the plans that find the mutants."""
 
     def test_plans_of_the_mutants_are_sound(self) -> None:
-        for plan in (POWER, STALE_PRIMARY, MEMBERS, WIPES, DISKS, PROMISES):
+        for plan in (POWER, STALE_PRIMARY, MEMBERS, WIPES, DISKS, PROMISES, CONTENDED):
             for seed in range(8):
                 with self.subTest(plan=plan, seed=seed):
                     Simulation(seed, plan).run()
--- a/tests/test_replication_simulation.py
+++ b/tests/test_replication_simulation.py
@@ -57,3 +57,11 @@
         for seed in range(10):
             report = Simulation(seed, Plan(members=1, tolerate=0, faults=3)).run()
             self.assertGreater(report.committed, 0)
+
+    def test_one_candidate_at_a_time_stands_on_busy_machines(self) -> None:
+        for members in (3, 5):
+            plan = Plan(
+                members=members, tolerate=members // 2, faults=0, sync_time=0.1, longest_pause=0.25, calm=4.0
+            )
+            epochs = [Simulation(seed, plan).run().highest_epoch for seed in range(40)]
+            self.assertEqual(epochs, [1] * 40)
