Give no clear answer, in place of 412, to a change older than the remembered ones

Cause: 4,096 digests are kept. A change sent again later than that was refused with 412, though it had been taken. Where its base is older than the remembered changes, history cannot tell, and the answer is 503 now; newer bases are still told 412.

--- a/rookwood/clusterconfig/control_document.py
+++ b/rookwood/clusterconfig/control_document.py
@@ -9,6 +9,9 @@
 import fastavro
 
 DIGEST_BYTES = 16
+
+# The encoding does not tell whether older changes were forgotten; `may_have_forgotten` infers it from this
+# bound. It must not be raised without a new encoding version that stores it.
 MAX_TAKEN_CHANGES = 4096
 ENCODING_VERSION = 1
 
@@ -64,6 +67,18 @@
     source: bytes = b""
     taken: tuple[TakenChange, ...] = ()
 
+    def find_taken(self, digest: bytes) -> TakenChange | None:
+        """Return the remembered change with this digest."""
+        return next((change for change in self.taken if change.digest == digest), None)
+
+    def may_have_forgotten(self, base: int) -> bool:
+        """Tell whether a change on this base may have been accepted and forgotten since.
+
+        Versions rise with each accepted change, and a change builds on the version before its own, so all
+        changes on the oldest remembered version and on later ones are remembered.
+        """
+        return len(self.taken) >= MAX_TAKEN_CHANGES and base < self.taken[0].version
+
     def with_change(self, change: TakenChange, source: bytes) -> ControlDocument:
         """Return the document after an accepted change, forgetting the oldest beyond the bound."""
         taken = (*self.taken, change)[-MAX_TAKEN_CHANGES:]
--- a/rookwood/clusterconfig/history.py
+++ b/rookwood/clusterconfig/history.py
@@ -28,6 +28,7 @@
     "Conflict",
     "ControlDocument",
     "Decision",
+    "Forgotten",
     "InvalidChange",
     "TakenChange",
     "decide",
@@ -84,17 +85,29 @@
     faults: tuple[Fault, ...]
 
 
-Decision = Accepted | AlreadyTaken | Conflict | InvalidChange
+@dataclass(frozen=True)
+class Forgotten:
+    """The change builds on a version before the remembered ones: it may have been accepted."""
+
+
+Decision = Accepted | AlreadyTaken | Conflict | Forgotten | InvalidChange
 
 
 def decide(document: ControlDocument, change: Change) -> Decision:
-    """Decide on a change: repeated, in conflict, invalid or accepted, in this order."""
+    """Decide on a change: repeated, forgotten, in conflict, invalid or accepted, in this order.
+
+    A change that was accepted before is never `Conflict` or `InvalidChange`, whatever came after it. It
+    built on the version that was current then, which is below today's. So it is either found by its
+    digest, or it builds on a version that `may_have_forgotten` names, before anything else is looked at.
+    """
     digest = change.digest()
-    for taken in document.taken:
-        if taken.digest == digest:
-            return AlreadyTaken(taken.version)
+    taken = document.find_taken(digest)
+    if taken is not None:
+        return AlreadyTaken(taken.version)
     if change.base < 0:
         return InvalidChange((Fault("If-Match", "required: the version that the change builds on"),))
+    if document.may_have_forgotten(change.base):
+        return Forgotten()
     if change.base != document.version:
         return Conflict(document.version)
     configuration = _resulting_configuration(document, change)
--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import re
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -16,6 +17,7 @@
     Change,
     ChangeMethod,
     Conflict,
+    Forgotten,
     InvalidChange,
     decide,
 )
@@ -34,6 +36,7 @@
 ATTACH_PATIENCE = 0.7  # seconds for which a call waits for a primary to be known
 ATTACH_POLL = 0.05
 NO_BASE = -1
+VERSION_TEXT = re.compile(r"[0-9]{1,19}")  # versions are below 2**63
 RETRY_AFTER = "0.3"
 MAXIMUM_BODY = 16 * 1024 * 1024
 
@@ -136,9 +139,9 @@
 
 
 def read_base(request: web.Request) -> int:
-    """The version in If-Match; NO_BASE if it is missing or not a number."""
+    """The version in If-Match; NO_BASE if it is missing or not a number that a version can have."""
     text = request.headers.get("If-Match", "").strip().strip('"')
-    return int(text) if text.isdecimal() else NO_BASE
+    return int(text) if VERSION_TEXT.fullmatch(text) else NO_BASE
 
 
 def unavailable(reason: str) -> web.Response:
@@ -152,6 +155,8 @@
         return web.json_response({"ver": answer.version})
     if isinstance(answer, Conflict):
         return web.json_response({"err": "another version is current", "ver": answer.current}, status=412)
+    if isinstance(answer, Forgotten):
+        return unavailable("the change builds on a version that is not remembered; it may have been taken")
     if isinstance(answer, InvalidChange):
         faults = [{"key": fault.key, "message": fault.message} for fault in answer.faults]
         body = json.dumps({"err": "invalid configuration", "faults": faults})
--- a/tests/test_controlplane_operator.py
+++ b/tests/test_controlplane_operator.py
@@ -13,6 +13,7 @@
 from aiohttp import ClientSession, web
 
 from rookwood.cluster.settings import NodeSettings, parse_settings
+from rookwood.clusterconfig import control_document
 from rookwood.controlplane import operator_api
 from rookwood.controlplane.operator_api import OperatorApi
 from rookwood.coordination.group import (
@@ -166,6 +167,33 @@
         answers = await asyncio.gather(*(self.call("PUT", change, 3) for change in changes))
         self.assertEqual([200, 412], sorted(answer.status for answer in answers))
 
+    async def test_a_change_older_than_the_remembered_ones_gets_no_clear_answer(self) -> None:
+        self.enterContext(mock.patch.object(control_document, "MAX_TAKEN_CHANGES", 2))
+        await self.put_first()
+        for version in (4, 5, 6):
+            patch: dict[str, Any] = {"ver": version, "remove": {"routes": []}}
+            self.assertEqual(200, (await self.call("PATCH", patch, version - 1)).status)
+        self.assert_no_clear_answer(await self.call("PUT", CONFIGURATION, 0))
+        self.assertEqual(200, (await self.call("PATCH", patch, 5)).status)
+        self.assertEqual(412, (await self.call("PATCH", {**patch, "ver": 9}, 5)).status)
+
+    async def test_an_unreadable_base_is_refused(self) -> None:
+        for base in ("", "x", "-1", "1" * 6000, "\u0661"):
+            with self.subTest(base=base[:3]):
+                headers = {"If-Match": base}
+                async with self.client.put(self.url, json=CONFIGURATION, headers=headers) as response:
+                    self.assertEqual(400, response.status)
+        self.assertEqual(412, (await self.call("PUT", CONFIGURATION, 2**63)).status)
+
+    async def test_eight_changes_at_once_give_one_winner_that_stays_acknowledged(self) -> None:
+        await self.put_first()
+        changes = [{**CONFIGURATION, "ver": 8, "routes": [{**ROUTE, "tries": n}]} for n in range(1, 9)]
+        for _ in range(2):
+            answers = await asyncio.gather(*(self.call("PUT", change, 3) for change in changes))
+            self.assertEqual([200] + [412] * 7, sorted(answer.status for answer in answers))
+        winner = next(n for n, answer in enumerate(answers) if answer.status == 200)
+        self.assertEqual(changes[winner], json.loads((await self.call("GET")).body))
+
     async def test_an_invalid_configuration_is_refused(self) -> None:
         await self.put_first()
         invalid: list[object] = [
