An emptied machine comes back under a new token, by agreement of a majority

Cause: it waited for an answer of every other member before it took part under its old token, so one machine that was gone for good meanwhile kept the group from moving again, and a return depended on all of them.

Change: a storage that begins empty is a new member (address, own token). Promises and acknowledgements tell the token and count for that member alone. The primary replaces (address, old) by (address, new) at once, in two steps with joint quorums, once the learner's copy is synced. Messages with the token are version 2; version 1 is read. A member grants no pre-vote to one with an older document while it could stand itself, and among candidates the newer document goes first: otherwise one that does not know the newest configuration could block the one that does. A peer that connects is called back without the pause.

--- a/rookwood/coordination/codec.py
+++ b/rookwood/coordination/codec.py
@@ -28,6 +28,7 @@
 )
 
 SCHEMA_VERSION = 1
+SECOND_VERSION = 2
 HEADER_BYTES = 2
 
 
@@ -73,7 +74,8 @@
 
 
 _OPTIONAL_DOCUMENT = ["null", "Document"]
-_MESSAGES: dict[int, tuple[type[Any], Any]] = {
+_OPTIONAL_TOKEN = ["null", "long"]
+_FIRST_MESSAGES: dict[int, tuple[type[Any], Any]] = {
     1: (
         Heartbeat,
         _record_schema("Heartbeat", epoch="long", round="long", committed="Position", current="Position"),
@@ -106,7 +108,31 @@
     ),
     15: (TransferNow, _record_schema("TransferNow", epoch="long")),
 }
-_TYPE_BYTES = {kind: number for number, (kind, _) in _MESSAGES.items()}
+_OPTIONAL_POSITION = ["null", "Position"]
+_SECOND_MESSAGES: dict[int, tuple[type[Any], Any]] = {
+    2: (
+        HeartbeatAck,
+        _record_schema("HeartbeatAck", epoch="long", round="long", stored="Position", token=_OPTIONAL_TOKEN),
+    ),
+    4: (WriteAck, _record_schema("WriteAck", epoch="long", stored="Position", token=_OPTIONAL_TOKEN)),
+    7: (PreVoteRequest, _record_schema("PreVoteRequest", ballot="long", position=_OPTIONAL_POSITION)),
+    10: (
+        Promise,
+        _record_schema(
+            "Promise",
+            epoch="long",
+            candidate="long",
+            stored="Position",
+            document=_OPTIONAL_DOCUMENT,
+            token=_OPTIONAL_TOKEN,
+        ),
+    ),
+}
+_MESSAGES: dict[tuple[int, int], tuple[type[Any], Any]] = {
+    **{(number, SCHEMA_VERSION): known for number, known in _FIRST_MESSAGES.items()},
+    **{(number, SECOND_VERSION): known for number, known in _SECOND_MESSAGES.items()},
+}
+_HEADERS = {kind: header for header, (kind, _) in sorted(_MESSAGES.items())}
 _RECORD_SCHEMA = _record_schema(
     "Record", token="long", promised="long", initialised="boolean", document="Document"
 )
@@ -114,18 +140,19 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the frame body of a message."""
-    number = _TYPE_BYTES[type(message)]
+    header = _HEADERS[type(message)]
     buffer = BytesIO()
-    buffer.write(bytes((number, SCHEMA_VERSION)))
-    schemaless_writer(buffer, _MESSAGES[number][1], _plain(message))
+    buffer.write(bytes(header))
+    schemaless_writer(buffer, _MESSAGES[header][1], _plain(message))
     return buffer.getvalue()
 
 
 def decode_message(frame: bytes) -> Message:
-    """Return the message in a frame body."""
-    if len(frame) < HEADER_BYTES or frame[0] not in _MESSAGES or frame[1] != SCHEMA_VERSION:
+    """Return the message in a frame body, of the present version or of one before."""
+    known = _MESSAGES.get((frame[0], frame[1])) if len(frame) >= HEADER_BYTES else None
+    if known is None:
         raise DecodeError("unknown message type or version")
-    kind, schema = _MESSAGES[frame[0]]
+    kind, schema = known
     values = _read(schema, frame[HEADER_BYTES:])
     message: Message = kind(**{name: _typed(name, value) for name, value in values.items()})
     return message
@@ -173,6 +200,10 @@
     return Position(value["epoch"], value["sequence"])
 
 
+def _optional_position(value: Any) -> Position | None:
+    return None if value is None else _position(value)
+
+
 def _members(value: Any) -> tuple[Member, ...]:
     return tuple(Member(member["ip"], member["token"]) for member in value)
 
@@ -191,7 +222,7 @@
     "committed": _position,
     "current": _position,
     "stored": _position,
-    "position": _position,
+    "position": _optional_position,
     "known": _position,
     "configuration": _configuration,
     "document": _document,
--- a/rookwood/coordination/context.py
+++ b/rookwood/coordination/context.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from rookwood.coordination.document import Configuration, Document, Position
+from rookwood.coordination.document import Configuration, Document, Member, Position
 from rookwood.coordination.effects import CommitApplied, Effect, Send
 from rookwood.coordination.journal import Journal, PromiseStep
 from rookwood.coordination.messages import Message, Promise
@@ -51,7 +51,7 @@
             return
         position = stored.document.position
         document = stored.document if position > step.known else None
-        self.send(step.candidate, Promise(step.epoch, step.incarnation, position, document))
+        self.send(step.candidate, Promise(step.epoch, step.incarnation, position, document, stored.token))
 
     def hear(self, sender: str, incarnation: int) -> None:
         """Note a message's sender, and which life of that process it comes from.
@@ -90,12 +90,15 @@
     def is_member(self) -> bool:
         """Tell whether this replica takes part: admitted with the storage it has."""
         record = self.journal.latest
-        return record.initialised and self.configuration().token_of(self.ip) == record.token
+        return record.initialised and self.configuration().admits(Member(self.ip, record.token))
 
     def is_recovering(self) -> bool:
         """Tell whether this replica is a member whose storage was lost."""
-        token = self.configuration().token_of(self.ip)
-        return token is not None and not self.is_member()
+        return self.configuration().has_address(self.ip) and not self.is_member()
+
+    def own_voice(self) -> dict[str, int | None]:
+        """Return this machine with the token of its storage, as it counts in quorums."""
+        return {self.ip: self.journal.latest.token}
 
     def offer(self, document: Document) -> None:
         """Keep a document that may turn out to be committed."""
--- a/rookwood/coordination/document.py
+++ b/rookwood/coordination/document.py
@@ -1,11 +1,14 @@
 """The replicated document, its configuration of members, and the durable record of one member."""
 
-from collections.abc import Collection
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from rookwood.coordination.quorum import copy_quorum, vote_quorum
 
+Voices = Mapping[str, int | None]
+"""Machines that count, each with the token that it told; None where its message held none (version 1)."""
+
 
 class Position(NamedTuple):
     """The place of a document in the history: ordered by epoch, then by sequence."""
@@ -37,31 +40,37 @@
         """Return the addresses of new and outgoing members, each once."""
         return tuple(dict.fromkeys(member.ip for member in self.members + self.outgoing))
 
-    def token_of(self, ip: str) -> int | None:
-        """Return the token under which an address was admitted, None if it is no member."""
-        for member in self.members + self.outgoing:
-            if member.ip == ip:
-                return member.token
-        return None
+    def has_address(self, ip: str) -> bool:
+        """Tell whether an address is that of a member, under whatever token."""
+        return ip in self.everyone()
+
+    def admits(self, member: Member) -> bool:
+        """Tell whether a storage was admitted: this address under this token."""
+        return member in self.members + self.outgoing
 
-    def has_votes(self, voters: Collection[str]) -> bool:
+    def has_votes(self, voters: Voices) -> bool:
         """Tell whether the voters form a vote quorum of each member set in force."""
-        return all(
-            sum(member.ip in voters for member in members) >= vote_quorum(len(members))
-            for members in self._sets()
-        )
+        return all(_count(members, voters) >= vote_quorum(len(members)) for members in self._sets())
 
-    def has_copies(self, holders: Collection[str], tolerate: int) -> bool:
+    def has_copies(self, holders: Voices, tolerate: int) -> bool:
         """Tell whether the holders form a copy quorum of each member set in force."""
         return all(
-            sum(member.ip in holders for member in members) >= copy_quorum(len(members), tolerate)
-            for members in self._sets()
+            _count(members, holders) >= copy_quorum(len(members), tolerate) for members in self._sets()
         )
 
     def _sets(self) -> tuple[tuple[Member, ...], ...]:
         return (self.members, self.outgoing) if self.outgoing else (self.members,)
 
 
+def _count(members: tuple[Member, ...], voices: Voices) -> int:
+    return sum(_is_voice_of(member, voices) for member in members)
+
+
+def _is_voice_of(member: Member, voices: Voices) -> bool:
+    """Tell whether a member is among the voices, under the token of the storage that was admitted."""
+    return member.ip in voices and voices[member.ip] in (None, member.token)
+
+
 @dataclass(frozen=True)
 class Document:
     """The whole replicated state at one position."""
--- a/rookwood/coordination/election.py
+++ b/rookwood/coordination/election.py
@@ -1,23 +1,34 @@
 """A candidate's pre-vote and vote rounds."""
 
+from dataclasses import dataclass
+
 from rookwood.coordination.context import Context
-from rookwood.coordination.document import Document
+from rookwood.coordination.document import Document, Member
 from rookwood.coordination.journal import OwnPromiseStep
 from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Promise, VoteRequest
 
 
+@dataclass(frozen=True)
+class Supporter:
+    """A process that promised, and the token of the storage that holds the promise."""
+
+    incarnation: int
+    token: int | None
+
+
 class PreVote:
     """Asks the others whether they hear no primary either, before any epoch is spent."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
         self._ballot = context.random.getrandbits(62)
-        self._granted = {context.ip}
+        self._granted: dict[str, int | None] = context.own_voice()
         self.highest_promise = context.journal.latest.promised
         self.started_at = context.now
         self.deadline = context.now + context.timing.pre_vote_limit
+        request = PreVoteRequest(self._ballot, context.journal.latest.document.position)
         for ip in context.configuration().everyone():
-            context.send(ip, PreVoteRequest(self._ballot))
+            context.send(ip, request)
 
     def on_reply(self, sender: str, reply: PreVoteReply) -> None:
         """Count an answer to this round."""
@@ -25,7 +36,7 @@
             return
         self.highest_promise = max(self.highest_promise, reply.promised)
         if reply.granted:
-            self._granted.add(sender)
+            self._granted[sender] = None
 
     def is_won(self) -> bool:
         """Tell whether a vote quorum hears no primary."""
@@ -45,7 +56,7 @@
         self.newest: Document = context.journal.latest.document
         self.deadline = favoured_since + context.timing.election_limit
         self._own_promise = False
-        self._promises: dict[str, int] = {}
+        self._promises: dict[str, Supporter] = {}
         context.journal.update(context.journal.latest.with_promise(epoch), OwnPromiseStep(epoch))
         self._ask()
 
@@ -61,16 +72,16 @@
             if promise.document is None:
                 return
             self.newest = promise.document
-        self._promises[sender] = incarnation
+        self._promises[sender] = Supporter(incarnation, promise.token)
 
     def is_won(self) -> bool:
         """Tell whether a vote quorum of the newest configuration promised the epoch."""
         if not self._own_promise or not self._is_eligible():
             return False
-        voters = {self._context.ip}
-        for ip, incarnation in self._promises.items():
-            if self._context.contacts[ip].incarnation == incarnation:
-                voters.add(ip)
+        voters = self._context.own_voice()
+        for ip, supporter in self._promises.items():
+            if self._context.contacts[ip].incarnation == supporter.incarnation:
+                voters[ip] = supporter.token
         return self.newest.configuration.has_votes(voters)
 
     def tick(self) -> None:
@@ -90,5 +101,5 @@
             self._context.send(ip, VoteRequest(self.epoch, position))
 
     def _is_eligible(self) -> bool:
-        token = self.newest.configuration.token_of(self._context.ip)
-        return token == self._context.journal.latest.token
+        own = Member(self._context.ip, self._context.journal.latest.token)
+        return self.newest.configuration.admits(own)
--- a/rookwood/coordination/journal.py
+++ b/rookwood/coordination/journal.py
@@ -37,12 +37,7 @@
     position: Position
 
 
-@dataclass(frozen=True)
-class AdmittedStep:
-    """Take part once the recovered state is durable."""
-
-
-Step = PromiseStep | WriteStep | OwnPromiseStep | OwnWriteStep | AdmittedStep
+Step = PromiseStep | WriteStep | OwnPromiseStep | OwnWriteStep
 
 
 @dataclass(frozen=True)
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -8,7 +8,7 @@
 from rookwood.coordination.document import Configuration, Document, Member, Position
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
-from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write
+from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck
 from rookwood.coordination.outcomes import Committed, Confirmed, Declined, NotPrimary, Uncertain
 
 Change = Callable[[bytes], bytes | Declined]
@@ -20,6 +20,7 @@
     """How far one other machine has followed the primary."""
 
     incarnation: int | None = None
+    token: int | None = None
     stored: Position = Position()
     round: int = 0
     round_started_at: float = 0.0
@@ -135,7 +136,7 @@
         """Count a member's acknowledgement of a round."""
         if ack.epoch != self.epoch:
             return
-        replication = self._replication(sender, incarnation)
+        replication = self._replication(sender, incarnation, ack.token)
         started_at = self._rounds.get(ack.round)
         if started_at is not None and ack.round > replication.round:
             replication.round = ack.round
@@ -145,25 +146,23 @@
             self._send_write(sender, replication)
         self._check_rounds()
 
-    def on_write_ack(self, sender: str, incarnation: int, epoch: int, stored: Position) -> None:
-        """Count a member's copy."""
-        if epoch == self.epoch:
-            self._note_stored(self._replication(sender, incarnation), stored)
+    def on_write_ack(self, sender: str, incarnation: int, ack: WriteAck) -> None:
+        """Count a member's copy, or a learner's."""
+        if ack.epoch == self.epoch:
+            self._note_stored(self._replication(sender, incarnation, ack.token), ack.stored)
 
     def on_write_failed(self, sender: str, incarnation: int, epoch: int) -> None:
         """Note that a member's disk takes no writes at present."""
-        if epoch == self.epoch:
-            self._replication(sender, incarnation).disk_failed = True
+        replication = self._replications.get(sender)
+        if epoch == self.epoch and replication is not None and replication.incarnation == incarnation:
+            replication.disk_failed = True
 
     def on_join_request(self, sender: str, incarnation: int, token: int) -> None:
-        """Send the document to a machine that asks to be admitted."""
-        if not self.established or self._document.configuration.token_of(sender) is not None:
+        """Send the document to a machine that asks to be admitted with the storage of this token."""
+        if not self.established or self._document.configuration.admits(Member(sender, token)):
             return
-        known = self._learners.get(sender)
-        if known is not None and known.token != token:
-            self._replications.pop(sender, None)
         self._learners[sender] = Learner(token, self._context.now)
-        replication = self._replication(sender, incarnation)
+        replication = self._replication(sender, incarnation, token)
         if replication.stored < self._document.position:
             self._send_write(sender, replication)
 
@@ -185,8 +184,8 @@
         limit = now - self._context.timing.lease
         if self.started_at >= limit:
             return True
-        recent = {ip for ip, state in self._replications.items() if state.round_started_at >= limit}
-        return self._document.configuration.has_votes(recent | {self._context.ip})
+        recent = self._voices(lambda state: state.round_started_at >= limit)
+        return self._document.configuration.has_votes(recent)
 
     def successor(self) -> str | None:
         """Return the most up-to-date member that is reachable."""
@@ -194,9 +193,7 @@
         candidates = [
             (not state.disk_failed, state.stored, ip)
             for ip, state in self._replications.items()
-            if state.round_started_at >= limit
-            and ip != self._context.ip
-            and self._document.configuration.token_of(ip) is not None
+            if state.round_started_at >= limit and ip != self._context.ip and self._is_member(ip, state.token)
         ]
         return max(candidates)[-1] if candidates else None
 
@@ -227,8 +224,7 @@
         position = self._document.position
         if self._context.journal.durable.document.position < position:
             return
-        holders = {ip for ip, state in self._replications.items() if state.stored >= position}
-        holders.add(self._context.ip)
+        holders = self._voices(lambda state: state.stored >= position)
         if self._document.configuration.has_copies(holders, self._context.tolerate):
             self._commit()
 
@@ -275,8 +271,7 @@
     def _check_rounds(self) -> None:
         best = self._confirmed_round
         for number in sorted({state.round for state in self._replications.values()} | {self._round}):
-            acknowledged = {ip for ip, state in self._replications.items() if state.round >= number}
-            if self._document.configuration.has_votes(acknowledged | {self._context.ip}):
+            if self._document.configuration.has_votes(self._voices_in_round(number)):
                 best = max(best, number)
         self._confirmed_round = best
         self._resolve_waiters()
@@ -299,59 +294,90 @@
         if configuration.outgoing:
             self._write(Configuration(configuration.members), self._document.payload)
             return
-        learner = self._ready_learner()
-        if learner is None:
-            return
-        members = configuration.members
+        for learner in self._ready_learners():
+            members = self._members_with(learner)
+            if members is not None:
+                self._write(Configuration(members, configuration.members), self._document.payload)
+                return
+
+    def _ready_learners(self) -> list[Member]:
+        """Return the learners whose copy is current and synced, emptied members first."""
+        configuration = self._document.configuration
+        ready = [
+            Member(ip, learner.token)
+            for ip, learner in self._learners.items()
+            if self._replications[ip].token == learner.token
+            and self._replications[ip].stored >= self._document.position
+            and not configuration.admits(Member(ip, learner.token))
+        ]
+        return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
+
+    def _members_with(self, learner: Member) -> tuple[Member, ...] | None:
+        """Return the members once this learner is one of them, None if there is no place for it."""
+        members = self._document.configuration.members
+        if self._document.configuration.has_address(learner.ip):
+            return tuple(learner if member.ip == learner.ip else member for member in members)
         if len(members) < 2 * self._context.tolerate + 1:
-            self._write(Configuration((*members, learner), members), self._document.payload)
-            return
+            return (*members, learner)
         lost = self._lost_member(members)
-        if lost is not None:
-            kept = tuple(member for member in members if member != lost)
-            self._write(Configuration((*kept, learner), members), self._document.payload)
-
-    def _ready_learner(self) -> Member | None:
-        for ip, learner in self._learners.items():
-            is_member = self._document.configuration.token_of(ip) is not None
-            if not is_member and self._replications[ip].stored >= self._document.position:
-                return Member(ip, learner.token)
-        return None
+        if lost is None:
+            return None
+        return (*(member for member in members if member != lost), learner)
 
     def _lost_member(self, members: tuple[Member, ...]) -> Member | None:
         span = self._context.timing.replace_after
         if self._context.now - self.started_at < span:
             return None
-        silent = [
+        lost = [
             (self._context.heard_at(member.ip), member)
             for member in members
-            if member.ip != self._context.ip and not self._context.heard_within(member.ip, span)
+            if member.ip != self._context.ip and self._is_lost(member, span)
         ]
-        return min(silent, key=lambda entry: entry[0])[1] if silent else None
+        return min(lost, key=lambda entry: entry[0])[1] if lost else None
+
+    def _is_lost(self, member: Member, span: float) -> bool:
+        """Tell whether a member was silent for the span, or begins anew with another storage."""
+        learner = self._learners.get(member.ip)
+        begins_anew = learner is not None and learner.token != member.token
+        return begins_anew or not self._context.heard_within(member.ip, span)
 
     def _drop_silent_learners(self) -> None:
         limit = self._context.now - self._context.timing.learner_silence
-        members = self._document.configuration
+        configuration = self._document.configuration
         for ip, learner in list(self._learners.items()):
-            if learner.asked_at < limit or members.token_of(ip) is not None:
+            if learner.asked_at < limit or configuration.admits(Member(ip, learner.token)):
                 del self._learners[ip]
 
     def _receivers(self) -> tuple[str, ...]:
         everyone = (*self._document.configuration.everyone(), *self._learners)
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
 
-    def _replication(self, ip: str, incarnation: int) -> Replication:
+    def _replication(self, ip: str, incarnation: int, token: int | None) -> Replication:
+        """Return how far a storage has followed; that of another life or token has not."""
         replication = self._replications.setdefault(ip, Replication())
-        if replication.incarnation != incarnation:
-            sent, sent_at = replication.sent, replication.sent_at
-            if replication.incarnation is not None:
-                sent, sent_at = Position(), float("-inf")
-            replication = Replication(incarnation, sent=sent, sent_at=sent_at)
+        if replication.incarnation is None:
+            replication.incarnation = incarnation
+            replication.token = token
+        elif (replication.incarnation, replication.token) != (incarnation, token):
+            replication = Replication(incarnation, token)
             self._replications[ip] = replication
         return replication
 
+    def _voices(self, fits: Callable[[Replication], bool]) -> dict[str, int | None]:
+        """Return the machines whose replication fits, and this one, with the tokens that they told."""
+        voices = {ip: state.token for ip, state in self._replications.items() if fits(state)}
+        return voices | self._context.own_voice()
+
+    def _voices_in_round(self, number: int) -> dict[str, int | None]:
+        return self._voices(lambda state: state.round >= number)
+
+    def _is_member(self, ip: str, token: int | None) -> bool:
+        configuration = self._document.configuration
+        return configuration.has_address(ip) if token is None else configuration.admits(Member(ip, token))
+
     def _note_stored(self, replication: Replication, stored: Position) -> None:
         if stored.epoch == self.epoch and stored > replication.stored:
             replication.stored = stored
             replication.disk_failed = False
             self._check_commit()
+            self._advance()
--- a/rookwood/coordination/messages.py
+++ b/rookwood/coordination/messages.py
@@ -1,4 +1,8 @@
-"""The messages that members send to each other."""
+"""The messages that members send to each other.
+
+Acknowledgements and promises tell the token of the sender's storage: they count only for the member that
+was admitted under it. Those of version 1 tell none, and their pre-votes no position.
+"""
 
 from dataclasses import dataclass
 
@@ -22,6 +26,7 @@
     epoch: int
     round: int
     stored: Position
+    token: int | None = None
 
 
 @dataclass(frozen=True)
@@ -37,6 +42,7 @@
 
     epoch: int
     stored: Position
+    token: int | None = None
 
 
 @dataclass(frozen=True)
@@ -57,9 +63,10 @@
 
 @dataclass(frozen=True)
 class PreVoteRequest:
-    """Asks whether the receiver, too, hears no primary."""
+    """Asks whether the receiver, too, hears no primary, and holds nothing newer than the sender."""
 
     ballot: int
+    position: Position | None = None
 
 
 @dataclass(frozen=True)
@@ -87,6 +94,7 @@
     candidate: int
     stored: Position
     document: Document | None
+    token: int | None = None
 
 
 @dataclass(frozen=True)
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -8,7 +8,6 @@
 from rookwood.coordination.effects import Effect, Persist, Resolve, RoleChanged
 from rookwood.coordination.election import Candidacy, PreVote
 from rookwood.coordination.journal import (
-    AdmittedStep,
     Flushed,
     Journal,
     OwnPromiseStep,
@@ -230,7 +229,7 @@
 
     def _start_pre_vote(self) -> None:
         self._reset_election_timer(0.0)
-        if self._voter.favours_another(self._context.ip):
+        if self._voter.favours_another(self._context.ip, self._context.journal.latest.document.position):
             self._reset_election_timer(self._voter.favoured_until() - self._context.now)
         elif self._may_stand():
             self._pre_vote = PreVote(self._context)
@@ -273,7 +272,7 @@
                 self._on_write(sender, message)
             case WriteAck():
                 if self._leadership is not None:
-                    self._leadership.on_write_ack(sender, incarnation, message.epoch, message.stored)
+                    self._leadership.on_write_ack(sender, incarnation, message)
             case WriteFailed():
                 if self._leadership is not None:
                     self._leadership.on_write_failed(sender, incarnation, message.epoch)
@@ -295,7 +294,7 @@
                 self._on_inquiry(sender, incarnation, message)
             case Situation():
                 if self._admission is not None:
-                    self._admission.on_situation(sender, incarnation, message)
+                    self._admission.on_situation(message)
             case JoinRequest():
                 if self._leadership is not None:
                     self._leadership.on_join_request(sender, incarnation, message.token)
@@ -306,12 +305,15 @@
 
     def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         context = self._context
-        if context.is_recovering() or not self._accepts_epoch(sender, heartbeat.epoch):
+        if not self._accepts_epoch(sender, heartbeat.epoch):
             return
         self._follow(sender, heartbeat.epoch)
         context.apply_commit(heartbeat.committed)
-        stored = context.journal.durable.document.position
-        context.send(sender, HeartbeatAck(heartbeat.epoch, heartbeat.round, stored))
+        durable = context.journal.durable
+        acknowledgement = HeartbeatAck(
+            heartbeat.epoch, heartbeat.round, durable.document.position, durable.token
+        )
+        context.send(sender, acknowledgement)
 
     def _on_write(self, sender: str, write: Write) -> None:
         context = self._context
@@ -320,18 +322,10 @@
         if not self._accepts_epoch(sender, epoch):
             return
         context.note_configuration(document.position, document.configuration)
-        if self._has_foreign_token():
-            if self._admission is not None:
-                self._admission.note_document(document)
-            return
         self._follow(sender, epoch)
         context.offer(document)
         self._store(sender, write)
 
-    def _has_foreign_token(self) -> bool:
-        token = self._context.configuration().token_of(self._context.ip)
-        return token is not None and token != self._context.journal.latest.token
-
     def _store(self, sender: str, write: Write) -> None:
         context = self._context
         journal = context.journal
@@ -378,23 +372,27 @@
         context = self._context
         if not context.is_member():
             return
-        if context.configuration().token_of(sender) is None:
+        if not context.configuration().has_address(sender):
             self._tell_membership(sender)
             return
-        if self._voter.answer_pre_vote(sender, request, self._is_willing(sender)):
+        if self._voter.answer_pre_vote(sender, request, self._is_willing(sender, request)):
             self._pre_vote = None
 
-    def _is_willing(self, candidate: str) -> bool:
-        """Tell whether this member hears no primary and is no candidate that goes first."""
+    def _is_willing(self, candidate: str, request: PreVoteRequest) -> bool:
+        """Tell whether this member hears no primary and is not to stand before the candidate."""
         if self._hears_primary() or self._leadership is not None or self._candidacy is not None:
             return False
+        own = self._context.journal.latest.document.position
+        position = own if request.position is None else request.position
+        if position != own:
+            return position > own or not self._may_stand()
         return self._pre_vote is None or candidate < self._context.ip
 
     def _on_vote_request(self, sender: str, incarnation: int, request: VoteRequest) -> None:
         context = self._context
         if not context.is_member():
             return
-        if context.configuration().token_of(sender) is None:
+        if not context.configuration().has_address(sender):
             self._tell_membership(sender)
             return
         step = PromiseStep(sender, incarnation, request.epoch, request.position)
@@ -442,7 +440,8 @@
             case PromiseStep():
                 context.run_promise(step)
             case WriteStep():
-                context.send(step.primary, WriteAck(step.position.epoch, stored.document.position))
+                acknowledgement = WriteAck(step.position.epoch, stored.document.position, stored.token)
+                context.send(step.primary, acknowledgement)
             case OwnPromiseStep():
                 if self._candidacy is not None and self._candidacy.epoch == step.epoch:
                     self._candidacy.on_own_promise()
@@ -450,8 +449,6 @@
             case OwnWriteStep():
                 if self._leadership is not None:
                     self._leadership.on_own_write()
-            case AdmittedStep():
-                self._reset_election_timer(context.timing.primary_silence)
 
     def _refuse_step(self, step: Step) -> None:
         if isinstance(step, WriteStep):
--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -184,10 +184,13 @@
             writer.transport.abort()
 
     def _replace_incoming(self, sender: str, writer: asyncio.StreamWriter) -> None:
+        """Take the newest connection of a peer, which also shows that it can be called at once."""
         previous = self._incoming.get(sender)
         self._incoming[sender] = writer
         if previous is not None:
             previous.transport.abort()
+        if sender in self._links:
+            self._links[sender].blocked_until = 0.0
 
     def _note_answer(self, sender: str) -> None:
         link = self._links.get(sender)
--- a/rookwood/coordination/voting.py
+++ b/rookwood/coordination/voting.py
@@ -1,23 +1,28 @@
 """How a member answers candidates: pre-votes, promises, and favour for one candidate at a time.
 
 A member that granted a pre-vote, or promised an epoch, favours that candidate for a bounded time: it
-grants no other one meanwhile. A candidate gives up before the favour of its voters lapses, so two
-candidates hardly ever stand at once, and none deposes a primary that was just elected. A candidate
-that ends or stalls blocks the others for one such time, and is passed over afterwards.
+grants no other one meanwhile, except one with a newer document. A candidate gives up before the favour
+of its voters lapses, so two candidates hardly ever stand at once, and none deposes a primary that was
+just elected. A candidate that ends or stalls blocks the others for twice that time at most: it is asked
+for again, but favoured no longer.
 """
 
 from dataclasses import dataclass, replace
 
 from rookwood.coordination.context import Context
+from rookwood.coordination.document import Position
 from rookwood.coordination.journal import PromiseStep
 from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Refused
 
+FORGET_AFTER = 3
+
 
 @dataclass(frozen=True)
 class Favour:
     """The candidate that is preferred, since when, and until when no other one is granted."""
 
     candidate: str
+    position: Position
     since: float
     until: float
 
@@ -32,9 +37,10 @@
 
     def answer_pre_vote(self, sender: str, request: PreVoteRequest, willing: bool) -> bool:
         """Answer a pre-vote, and tell whether it was granted."""
-        granted = willing and self._may_favour(sender)
+        position = request.position or Position()
+        granted = willing and not self.favours_another(sender, position)
         if granted:
-            self._prefer(sender)
+            self._prefer(sender, position)
         promised = self._context.journal.latest.promised
         self._context.send(sender, PreVoteReply(request.ballot, granted, promised))
         return granted
@@ -49,9 +55,9 @@
         if step.epoch <= promised:
             self._context.send(step.candidate, Refused(step.epoch, promised))
             return False
-        if not journal.healthy or self.favours_another(step.candidate):
+        if not journal.healthy or self.favours_another(step.candidate, step.known):
             return False
-        self._prefer(step.candidate)
+        self._prefer(step.candidate, step.known)
         self._promised_to = (step.candidate, step.incarnation)
         journal.update(journal.latest.with_promise(step.epoch), step)
         return True
@@ -60,10 +66,12 @@
         """Note that the next epoch is promised to this member's own candidacy."""
         self._promised_to = (self._context.ip, self._context.incarnation)
 
-    def favours_another(self, candidate: str) -> bool:
-        """Tell whether a candidate other than this one is preferred at present."""
+    def favours_another(self, candidate: str, position: Position) -> bool:
+        """Tell whether another candidate goes before this one, which holds a document at the position."""
         favour = self._favour
-        return favour is not None and favour.candidate != candidate and self._context.now < favour.until
+        if favour is None or favour.candidate == candidate or position > favour.position:
+            return False
+        return self._context.now < favour.until
 
     def favoured_until(self) -> float:
         """Return when the present favour lapses."""
@@ -80,24 +88,15 @@
         self._favour = None
         return True
 
-    def _may_favour(self, candidate: str) -> bool:
-        favour = self._favour
-        if favour is None:
-            return True
-        if favour.candidate != candidate:
-            return self._context.now >= favour.until
-        span = self._context.timing.favour
-        age = self._context.now - favour.since
-        return age < span or age >= 3 * span
-
-    def _prefer(self, candidate: str) -> None:
+    def _prefer(self, candidate: str, position: Position) -> None:
+        """Favour a candidate from now on; one that was favoured lately is so once more at most."""
         now = self._context.now
-        until = now + self._context.timing.favour
+        span = self._context.timing.favour
         favour = self._favour
-        if favour is not None and favour.candidate == candidate and now < favour.until:
-            self._favour = replace(favour, until=min(until, favour.since + 2 * self._context.timing.favour))
-        else:
-            self._favour = Favour(candidate, now, until)
+        if favour is None or favour.candidate != candidate or now >= favour.since + FORGET_AFTER * span:
+            self._favour = Favour(candidate, position, now, now + span)
+        elif now < favour.since + span:
+            self._favour = replace(favour, position=position, until=now + span)
 
     def _repeat(self, step: PromiseStep) -> None:
         journal = self._context.journal
