Tell torn, foreign and unreadable disks from new ones; write on after a torn page

Causes, each reproduced: - A file shorter than its lmdb header says was mapped and read beyond its end: SIGBUS (-7) at each start (cut at 8, 12, 20 and 200 kB of 204 kB). Now compared with the header first. - A slot in turn with a torn page could be opened but refused every write: after a loss of power in the middle of a write on all three machines no group formed again. Now a broken file is replaced; it holds nothing that is needed. - A foreign file alone in the folder counted as empty and, with bootstrap, as a first member. Now a synced marker tells that a record was stored; load() gives Found, Empty, Lost or Inaccessible, with the fault of each file, which is logged. - A file that could not be read at present was passed over in favour of the older one. Now it is read again, then counts as lost. - A first member whose first write failed (full disk) drew a new token; with two such disks the group never formed.

Ruled out: crashes of lmdb on random garbage in pages (150 trials, none).

Two tests said that a single broken file is an empty storage. It is so only if the first write never ended, which the tests had let end: test_first_write_that_was_torn_counts_as_none now tears it at nine places without the marker, and with the marker the same counts as lost; test_changed_payload_fails_the_checksum expects lost in place of none.

--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -1,7 +1,9 @@
 """The asyncio shell of a replica: sockets, storage thread, timer, and the calls of its process."""
 
 import asyncio
+import logging
 import secrets
+import threading
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -27,7 +29,7 @@
     Uncertain,
 )
 from rookwood.coordination.replication import Replica
-from rookwood.coordination.storage import Storage, UnreadableError
+from rookwood.coordination.storage import Empty, Found, Inaccessible, LoadOutcome, Storage
 from rookwood.coordination.timing import Timing
 from rookwood.coordination.transport import Transport
 
@@ -46,7 +48,11 @@
     "Uncertain",
 ]
 
+logger = logging.getLogger("rookwood")
+
 MIN_TICK = 0.05
+READ_ATTEMPTS = 20
+READ_PAUSE = 0.25
 TRANSFER_LIMIT = 1.0
 DRAIN_LIMIT = 0.2
 INCARNATION_BITS = 62
@@ -75,12 +81,14 @@
         *,
         on_commit: Callable[[Snapshot], None],
         on_role: Callable[[Role], None],
+        storage: Storage | None = None,
     ) -> None:
         self._settings = settings
         self._on_commit = on_commit
         self._on_role = on_role
         self._incarnation = secrets.randbits(INCARNATION_BITS)
-        self._storage = Storage(settings.directory, settings.disk_mb)
+        self._storage = storage or Storage(settings.directory, settings.disk_mb)
+        self._stop_reading = threading.Event()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="control-storage")
         self._transport = Transport(
             settings.ip,
@@ -129,6 +137,7 @@
         for future in self._calls.values():
             if not future.done():
                 future.set_result(Uncertain("stopped"))
+        self._stop_reading.set()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(self._executor, self._storage.close)
         self._executor.shutdown(wait=False)
@@ -201,13 +210,27 @@
         return Timing(**{field.name: getattr(self._settings, field.name) for field in fields(Timing)})
 
     def _load(self) -> Record | None:
-        try:
-            record = self._storage.load()
-        except UnreadableError:
-            return None
-        if record is None and self._settings.bootstrap and self._settings.ip in self._settings.seeds:
-            return self._first_record()
-        return record
+        """Return the stored record, None if it is lost or there was none; runs on the storage's thread."""
+        outcome = self._read_storage()
+        if isinstance(outcome, Found):
+            return outcome.record
+        if isinstance(outcome, Empty):
+            first = self._settings.bootstrap and self._settings.ip in self._settings.seeds
+            return self._first_record() if first else None
+        faults = [f"{fault.slot}: {fault.kind.value}: {fault.detail}" for fault in outcome.faults]
+        logger.error("storage lost", extra={"faults": faults})
+        return None
+
+    def _read_storage(self) -> LoadOutcome:
+        """Read the storage, again after a pause while the disk does not let it be read."""
+        for _ in range(READ_ATTEMPTS):
+            outcome = self._storage.load()
+            if not isinstance(outcome, Inaccessible):
+                return outcome
+            self._storage.close()
+            if self._stop_reading.wait(READ_PAUSE):
+                break
+        return outcome
 
     def _first_record(self) -> Record:
         members = tuple(Member(ip) for ip in self._settings.seeds)
@@ -282,12 +305,8 @@
             self._apply(self._replica.persisted(effect.ticket, stored, succeeded, self._now()))
 
     def _save(self, record: Record) -> Record | None:
-        if self._storage.save(record):
-            return record
-        try:
-            return self._storage.load()
-        except UnreadableError:
-            return None
+        """Store a record; after a failure, return what the disk holds."""
+        return record if self._storage.save(record) else self._load()
 
     def _resolve(self, effect: Resolve) -> None:
         future = self._calls.get(effect.ticket)
--- /dev/null
+++ b/rookwood/lab/faulty_disk.py
@@ -0,0 +1,77 @@
+"""A control machine's storage whose disk is full, slow, stalled or torn at a test's word."""
+
+from __future__ import annotations
+
+import errno
+import os
+import threading
+from pathlib import Path
+
+from rookwood.coordination.storage import SLOTS, Storage
+
+
+class FaultyStorage(Storage):
+    """The real storage, with faults in the way of each write.
+
+    The faults are set from any thread. They hold until they are taken back, but for a torn write, which
+    happens once.
+    """
+
+    def __init__(self, directory: str, disk_mb: int) -> None:
+        super().__init__(directory, disk_mb)
+        self.full = False
+        self.delay = 0.0
+        self.writes_refused = 0
+        self._tear_next = False
+        self._running = threading.Event()
+        self._running.set()
+        self._never = threading.Event()
+
+    def stall(self) -> None:
+        """Let writes hang until `resume`."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let writes that hang go on."""
+        self._running.set()
+
+    def tear_next_write(self) -> None:
+        """Let the next write reach the disk in part, and fail."""
+        self._tear_next = True
+
+    def _write(self, slot: str, packed: bytes) -> None:
+        self._running.wait()
+        if self.delay:
+            self._never.wait(self.delay)
+        if self.full:
+            self.writes_refused += 1
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        super()._write(slot, packed)
+        if self._tear_next:
+            self._tear_next = False
+            self.close()
+            tear_file(self._path(slot))
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+
+def tear_file(path: Path) -> None:
+    """Replace the second half of a file by zeros, as a loss of power may leave a write."""
+    content = path.read_bytes()
+    half = len(content) // 2
+    path.write_bytes(content[:half] + bytes(len(content) - half))
+
+
+def tear_slot_in_turn(directory: str, disk_mb: int) -> None:
+    """Tear the file that the next write would go to, as when power is lost in the middle of a write."""
+    storage = Storage(directory, disk_mb)
+    storage.load()
+    slot = storage.slot_in_turn
+    storage.close()
+    if (Path(directory) / slot).exists():
+        tear_file(Path(directory) / slot)
+
+
+def disk_bytes(directory: str) -> int:
+    """The size of a storage's files."""
+    paths = [Path(directory) / slot for slot in SLOTS]
+    return sum(path.stat().st_size for path in paths if path.exists())
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -22,6 +22,7 @@
     Unattached,
     Uncertain,
 )
+from rookwood.lab.faulty_disk import FaultyStorage
 
 FIRST_MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 NEWCOMER = "127.0.0.4"
@@ -53,6 +54,8 @@
     def __init__(self, directory: str) -> None:
         self.groups: dict[str, ControlGroup] = {}
         self.commits: dict[str, list[Snapshot]] = {}
+        self.disks: dict[str, FaultyStorage] = {}
+        self.full_at_start: frozenset[str] = frozenset()
         self._directory = Path(directory)
         self._port = free_port()
         self._told = asyncio.Event()
@@ -78,7 +81,9 @@
         def on_role(role: Role) -> None:
             self._told.set()
 
-        group = ControlGroup(settings, on_commit=on_commit, on_role=on_role)
+        self.disks[ip] = FaultyStorage(settings.directory, settings.disk_mb)
+        self.disks[ip].full = ip in self.full_at_start
+        group = ControlGroup(settings, on_commit=on_commit, on_role=on_role, storage=self.disks[ip])
         self.groups[ip] = group
         await group.start()
         return group
@@ -90,6 +95,7 @@
 
     async def stop(self, ip: str, transfer: bool = False) -> None:
         """Stop the group of one machine."""
+        self.disks[ip].resume()
         await self.groups.pop(ip).stop(transfer)
 
     async def stop_all(self) -> None:
@@ -97,6 +103,10 @@
         for ip in list(self.groups):
             await self.stop(ip)
 
+    def directory(self, ip: str) -> str:
+        """Return where a machine keeps its files."""
+        return str(self._directory / ip)
+
     def wipe(self, ip: str) -> None:
         """Empty the disk of a machine."""
         shutil.rmtree(self._directory / ip)
@@ -283,6 +293,18 @@
         self.assertNotEqual(second, first)
         self.assertEqual(self.cluster.payload(second), b"a")
 
+    async def test_foreign_file_on_a_first_start_is_no_first_record(self) -> None:
+        for name in ("control-a.mdb", "control-b.mdb"):
+            path = Path(self.cluster.directory(FIRST_MEMBERS[0])) / name
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_bytes(b"someone else's" * 1000)
+            with self.assertLogs("rookwood", "ERROR") as logs:
+                group = await self.cluster.start(FIRST_MEMBERS[0], bootstrap=True)
+            self.assertIn("storage lost", logs.output[0])
+            self.assertEqual(group.members(), ())
+            await self.cluster.stop(FIRST_MEMBERS[0])
+            self.cluster.wipe(FIRST_MEMBERS[0])
+
     async def test_reachable_members_are_those_heard_lately(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
--- a/tests/test_coordination_storage.py
+++ b/tests/test_coordination_storage.py
@@ -3,10 +3,13 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
+import lmdb
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rookwood.coordination import storage as storage_module
 from rookwood.coordination.codec import (
     DecodeError,
     decode_message,
@@ -33,7 +36,17 @@
     WriteAck,
     WriteFailed,
 )
-from rookwood.coordination.storage import SLOTS, Storage, UnreadableError
+from rookwood.coordination.storage import (
+    MARKER,
+    SLOTS,
+    Empty,
+    FaultKind,
+    Found,
+    Inaccessible,
+    LoadOutcome,
+    Lost,
+    Storage,
+)
 
 CONFIGURATION = Configuration((Member("10.0.0.1"), Member("10.0.0.2", 7)), (Member("10.0.0.3", 2**62),))
 DOCUMENT = Document(Position(3, 14), CONFIGURATION, b"payload\0\xff")
@@ -117,7 +130,7 @@
             self.assertTrue(storage.save(record))
         storage.close()
 
-    def load(self) -> Record | None:
+    def load(self) -> LoadOutcome:
         storage = self.open()
         try:
             return storage.load()
@@ -125,17 +138,17 @@
             storage.close()
 
     def test_nothing_is_found_at_first(self) -> None:
-        self.assertIsNone(self.load())
+        self.assertEqual(self.load(), Empty())
 
     def test_newest_record_is_found(self) -> None:
         for count in range(1, 5):
             record = Record(5, count, True, DOCUMENT)
             self.save(record)
-            self.assertEqual(self.load(), record)
+            self.assertEqual(self.load(), Found(record))
 
     def test_several_records_of_one_process(self) -> None:
         self.save(*(Record(5, promised) for promised in range(7)))
-        self.assertEqual(self.load(), Record(5, 6))
+        self.assertEqual(self.load(), Found(Record(5, 6)))
 
     def test_writes_alternate_so_that_a_torn_one_leaves_the_last(self) -> None:
         self.save(Record(5, 1), Record(5, 2))
@@ -144,7 +157,7 @@
             whole = path.read_bytes()
             path.write_bytes(b"\xaa" * len(whole))
             found = self.load()
-            self.assertIn(found, (Record(5, 1), Record(5, 2)))
+            self.assertIn(found, (Found(Record(5, 1)), Found(Record(5, 2))))
             path.write_bytes(whole)
 
     def test_writing_goes_on_after_a_torn_write(self) -> None:
@@ -153,23 +166,120 @@
             with self.subTest(content=content[:8]):
                 (self.directory / SLOTS[1]).write_bytes(content)
                 storage = self.open()
-                self.assertEqual(storage.load(), Record(5, 1))
+                self.assertEqual(storage.load(), Found(Record(5, 1)))
                 self.assertTrue(storage.save(Record(5, 3)))
                 storage.close()
-                self.assertEqual(self.load(), Record(5, 3))
+                self.assertEqual(self.load(), Found(Record(5, 3)))
                 (self.directory / SLOTS[1]).unlink()
 
+    def lost_kinds(self) -> list[FaultKind]:
+        """The faults of a storage that has to count as lost."""
+        outcome = self.load()
+        assert isinstance(outcome, Lost), outcome
+        return [fault.kind for fault in outcome.faults]
+
+    def test_writing_goes_on_where_any_page_is_torn(self) -> None:
+        """lmdb opens many such files, and refuses to write to them."""
+        large = Record(5, 2, True, Document(Position(1, 1), CONFIGURATION, bytes(9000)))
+        self.save(Record(5, 1), large, Record(5, 3), large, Record(5, 4))
+        path = self.directory / SLOTS[1]
+        whole = path.read_bytes()
+        for start in range(0, len(whole), 4096):
+            cut = whole[start : start + 100] + bytes(3996)
+            for content in (bytes(4096), b"\xff" * 4096, whole[4096:8192], cut):
+                with self.subTest(start=start, content=content[:4]):
+                    path.write_bytes(whole[:start] + content + whole[start + 4096 :])
+                    storage = self.open()
+                    storage.load()
+                    record = Record(5, 6)
+                    self.assertTrue(storage.save(record) or storage.save(record))
+                    self.assertEqual(storage.load(), Found(record))
+                    storage.close()
+                    self.assertEqual(self.load(), Found(record))
+
     def test_first_write_that_was_torn_counts_as_none(self) -> None:
         self.save(Record(5, 1))
-        (self.directory / SLOTS[0]).write_bytes(b"\xaa" * 8192)
-        self.assertIsNone(self.load())
+        whole = (self.directory / SLOTS[0]).read_bytes()
+        (self.directory / MARKER).unlink()
+        for size in (0, 1, 16, 18, 100, 4096, 5000, 8192, len(whole) - 4096):
+            for tail in (b"", bytes(len(whole) - size)):
+                with self.subTest(size=size, tail=len(tail)):
+                    (self.directory / SLOTS[0]).write_bytes(whole[:size] + tail)
+                    self.assertEqual(self.load(), Empty())
+
+    def test_broken_file_after_a_finished_write_counts_as_lost(self) -> None:
+        self.save(Record(5, 1))
+        whole = (self.directory / SLOTS[0]).read_bytes()
+        for size in (0, 1, 16, 100, 4096, 8192, len(whole) - 4096):
+            with self.subTest(size=size):
+                (self.directory / SLOTS[0]).write_bytes(whole[:size])
+                self.assertEqual(self.lost_kinds(), [FaultKind.TORN])
+        (self.directory / SLOTS[0]).unlink()
+        self.assertEqual(self.lost_kinds(), [])
+
+    def test_file_cut_short_beside_a_whole_one_leaves_the_last(self) -> None:
+        """lmdb maps it all the same, and reading beyond its end ends the process with SIGBUS."""
+        large = Record(5, 2, True, Document(Position(1, 1), CONFIGURATION, bytes(range(256)) * 800))
+        self.save(Record(5, 1), large)
+        path = self.directory / SLOTS[1]
+        whole = path.read_bytes()
+        for size in (*range(0, 8192, 1024), *range(8192, len(whole) - 4096, 4096)):
+            path.write_bytes(whole[:size])
+            self.assertEqual(self.load(), Found(Record(5, 1)))
+        path.write_bytes(whole)
+        self.assertEqual(self.load(), Found(large))
+
+    def test_foreign_files_count_as_lost(self) -> None:
+        self.directory.mkdir(parents=True)
+        script, database = b"#!/bin/sh\nexit 0\n" * 99, b"SQLite format 3\0" * 300
+        for content in (b"\xaa" * 8192, script, b"{}" * 5000, database):
+            with self.subTest(content=content[:8]):
+                (self.directory / SLOTS[0]).write_bytes(content)
+                self.assertEqual(self.lost_kinds(), [FaultKind.FOREIGN])
+                storage = self.open()
+                storage.load()
+                self.assertTrue(storage.save(Record(9, 1)))
+                storage.close()
+                self.assertEqual(self.load(), Found(Record(9, 1)))
+                for name in (SLOTS[0], MARKER):
+                    (self.directory / name).unlink()
+
+    def test_record_of_an_unknown_version_counts_as_lost(self) -> None:
+        unknown = bytes((0, 77)) + encode_record(RECORD)[2:]
+        with mock.patch.object(storage_module, "encode_record", return_value=unknown):
+            self.save(RECORD)
+        self.assertEqual(self.lost_kinds(), [FaultKind.OTHER_VERSION])
+
+    def test_older_file_in_place_of_the_other_one_leaves_the_newest(self) -> None:
+        self.save(Record(5, 1), Record(5, 2))
+        older = (self.directory / SLOTS[1]).read_bytes()
+        self.save(Record(5, 3), Record(5, 4), Record(5, 5))
+        (self.directory / SLOTS[1]).write_bytes(older)
+        self.assertEqual(self.load(), Found(Record(5, 5)))
+
+    def test_disk_without_a_marker_as_the_version_before_left_it_is_read(self) -> None:
+        self.save(Record(5, 1), Record(5, 2))
+        (self.directory / MARKER).unlink()
+        self.assertEqual(self.load(), Found(Record(5, 2)))
+        self.save(Record(5, 3))
+        self.assertTrue((self.directory / MARKER).exists())
+
+    def test_file_that_can_not_be_read_at_present_is_not_passed_over(self) -> None:
+        self.save(Record(5, 1), Record(5, 2))
+        for fault in (OSError(5, "Input/output error"), lmdb.DiskError("no space"), lmdb.Error("map failed")):
+            storage = self.open()
+            with mock.patch.object(lmdb, "open", side_effect=fault):
+                outcome = storage.load()
+            assert isinstance(outcome, Inaccessible), outcome
+            self.assertEqual({entry.kind for entry in outcome.faults}, {FaultKind.INACCESSIBLE})
+            self.assertEqual(storage.load(), Found(Record(5, 2)))
+            storage.close()
 
     def test_broken_storage_is_told_from_an_empty_one(self) -> None:
         self.save(Record(5, 1), Record(5, 2))
         for slot in SLOTS:
             (self.directory / slot).write_bytes(b"\xaa" * 8192)
-        with self.assertRaises(UnreadableError):
-            self.load()
+        self.assertEqual(self.lost_kinds(), [FaultKind.FOREIGN, FaultKind.FOREIGN])
 
     def test_changed_payload_fails_the_checksum(self) -> None:
         self.save(RECORD)
@@ -177,7 +287,7 @@
         content = path.read_bytes()
         self.assertIn(b"payload\0", content)
         path.write_bytes(content.replace(b"payload\0", b"pAyload\0"))
-        self.assertIsNone(self.load())
+        self.assertEqual(self.lost_kinds(), [FaultKind.TORN])
 
     def test_record_too_large_for_the_map_is_refused_and_the_last_one_kept(self) -> None:
         storage = self.open(disk_mb=1)
@@ -185,9 +295,9 @@
         self.assertTrue(storage.save(Record(5, 2)))
         huge = Record(5, 3, True, Document(payload=bytes(4 << 20)))
         self.assertFalse(storage.save(huge))
-        self.assertEqual(storage.load(), Record(5, 2))
+        self.assertEqual(storage.load(), Found(Record(5, 2)))
         self.assertTrue(storage.save(Record(5, 4)))
-        self.assertEqual(storage.load(), Record(5, 4))
+        self.assertEqual(storage.load(), Found(Record(5, 4)))
 
     def test_directory_that_can_not_be_made_is_a_failed_write(self) -> None:
         self.directory.parent.parent.mkdir(parents=True, exist_ok=True)
@@ -199,6 +309,6 @@
             Record(5, n, True, Document(Position(1, n), CONFIGURATION, bytes(400_000))) for n in range(12)
         ]
         self.save(*records)
-        self.assertEqual(self.load(), records[-1])
+        self.assertEqual(self.load(), Found(records[-1]))
         sizes = [(self.directory / slot).stat().st_size for slot in SLOTS]
         self.assertLess(sum(sizes), 6 << 20)
