--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -496,6 +496,24 @@
     sys.exit(run(json_file))
 
 
+@experiment.command("worker-answers", epilog=CODES)
+@click.option("--exchanges", default=100_000, show_default=True, help="Requests of all clients.")
+@click.option("--seed", default=1, show_default=True, help="For random choices.")
+@click.option("--processes", default=3, show_default=True, help="Each with a dispatcher of its own.")
+@click.option("--clients", default=40, show_default=True, help="At once, in each process.")
+@click.option("--workers", default=5, show_default=True, help="In each process.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def worker_answers(
+    exchanges: int, seed: int, processes: int, clients: int, workers: int, json_file: Path | None
+) -> None:
+    """Workers that break HTTP at byte level behind a dispatcher, judged from the sockets of both sides."""
+    from rookwood.lab.worker_answers import Plan, run_worker_answers
+
+    sys.exit(run_worker_answers(Plan(exchanges, seed, processes, clients, workers), json_file))
+
+
 @experiment.command("ledger", epilog=CODES)
 @click.option("--seed", default=1, show_default=True, help="For random choices.")
 @click.option("--unlocks", default=10_000, show_default=True, help="How many.")
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -90,7 +90,7 @@
     async def _receive(self, answer: Answer, request: UpstreamRequest) -> UpstreamOutcome:
         flaw = find_flaw(answer, request)
         if flaw is not None:
-            answer.close()
+            answer.discard()
             return Broken(flaw)
         passed = names.end_to_end(answer.headers)
         if answer.status in OK_STATUSES and answer.content_type == "text/event-stream":
--- a/rookwood/httpclient/client.py
+++ b/rookwood/httpclient/client.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from rookwood.httpclient.connections import AnswerConnector
+from rookwood.httpclient.connections import AnswerConnector, DiscardableResponse
 from rookwood.httpclient.outcomes import Broken, NotSent
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -25,7 +25,7 @@
 class Answer:
     """The head of an answer, and its body as far as it is read."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: DiscardableResponse) -> None:
         self._response = response
 
     @property
@@ -65,6 +65,10 @@
         """Give the answer up; its connection ends unless the whole answer was read."""
         self._response.close()
 
+    def discard(self) -> None:
+        """Give the answer up as one that is not for its request; its connection ends in any case."""
+        self._response.discard()
+
 
 class HttpClient:
     """HTTP connections; what comes of a request is a value."""
@@ -77,6 +81,7 @@
             skip_auto_headers=SKIPPED_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_limit),
             middlewares=(send_once,),
+            response_class=DiscardableResponse,
         )
 
     async def close(self) -> None:
@@ -95,9 +100,10 @@
             return NotSent(repr(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Broken(repr(error))
+        assert isinstance(response, DiscardableResponse)
         flaw = find_head_flaw(response)
         if flaw is not None:
-            response.close()
+            response.discard()
             return Broken(flaw)
         return Answer(response)
 
--- a/rookwood/httpclient/connections.py
+++ b/rookwood/httpclient/connections.py
@@ -11,8 +11,9 @@
 import functools
 from typing import Any
 
-from aiohttp import ClientPayloadError, StreamReader, TCPConnector
+from aiohttp import ClientPayloadError, ClientResponse, StreamReader, TCPConnector
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage
 
 SWITCHING_PROTOCOLS = 101
@@ -72,6 +73,11 @@
         self._break_answer(None)
         super().abort()
 
+    def end_after(self, body: StreamReader) -> None:
+        """End the connection, unless it carries another request than the one with this answer by now."""
+        if self._answer_body is body:
+            self._drop_connection()
+
     def _request_is_pending(self) -> bool:
         """Whether a part of the request has not been handed to the kernel yet."""
         if self.transport is None:
@@ -94,6 +100,28 @@
             self.transport.abort()
 
 
+class DiscardableResponse(ClientResponse):
+    """An answer that can still end its connection when its body is whole.
+
+    The library gives a connection back to the pool with the last byte of an answer, whomever that was for.
+    """
+
+    _answer_protocol: AnswerProtocol | None = None
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Read the head, and keep hold of the connection."""
+        assert isinstance(connection.protocol, AnswerProtocol)
+        self._answer_protocol = connection.protocol
+        return await super().start(connection)
+
+    def discard(self) -> None:
+        """Give up the answer and its connection: what comes on it now may be for any request."""
+        body = self.content
+        self.close()
+        if self._answer_protocol is not None:
+            self._answer_protocol.end_after(body)
+
+
 class AnswerConnector(TCPConnector):
     """A pool of such connections."""
 
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -648,6 +648,22 @@
         await self.assert_own_answer_or_none(worker, "second")
         await self.assert_own_answer_or_none(worker, "third")
 
+    async def test_a_connection_is_not_used_again_after_an_answer_to_another_request(self) -> None:
+        """Its own answer is still to come there, and would be taken for that of the next request."""
+        left = asyncio.Event()
+
+        async def answer_another(exchange: Exchange) -> None:
+            exchange.write(whole_answer(exchange.request, b"surplus", X_Try_Id="another"))
+            await exchange.caller_closed()
+            left.set()
+            raise ConnectionResetError
+
+        worker = await self.start_worker(answer_another, self.answer_own)
+        self.assert_no_promise(await self.send(MUTATING, "first"))
+        self.assertEqual(200, (await self.send(MUTATING, "second")).status)
+        await within(left.wait())
+        self.assertEqual(2, worker.connections)
+
     async def test_bytes_on_an_idle_connection_end_it(self) -> None:
         """The next request is sent on a new connection, so that it can't meet the surplus."""
         surplus_sent = asyncio.Event()
