Calls to workers: answers that are not theirs count for nothing; a cut HTTP/1.0 stream is reset

Where a worker's surplus answer met the next call on a kept connection, a report could be taken for the answer to an order (200: it holds already). An answer that names a client's request, or another instance (but for 421), now counts for nothing and ends its connection; a report is told from an order's answer by its content. Kept connections are given up after 4 s in place of 15: workers close idle ones after 10 s, and an order on one that has just been closed is without an answer. Ruled out: an id for each call.

A stream to a client of HTTP/1.0 has no chunks, so that our orderly close after a break looked like its end. Such a connection is reset now; asyncio's abort() alone sends a FIN and did not help. The new test in test_dataplane_streams fails without it.

--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -9,16 +9,19 @@
 from yarl import URL
 
 from rookwood.cluster.workers import HeldModel, parse_models
-from rookwood.httpclient.client import HttpClient
+from rookwood.httpclient.client import Answer, HttpClient
 from rookwood.httpclient.outcomes import Broken, NotSent
 
 CALL_LIMIT = 0.7  # seconds
 CONNECTIONS = 100
-IDLE_CONNECTION = 15.0  # seconds for which a kept connection is used again
+IDLE_CONNECTION = 4.0  # seconds for which a kept connection is used again; workers close idle ones after 10
 NOT_CONNECTED = 0  # in place of a status: nothing was sent
 FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 INSTANCE_HEADER = "X-Want-Instance"
+OWN_INSTANCE_HEADER = "X-Instance"  # in a worker's answer
+REQUEST_ID_HEADER = "X-Try-Id"  # only requests of clients have one, and their answers
 REPORTED = 200
+MISDIRECTED = 421
 HOLDS_ALREADY = 200
 TAKEN_STATUSES = (HOLDS_ALREADY, 202)
 
@@ -106,7 +109,7 @@
 
     async def report(self, address: str, worker: str) -> WorkerReport | ReportFailed:
         """Read a worker's report."""
-        answer = await self._call("GET", f"http://{address}/report", {INSTANCE_HEADER: worker}, None)
+        answer = await self._call("GET", f"http://{address}/report", worker, None)
         if isinstance(answer, NotSent | Broken):
             return ReportFailed(answer.why)
         if answer.status != REPORTED:
@@ -117,30 +120,48 @@
         self, address: str, worker: str, call: OrderCall
     ) -> OrderTaken | OrderRefused | OrderUnknown:
         """Give an order."""
-        headers = {INSTANCE_HEADER: worker, "Content-Type": "application/json"}
-        answer = await self._call("POST", f"http://{address}/order", headers, call.body())
+        answer = await self._call("POST", f"http://{address}/order", worker, call.body())
         if isinstance(answer, NotSent):
             return OrderRefused(NOT_CONNECTED)
         if isinstance(answer, Broken):
             return OrderUnknown(answer.why)
+        if isinstance(parse_report(answer.body), WorkerReport):
+            return OrderUnknown("a late report in place of an answer")
         if answer.status in TAKEN_STATUSES:
             return OrderTaken(done=answer.status == HOLDS_ALREADY)
         return OrderRefused(answer.status)
 
     async def _call(
-        self, method: str, url: str, headers: dict[str, str], body: bytes | None
+        self, method: str, url: str, worker: str, body: bytes | None
     ) -> CallAnswer | NotSent | Broken:
+        headers = {INSTANCE_HEADER: worker}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
         try:
             async with asyncio.timeout(CALL_LIMIT):
                 answer = await self._http.send(method, URL(url), headers, body)
                 if isinstance(answer, NotSent | Broken):
                     return answer
+                flaw = find_call_flaw(answer, worker)
+                if flaw is not None:
+                    answer.discard()
+                    return Broken(flaw)
                 whole = await answer.read_all()
         except TimeoutError as error:
             return Broken(repr(error))
         return whole if isinstance(whole, Broken) else CallAnswer(answer.status, whole)
 
 
+def find_call_flaw(answer: Answer, worker: str) -> str | None:
+    """Why an answer can't be this worker's answer to a call, if so; with 421 another worker answers."""
+    if any(answer.headers.getall(REQUEST_ID_HEADER, ())):
+        return "answer to a client's request"
+    foreign = any(named != worker for named in answer.headers.getall(OWN_INSTANCE_HEADER, ()))
+    if foreign and answer.status != MISDIRECTED:
+        return "answer of another worker"
+    return None
+
+
 def parse_report(body: bytes) -> WorkerReport | ReportFailed:
     """Read the JSON text of a report."""
     try:
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord
@@ -51,6 +53,7 @@
 RANK_OFFSET = 2
 LAST_RANK = 7
 ROOM_SHARE = 0.6
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 QUIET_BACKLOG = 0.01  # seconds; a prompt sent with less before it tells the worker's reading speed
 
 
@@ -434,8 +437,7 @@
     ) -> web.StreamResponse:
         """The final answer: a refusal, or the end of a stream that can't be finished."""
         if progress.response is not None:
-            if client.transport is not None:
-                client.transport.close()
+            end_incomplete(client)
             return progress.response
         if progress.last_answer is not None:
             return complete_response(progress.last_answer)
@@ -481,6 +483,22 @@
     return web.Response(status=outcome.status, headers=outcome.headers, body=outcome.body)
 
 
+def end_incomplete(client: web.BaseRequest) -> None:
+    """End the client's connection in the middle of an answer so that the answer doesn't look complete.
+
+    Without chunks (HTTP/1.0) an orderly close would be its end, so that the connection is reset.
+    """
+    transport = client.transport
+    if transport is None:
+        return
+    connection = transport.get_extra_info("socket")
+    if client.version < HttpVersion11 and connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        transport.abort()
+    else:
+        transport.close()
+
+
 async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """The whole body; None if it is larger than the limit."""
     if not request.body_exists:
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 from dataclasses import replace
 from typing import cast
+from unittest import mock
 
 from aiohttp import ClientSession, web
 
@@ -19,6 +21,7 @@
 )
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+from rookwood.controlplane import worker_client
 from rookwood.controlplane.demand import DemandSum
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_client import (
@@ -43,6 +46,7 @@
     break_off,
     refusing,
     whole_answer,
+    within,
 )
 
 OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
@@ -52,6 +56,7 @@
 HELD = (HeldModel("small", 1, frozenset()),)
 SETTLED = Status(OWN_IP, 1, OWN_IP, True, True, 0, 0, 1, (OWN_IP,))
 ORDER = OrderCall(True, "small", "a1", "node-7", 41, 2)
+SHORT_CALL_LIMIT = 0.1  # seconds
 ACKNOWLEDGEMENT_LIMIT = 4096  # bytes
 KEY = WeightsKey("small", "a1")
 
@@ -385,6 +390,56 @@
             self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
             self.assertEqual((2, 1), (len(worker.requests), worker.connections))
 
+    async def test_an_answer_to_a_request_counts_for_nothing_and_ends_its_connection(self) -> None:
+        """The true answer is still to come there, and would be taken for that of the next call."""
+        report = answering(json.dumps(REPORT).encode())
+
+        async def answer_a_request(exchange: Exchange) -> None:
+            exchange.write(whole_answer(exchange.request, json.dumps(REPORT).encode(), X_Try_Id="other"))
+            await exchange.caller_closed()
+            raise ConnectionResetError
+
+        worker = await self.start_worker(
+            FakeWorker(report, answer_a_request, report, answer_a_request, report)
+        )
+        await self.client.report(worker.address, worker.id)
+        self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+        self.assertIsInstance(await self.client.report(worker.address, worker.id), WorkerReport)
+        self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
+        self.assertIsInstance(await self.client.report(worker.address, worker.id), WorkerReport)
+        self.assertEqual((5, 3), (len(worker.requests), worker.connections))
+
+    async def test_a_report_is_no_answer_to_an_order(self) -> None:
+        """Workers do not name the call that they answer, so that a late report is told by its content."""
+        worker = await self.start_worker(FakeWorker(answering(json.dumps(REPORT).encode(), X_Try_Id=None)))
+        self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
+
+    async def test_an_answer_after_the_time_of_a_call_counts_for_nothing(self) -> None:
+        late, closed = asyncio.Event(), asyncio.Event()
+
+        async def answer_late(exchange: Exchange) -> None:
+            await late.wait()
+            exchange.write(whole_answer(exchange.request, b"", 202, X_Try_Id=None))
+            await exchange.caller_closed()
+            closed.set()
+            raise ConnectionResetError
+
+        worker = await self.start_worker(FakeWorker(answer_late, answering(b"", 409)))
+        with mock.patch.object(worker_client, "CALL_LIMIT", SHORT_CALL_LIMIT):
+            self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), OrderUnknown)
+        late.set()
+        self.assertEqual(OrderRefused(409), await self.client.order(worker.address, worker.id, ORDER))
+        await within(closed.wait())
+        self.assertEqual(2, worker.connections)
+
+    async def test_an_answer_of_another_life_of_the_worker_counts_for_nothing(self) -> None:
+        report = answering(json.dumps(REPORT).encode(), X_Instance="i-2")
+        worker = await self.start_worker(FakeWorker(report))
+        self.assertIsInstance(await self.client.report(worker.address, worker.id), ReportFailed)
+        for status, expected in ((202, OrderUnknown), (200, OrderUnknown), (421, OrderRefused)):
+            worker = await self.start_worker(FakeWorker(answering(b"", status, X_Instance="i-2")))
+            self.assertIsInstance(await self.client.order(worker.address, worker.id, ORDER), expected)
+
     async def test_no_call_follows_a_redirection(self) -> None:
         """Another place is another worker, which the call is not for."""
         other = await self.start_worker(FakeWorker(answering(json.dumps(REPORT).encode())))
--- a/tests/test_dataplane_streams.py
+++ b/tests/test_dataplane_streams.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientError
 
 from tests.fake_worker import (
+    HOST,
     Behaviour,
     Exchange,
     FakeWorker,
@@ -259,6 +260,16 @@
         self.assertFalse(stream.complete)
         self.assertTrue(events(1, 2).startswith(stream.body))
 
+    async def test_a_broken_stream_does_not_look_complete_without_chunks(self) -> None:
+        """To a client of HTTP/1.0 the end of the connection is the end of the answer."""
+        await self.start_worker(streaming_until_broken([1, 2]))
+        reader, writer = await asyncio.open_connection(HOST, self.dispatcher.port)
+        self.addCleanup(writer.close)
+        lines = [f"POST {STREAM} HTTP/1.0", *(f"{k}: {v}" for k, v in self.headers("try-1").items())]
+        writer.write("\r\n".join([*lines, "Content-Length: 1", "", "q"]).encode())
+        with self.assertRaises(ConnectionResetError):
+            await within(reader.read())
+
     async def test_a_partial_event_at_the_end_does_not_look_complete(self) -> None:
         await self.start_worker(streaming_until_broken([1, 2], partial=PARTIAL))
         stream = await self.read_stream(STREAM)
