Keep the placement's view of an engine's models in one place

model_specs stood in the load scheduler and in the tables; it is in cluster/engines.py now, which both programs import. Measured: the tests of orders, tables and placement pass.

--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -10,6 +10,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from rookwood.cluster.engines import model_specs
 from rookwood.cluster.messages import DemandReport
 from rookwood.cluster.settings import Bounds
 from rookwood.cluster.view import ClusterView
@@ -28,7 +29,7 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
-from rookwood.modelplacement.types import ModelSpec, WorkerWeights
+from rookwood.modelplacement.types import WorkerWeights
 
 logger = logging.getLogger("rookwood")
 
@@ -291,14 +292,6 @@
         return asyncio.get_running_loop().time()
 
 
-def model_specs(engine: Engine) -> dict[str, ModelSpec]:
-    """The planner's view of an engine's models."""
-    return {
-        model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
-        for model in engine.models.values()
-    }
-
-
 def poll_interval(plan: ServicePlan, order: LoadOrder) -> float:
     """How often to ask after an order, in seconds."""
     model = plan.engine.models.get(order.key.model)
--- a/rookwood/dataplane/tables.py
+++ b/rookwood/dataplane/tables.py
@@ -5,12 +5,13 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from rookwood.cluster.engines import model_specs
 from rookwood.cluster.messages import WantedWeights
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.clusterconfig.document import Configuration, Engine
 from rookwood.dataplane.demand import ServiceKey
 from rookwood.modelplacement.table import Fractions, PlacementTable
-from rookwood.modelplacement.types import ModelSpec, Outcome, WeightsKey, WorkerWeights
+from rookwood.modelplacement.types import Outcome, WeightsKey, WorkerWeights
 
 STEP_INTERVAL = 2.0  # seconds between two steps of a table
 
@@ -97,11 +98,3 @@
             )
             for record in records
         ]
-
-
-def model_specs(engine: Engine) -> dict[str, ModelSpec]:
-    """The models of an engine as placement sees them."""
-    return {
-        model.name: ModelSpec(model.name, model.size_mb, model.load_s, model.adapters, model.adapter_mb)
-        for model in engine.models.values()
-    }
