--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -109,8 +109,9 @@
         return str(self._directory / ip)
 
     def wipe(self, ip: str) -> None:
-        """Empty the disk of a machine."""
-        shutil.rmtree(self._directory / ip)
+        """Empty the disk of a machine; one that never took a write has no folder yet."""
+        if (self._directory / ip).exists():
+            shutil.rmtree(self._directory / ip)
 
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds, looking whenever a group tells something."""
