--- a/rookwood/lab/exchange_clients.py
+++ b/rookwood/lab/exchange_clients.py
@@ -125,9 +125,10 @@
         await self._changed.wait()
 
 
-async def connect(port: int) -> ClientConnection:
-    """A connection to the dispatcher."""
-    _, connection = await asyncio.get_running_loop().create_connection(ClientConnection, "127.0.0.1", port)
+async def connect(address: str) -> ClientConnection:
+    """A connection to the dispatcher, whose address is HOST:PORT."""
+    host, _, port = address.rpartition(":")
+    _, connection = await asyncio.get_running_loop().create_connection(ClientConnection, host, int(port))
     return connection
 
 
@@ -207,8 +208,8 @@
 class ExchangeClient:
     """Sends requests one after the other, on a kept connection where the answer lets it."""
 
-    def __init__(self, port: int, records: ExchangeRecords) -> None:
-        self._port = port
+    def __init__(self, address: str, records: ExchangeRecords) -> None:
+        self._address = address
         self._records = records
         self._connection: ClientConnection | None = None
         self._used = 0
@@ -242,7 +243,7 @@
             self._records.answers.append(unread)
         if kept is None or kept.ended or kept.unread or self._used >= MOST_ON_ONE_CONNECTION:
             self._end()
-            self._connection = kept = await connect(self._port)
+            self._connection = kept = await connect(self._address)
             self._used = 0
         self._used += 1
         return kept
--- a/rookwood/lab/worker_answers.py
+++ b/rookwood/lab/worker_answers.py
@@ -82,10 +82,10 @@
 
     def __init__(self, workers: int, plan: Callable[[], Misbehaviour]) -> None:
         self.records = ExchangeRecords()
+        self.address = ""
         self._workers = [MisbehavingWorker(f"w{number}", self.records, plan) for number in range(workers)]
         self._pool = WorkerPool()
         self._router = Router("e1", "z1", self._pool)
-        self.port = 0
 
     async def __aenter__(self) -> Self:
         """Start workers and dispatcher."""
@@ -102,7 +102,7 @@
         self._runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.05)
         await self._runner.setup()
         await web.TCPSite(self._runner, HOST, 0).start()
-        self.port = self._runner.addresses[0][1]
+        self.address = f"{HOST}:{self._runner.addresses[0][1]}"
         return self
 
     async def __aexit__(
@@ -123,7 +123,7 @@
 
     async def exchange(self, all_habits: list[ClientHabits]) -> list[ClientAnswer]:
         """Send requests one after the other, as one client."""
-        client = ExchangeClient(self.port, self.records)
+        client = ExchangeClient(self.address, self.records)
         try:
             return [await client.exchange(habits) for habits in all_habits]
         finally:
@@ -177,7 +177,10 @@
     wanted = range(part, plan.exchanges, plan.processes)
     async with ExchangeStage(plan.workers, lambda: draw_misbehaviour(source)) as stage:
         todo = iter(wanted)
-        clients = [_play_client(stage, source, ids, todo, part) for _ in range(plan.clients)]
+        clients = [
+            play_client(ExchangeClient(stage.address, stage.records), source, ids, todo, f"p{part}")
+            for _ in range(plan.clients)
+        ]
         await asyncio.gather(*clients)
         await stage.requests_ended()
     records = stage.records
@@ -190,12 +193,12 @@
     )
 
 
-async def _play_client(
-    stage: ExchangeStage, source: random.Random, ids: Iterator[int], todo: Iterator[int], part: int
+async def play_client(
+    client: ExchangeClient, source: random.Random, ids: Iterator[int], todo: Iterator[int], prefix: str
 ) -> None:
-    client = ExchangeClient(stage.port, stage.records)
+    """Send requests as long as there is something to do."""
     for _ in todo:
-        await client.exchange(draw_habits(source, ids, f"p{part}"))
+        await client.exchange(draw_habits(source, ids, prefix))
     client.close()
 
 
