Remember which file refused a write; sync a found record before the older one goes

Causes: - A file whose record is readable but whose free list is torn refused every write for good: the mark that a failed write left was cleared by the read that follows it. The older file, the only one known to be durable, was overwritten before the found one was synced: a loss of power then could lose both.

The test of torn pages now reads between two writes, as the group does, and failed before; the new test of the order of syncs pins the second point. The test of full first disks waits until each member has stored a record: it wiped a folder that was not there.

--- a/rookwood/coordination/storage.py
+++ b/rookwood/coordination/storage.py
@@ -106,6 +106,7 @@
         self._environments: dict[str, lmdb.Environment] = {}
         self._named: set[str] = set()
         self._broken: set[str] = set()
+        self._found_slot: str | None = None
         self._next_slot = SLOTS[0]
         self._serial = 0
 
@@ -128,13 +129,14 @@
             return Inaccessible((SlotFault(MARKER, FaultKind.INACCESSIBLE, str(error)),))
         read = [(slot, self._read(slot)) for slot in existing]
         faults = tuple(result for _, result in read if isinstance(result, SlotFault))
-        self._broken = {fault.slot for fault in faults}
+        self._broken |= {fault.slot for fault in faults}
         if any(fault.kind is FaultKind.INACCESSIBLE for fault in faults):
             return Inaccessible(faults)
         found = [(result.serial, slot, result.record) for slot, result in read if isinstance(result, _Stored)]
         if found:
             self._serial, newest, record = max(found, key=lambda entry: entry[0])
             self._next_slot = _other(newest)
+            self._found_slot = newest
             return Found(record)
         first_write_cut_short = all(fault.kind is FaultKind.TORN for fault in faults)
         if marked or len(existing) == len(SLOTS) or not first_write_cut_short:
@@ -166,16 +168,30 @@
                 environment.close()
 
     def _write(self, slot: str, packed: bytes) -> None:
-        environment = self._open_or_replace(slot)
-        with environment.begin(write=True) as transaction:
+        self._sync_found()
+        with self._open_or_replace(slot).begin(write=True) as transaction:
             transaction.put(RECORD_KEY, packed)
-        # `sync` covers the meta page too, which lmdb else leaves to the flags of a second descriptor.
-        environment.sync(True)
+        self._sync(slot)
         if slot not in self._named:
             self._mark()
             _sync_directory(self._directory)
             self._named.add(slot)
 
+    def _sync_found(self) -> None:
+        """Sync the record that was found, before the older one is overwritten.
+
+        The process before may have been killed between the write and its sync. The record then stands on
+        the disk only as far as this machine keeps its power, and the older one is all that is safe.
+        """
+        if self._found_slot is not None:
+            self._sync(self._found_slot)
+            _sync_directory(self._directory)
+            self._found_slot = None
+
+    def _sync(self, slot: str) -> None:
+        """Sync a file; this covers lmdb's header too, which it leaves to the flags of a second descriptor."""
+        self._open(slot).sync(True)
+
     def _mark(self) -> None:
         """Note that a record is stored; the record has been synced by now."""
         path = self._directory / MARKER
--- a/tests/test_coordination_disk.py
+++ b/tests/test_coordination_disk.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from rookwood.coordination.group import Backup, Committed, Primary
+from rookwood.coordination.storage import MARKER
 from rookwood.lab.faulty_disk import FaultyStorage, tear_slot_in_turn
 from rookwood.lab.systemstage import eventually
 from tests.test_coordination_group import FIRST_MEMBERS, Cluster
@@ -182,6 +183,8 @@
                     self.cluster.disks[ip].full = False
                 await self.commit_anywhere(b"a")
                 await self.until_all_hold(b"a")
+                for ip in FIRST_MEMBERS:
+                    await eventually((Path(self.cluster.directory(ip)) / MARKER).exists, "it has stored it")
                 roles = [group.role() for group in self.cluster.groups.values()]
                 self.assertTrue(all(isinstance(role, Primary | Backup) for role in roles), roles)
                 await self.cluster.stop_all()
--- a/tests/test_coordination_storage.py
+++ b/tests/test_coordination_storage.py
@@ -112,6 +112,22 @@
             return
 
 
+class RecordingStorage(Storage):
+    """Tells which files were opened and synced, in order."""
+
+    def __init__(self, directory: str, disk_mb: int) -> None:
+        super().__init__(directory, disk_mb)
+        self.steps: list[str] = []
+
+    def _sync(self, slot: str) -> None:
+        self.steps.append(f"sync {slot}")
+        super()._sync(slot)
+
+    def _open_or_replace(self, slot: str) -> lmdb.Environment:
+        self.steps.append(f"write {slot}")
+        return super()._open_or_replace(slot)
+
+
 class StorageTest(unittest.TestCase):
     def setUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
@@ -192,11 +208,24 @@
                     storage = self.open()
                     storage.load()
                     record = Record(5, 6)
-                    self.assertTrue(storage.save(record) or storage.save(record))
+                    if not storage.save(record):
+                        storage.load()
+                        self.assertTrue(storage.save(record))
                     self.assertEqual(storage.load(), Found(record))
                     storage.close()
                     self.assertEqual(self.load(), Found(record))
 
+    def test_found_record_is_synced_before_the_older_one_is_overwritten(self) -> None:
+        self.save(Record(5, 1), Record(5, 2))
+        older, newest = SLOTS
+        storage = RecordingStorage(str(self.directory), 128)
+        self.addCleanup(storage.close)
+        self.assertEqual(storage.load(), Found(Record(5, 2)))
+        self.assertTrue(storage.save(Record(5, 3)))
+        self.assertTrue(storage.save(Record(5, 4)))
+        first = [f"sync {newest}", f"write {older}", f"sync {older}"]
+        self.assertEqual(storage.steps, [*first, f"write {newest}", f"sync {newest}"])
+
     def test_first_write_that_was_torn_counts_as_none(self) -> None:
         self.save(Record(5, 1))
         whole = (self.directory / SLOTS[0]).read_bytes()
