Check the items of a patched configuration by identity, not by writing all as JSON

A patch leaves all items but those that it names the same objects; each was still written as JSON twice, to find out that it had passed before.

The property that checking beside an accepted document gives the same faults as checking alone covers it.

--- a/rookwood/clusterconfig/validation.py
+++ b/rookwood/clusterconfig/validation.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import cerberus
@@ -104,15 +104,27 @@
         if not isinstance(items, list):
             continue
         validator = _ShapeValidator(schema, allow_unknown=True)
-        accepted_texts = {json.dumps(item) for item in accepted.get(section, [])}
+        accepted_items = {item["name"]: item for item in accepted.get(section, [])}
         for index, item in enumerate(items):
             path = f"{section}.{index}"
             if not isinstance(item, dict):
                 yield Fault(path, "must be of dict type")
-            elif json.dumps(item) not in accepted_texts:
+            elif not _is_accepted(item, accepted_items):
                 yield from _run_validator(validator, item, prefix=f"{path}.")
 
 
+def _is_accepted(item: JsonObject, accepted_items: Mapping[str, JsonObject]) -> bool:
+    """Tell whether an item is one that passed before. A patch leaves most items the same objects.
+
+    Others are compared as text, since Python takes 1, 1.0 and True for equal.
+    """
+    name = item.get("name")
+    accepted = accepted_items.get(name) if isinstance(name, str) else None
+    if accepted is None:
+        return False
+    return accepted is item or json.dumps(item) == json.dumps(accepted)
+
+
 def _run_validator(validator: _ShapeValidator, value: JsonObject, prefix: str) -> Iterator[Fault]:
     if not validator.validate(value, normalize=False):
         yield from _flatten_errors(prefix, validator.errors)
