End a dispatcher without cutting what it took: learned durations, idle connections closed

Ruled out: the ingress alone (requests come over open connections).

Now: each dispatcher learns by route (by service for a route without requests) how long an attempt takes to its head and for each output token. After SIGTERM an attempt begins only if it can be expected to end within grace-s, else 503 with Retry-After; waits for weights end so much earlier. Idle connections are closed once the platform has noticed (2.5 s); answers end their connections. At 0.5 s before the kill what is left ends: 502 where it may have run, 503 where it has not, and only a stream already begun is cut. The listener closes 0.4 s before that, after what waits in its backlog was accepted; answers are flushed before the exit.

The two tests that set `Proxy.draining` call `drain` now.

--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -14,6 +14,8 @@
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.client_server import ClientServer
+from rookwood.dataplane.closing import INGRESS_NOTICE
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.proxy import Proxy
@@ -26,10 +28,12 @@
 HOUSEKEEPING_INTERVAL = 1.0
 HEADER_LIMIT = 64 * 1024
 CLIENT_KEEPALIVE = 60.0
-INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
-EXIT_MARGIN = 1.0  # seconds before the process is killed
-REFUSAL_MARGIN = 0.5  # seconds before the exit at which requests that still wait are refused
+CLOSING_MARGIN = 0.5  # seconds before the process is killed at which whatever is under way ends
+EXIT_MARGIN = 0.2  # seconds before the process is killed at which unread answers are given up
+FIRST_REQUEST_LIMIT = 0.4  # seconds for which a new connection's first request is waited for
+SHUTDOWN_LIMIT = 0.1  # seconds that the library gives to connections which are still open then
 DRAIN_POLL = 0.05
+ACCEPT_TURNS = 4  # turns of the event loop from a connection in the backlog to its first bytes
 
 
 class DataPlane:
@@ -61,27 +65,31 @@
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
         self._links = LinkSet(self._settings.feed_port, hello, self, self._settings.ip)
         self._keep_house()
-        runners = [await self._serve_clients(self._proxy), await self._serve_readiness()]
+        clients = self._client_server(self._proxy)
+        runner = await self._serve_clients(clients)
+        runners = [runner, await self._serve_readiness()]
         keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
         logger.info("data plane started")
         await run_until(self._stopping, [keeper])
-        await self._finish(self._proxy)
+        await self._finish(self._proxy, clients, runner)
         await cancel_tasks([keeper])
         self._links.close()
         for runner in runners:
             await runner.cleanup()
         await client.close()
 
-    async def _serve_clients(self, proxy: Proxy) -> web.ServerRunner:
-        server = web.Server(
+    @staticmethod
+    def _client_server(proxy: Proxy) -> ClientServer:
+        return ClientServer(
             proxy.handle,
-            handler_cancellation=True,
             keepalive_timeout=CLIENT_KEEPALIVE,
             access_log=None,
             max_line_size=HEADER_LIMIT,
             max_field_size=HEADER_LIMIT,
         )
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+
+    async def _serve_clients(self, server: ClientServer) -> web.ServerRunner:
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=SHUTDOWN_LIMIT)
         await runner.setup()
         address = self._settings.listen["edge"]
         await web.TCPSite(runner, address.ip, address.port, backlog=1024).start()
@@ -89,7 +97,7 @@
 
     async def _serve_readiness(self) -> web.ServerRunner:
         server = web.Server(self._answer_readiness, access_log=None)
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=SHUTDOWN_LIMIT)
         await runner.setup()
         address = self._settings.listen["readyz"]
         await web.TCPSite(runner, address.ip, address.port).start()
@@ -102,16 +110,28 @@
         configured = self._router.configuration is not None and self._router.has_workers()
         return configured and not self._stopping.is_set()
 
-    async def _finish(self, proxy: Proxy) -> None:
-        """Let requests end; new connections still come until the platform noticed."""
+    async def _finish(self, proxy: Proxy, clients: ClientServer, runner: web.ServerRunner) -> None:
+        """Serve until the platform noticed, then let what is under way end; answers are flushed."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        ends = began + self._settings.bounds.grace - EXIT_MARGIN
-        proxy.drain(ends - REFUSAL_MARGIN)
+        killed_at = began + self._settings.bounds.grace
+        proxy.drain(killed_at - CLOSING_MARGIN)
         logger.info("data plane drains", extra={"in_flight": proxy.in_flight})
-        while loop.time() < ends:
-            if proxy.in_flight == 0 and loop.time() - began > INGRESS_NOTICE:
-                return
+        await asyncio.sleep(min(INGRESS_NOTICE, self._settings.bounds.grace - CLOSING_MARGIN))
+        await self._await_clients(clients, killed_at - CLOSING_MARGIN - FIRST_REQUEST_LIMIT)
+        await turn_loop()  # takes in what waits to be accepted
+        for site in runner.sites:
+            await site.stop()
+        await turn_loop()
+        await self._await_clients(clients, killed_at - EXIT_MARGIN)
+        logger.info("data plane ends", extra={"connections": len(clients.connections)})
+
+    @staticmethod
+    async def _await_clients(clients: ClientServer, until: float) -> None:
+        """Close connections as they become idle, until none is left; each answer ends its own."""
+        while clients.connections and asyncio.get_running_loop().time() < until:
+            await turn_loop()
+            clients.close_idle(FIRST_REQUEST_LIMIT)
             await asyncio.sleep(DRAIN_POLL)
 
     def _keep_house(self) -> None:
@@ -176,3 +196,9 @@
         connection = self._links.connection(peer) if self._links else None
         if answer is not None and connection is not None:
             connection.send(answer)
+
+
+async def turn_loop() -> None:
+    """Let the event loop handle what has arrived on its sockets by now."""
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -16,7 +16,9 @@
 from rookwood.clusterconfig.document import Configuration
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.closing import ClosingTime
 from rookwood.dataplane.demand import DemandMeter
+from rookwood.dataplane.durations import DurationMeter
 from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
@@ -46,6 +48,7 @@
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 STARTUP_PATIENCE = 2.0  # seconds for which a request waits for the first configuration
 RETRY_SOON = 0.3
+RETRY_ELSEWHERE = 0.1  # seconds; this process ends, other dispatchers serve on
 FIRST_SERVER_ERROR = 500
 SILENT = "silence"
 SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
@@ -118,13 +121,20 @@
         self._client = client
         self._on_work = on_work
         self.in_flight = 0
-        self.draining = False
-        self._closes_at: float | None = None
+        self._durations = DurationMeter()
+        self._closing = ClosingTime()
+
+    @property
+    def draining(self) -> bool:
+        """Whether the process is about to end."""
+        return self._closing.known
 
     def drain(self, closes_at: float) -> None:
-        """Let connections end after their next answer; waits for weights end at `closes_at`."""
-        self.draining = True
-        self._closes_at = closes_at
+        """Let connections end after their next answer, and whatever is under way at `closes_at`.
+
+        What can't be expected to end by then is refused from now on.
+        """
+        self._closing.set(closes_at, self._now())
         self._router.notify()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -139,6 +149,27 @@
             self.in_flight -= 1
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request, at the latest when the process ends."""
+        progress = RequestProgress()
+        scope = asyncio.timeout(None)
+        try:
+            async with scope:
+                with self._closing.register(scope):
+                    return await self._route(request, progress)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+        return self._end_unfinished(request, progress)
+
+    def _end_unfinished(self, client: web.BaseRequest, progress: RequestProgress) -> web.StreamResponse:
+        """The process ends before the request does."""
+        if progress.response is not None:
+            return self._cut(client, progress.response)
+        if progress.sends:
+            return Refusal(502, "the dispatcher ends before the worker's answer").response()
+        return Refusal(503, "the dispatcher ends", RETRY_ELSEWHERE).response()
+
+    async def _route(self, request: web.BaseRequest, progress: RequestProgress) -> web.StreamResponse:
         arrived = self._now()
         configuration = await self._await_configuration(request, arrived)
         if configuration is None:
@@ -156,7 +187,7 @@
         self._budget.request(service, arrived)
         if routed.key is not None:
             self._demand.request(routed.key, arrived)
-        return await self._forward(request, routed)
+        return await self._forward(request, routed, progress)
 
     async def _await_configuration(self, request: web.BaseRequest, arrived: float) -> Configuration | None:
         """The configuration; a process that just started waits for it a little."""
@@ -167,10 +198,13 @@
                 return None
         return self._router.configuration
 
-    async def _forward(self, client: web.BaseRequest, request: RoutedRequest) -> web.StreamResponse:
-        progress = RequestProgress()
+    async def _forward(
+        self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
+    ) -> web.StreamResponse:
         while True:
             worker = await self._find_worker(request, progress)
+            if progress.response is None and not self._ends_in_time(request):
+                worker = Refusal(503, "the dispatcher ends", RETRY_ELSEWHERE)
             if isinstance(worker, Refusal):
                 return self._give_up(client, request, progress, worker)
             outcome = await self._attempt(client, request, worker, progress)
@@ -179,6 +213,21 @@
             if not self._may_repeat(request, progress, outcome):
                 return self._give_up(client, request, progress, refusal_for(request, progress, outcome))
 
+    def _ends_in_time(self, request: RoutedRequest) -> bool:
+        """Whether an attempt that begins now can be expected to end before this process."""
+        now = self._now()
+        return self._closing.allows(self._expected_duration(request, now), now)
+
+    def _expected_duration(self, request: RoutedRequest, now: float) -> float:
+        """How long an attempt takes.
+
+        Most attempts for a request that the platform sends here unknowing; hardly any exceeds it for one that
+        comes later, when clients have other dispatchers to go to.
+        """
+        if self._closing.unnoticed(request.arrived):
+            return self._durations.likely(request, now)
+        return self._durations.upper(request, now)
+
     async def _attempt(
         self, client: web.BaseRequest, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
     ) -> web.StreamResponse | NotSent | Rejected | Broken:
@@ -201,11 +250,15 @@
             outcome = await self._await_head(request, progress, traffic, sending)
             self._learn(request, worker, outcome)
             result = placement_outcome(request, outcome, self._now())
+            answered = self._now()
             if isinstance(outcome, Streaming):
                 if quiet and request.key is not None:
                     self._router.speed.observe(request.key.model, tokens, self._now() - began)
-                return await self._relay(client, request, worker, outcome, progress)
+                relayed = await self._relay(client, request, worker, outcome, progress)
+                self._durations.observe(request, answered - began, self._now() - answered, self._now())
+                return relayed
             if isinstance(outcome, Complete):
+                self._durations.observe(request, answered - began, 0.0, answered)
                 return self._finish_complete(request, outcome, progress)
             return outcome
         finally:
@@ -401,9 +454,11 @@
         return None
 
     def _wait_limit(self, request: RoutedRequest) -> float:
-        """Until when a request may wait for its weights; never beyond the end of this process."""
+        """Until when a request may wait for its weights; its attempt must end before this process does."""
         until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + self._patience(request))
-        return until if self._closes_at is None else min(until, self._closes_at)
+        if self._closing.at is None:
+            return until
+        return min(until, self._closing.at - self._expected_duration(request, self._now()))
 
     @staticmethod
     def _patience(request: RoutedRequest) -> float:
@@ -438,9 +493,7 @@
     ) -> web.StreamResponse:
         """The final answer: a refusal, or the end of a stream that can't be finished."""
         if progress.response is not None:
-            if client.transport is not None:
-                client.transport.close()
-            return progress.response
+            return self._cut(client, progress.response)
         if progress.last_answer is not None:
             return complete_response(progress.last_answer)
         if progress.may_have_run and not request.repeatable and refusal.status == 503:
@@ -451,6 +504,13 @@
         )
         return refusal.response()
 
+    @staticmethod
+    def _cut(client: web.BaseRequest, response: web.StreamResponse) -> web.StreamResponse:
+        """End an answer that can't be finished so that it doesn't look whole."""
+        if client.transport is not None:
+            client.transport.close()
+        return response
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -209,7 +209,8 @@
 
     async def test_a_request_that_waits_for_weights_is_refused_before_the_process_ends(self) -> None:
         """Its wait could last beyond the time that the process has left after SIGTERM."""
-        self.enterContext(mock.patch.object(program, "EXIT_MARGIN", self.settings.bounds.grace - SHORT_DRAIN))
+        margin = self.settings.bounds.grace - SHORT_DRAIN
+        self.enterContext(mock.patch.object(program, "CLOSING_MARGIN", margin))
         await self.start_worker(FakeWorker(answering()), MODEL_SERVICE)
         await self.feed()
         sending = asyncio.create_task(self.send(MODELS, X_Model="small/a1", X_Time_Left="60000"))
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -668,13 +668,13 @@
 class DrainingDispatcherTests(DispatcherCase):
     async def test_a_dispatcher_that_drains_still_answers_and_closes_the_connection(self) -> None:
         await self.start_worker(answering())
-        self.dispatcher.proxy.draining = True
+        self.dispatcher.proxy.drain(asyncio.get_running_loop().time() + 2 * TIMEOUT_MS / 1000)
         answer = await self.send(MUTATING)
         self.assertEqual((200, "close"), (answer.status, answer.headers["Connection"].lower()))
 
     async def test_a_stream_that_a_draining_dispatcher_begins_ends_whole(self) -> None:
         await self.start_worker(streaming([1, 2, 3]))
-        self.dispatcher.proxy.draining = True
+        self.dispatcher.proxy.drain(asyncio.get_running_loop().time() + 2 * TIMEOUT_MS / 1000)
         answer = await self.send(STREAM)
         self.assertEqual((200, "close"), (answer.status, answer.headers["Connection"].lower()))
         self.assertIn(b"piece 3", answer.body)
