--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -496,6 +496,17 @@
     sys.exit(run(json_file))
 
 
+@experiment.command("many-changes", epilog=CODES)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def many_changes(json_file: Path | None) -> None:
+    """2,000 operators' changes at three control groups, with restarts, an absence and a loss of power."""
+    from rookwood.lab.many_changes import Plan, run_many_changes
+
+    sys.exit(run_many_changes(Plan(), json_file))
+
+
 @experiment.command("ledger", epilog=CODES)
 @click.option("--seed", default=1, show_default=True, help="For random choices.")
 @click.option("--unlocks", default=10_000, show_default=True, help="How many.")
