rookwood control: status, history, verify, transfer, and recover from the one disk left

Control machines tell their role, positions, version and digest, and the changes that they remember, on the ctl port (/control); the command asks all members, and exits with 3 where an epoch has two primaries, copies differ at one position or a version has two changes, with 1 where nobody answers, with 2 on wrong use. transfer asks the primary for the same hand-over as SIGTERM does; it is refused where no other member is heard.

ControlGroup gains transfer(), stored() and holds_copy(). Not tested: that a disk named as lost was in truth there, behind a cut.

--- /dev/null
+++ b/rookwood/cli/control.py
@@ -0,0 +1,237 @@
+"""The `control` command: what the control machines of a system know, and what an operator may ask of them."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+
+from rookwood.cli.control_checks import Violation, find_history_violations, find_violations
+from rookwood.cli.control_client import (
+    GroupView,
+    Unreachable,
+    fetch_history,
+    look_at_group,
+    request_transfer,
+)
+from rookwood.cli.control_recover import recover
+from rookwood.cluster.control_status import MachineHistory, MachineStatus
+from rookwood.cluster.settings import settings_path
+
+EXIT_DONE, EXIT_UNREACHABLE, EXIT_MISUSE, EXIT_BROKEN = 0, 1, 2, 3
+HTTP_OK = 200
+ALL_CHANGES = 100_000
+COLUMNS = ("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "digest")
+
+Addresses = Annotated[
+    list[str],
+    cappa.Arg(num_args=-1, required=True, help="`ctl` address (ip:port) of one or more control machines"),
+]
+Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON in place of text")]
+
+
+@cappa.command(name="status")
+@dataclass
+class StatusCommand:
+    """Who leads, under which epoch, and how far each member's copy is."""
+
+    addresses: Addresses
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Run the command and return the exit code."""
+        view = look_at_group(self.addresses)
+        violations = find_violations(view.machines.values())
+        print(_as_json(view, violations) if self.json else _as_text(view))
+        return _finish(view, violations)
+
+
+@cappa.command(name="history")
+@dataclass
+class HistoryCommand:
+    """The changes that one control machine remembers, oldest first."""
+
+    addresses: Addresses
+    limit: Annotated[int, cappa.Arg(long=True, help="how many of the newest changes")] = 20
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Run the command and return the exit code."""
+        for address in self.addresses:
+            history = fetch_history(address, max(0, self.limit))
+            if isinstance(history, MachineHistory):
+                print(json.dumps(history.to_json(), indent=1) if self.json else _history_text(history))
+                return EXIT_DONE
+            _complain(f"{history.address}: {history.reason}")
+        return EXIT_UNREACHABLE
+
+
+@cappa.command(name="transfer")
+@dataclass
+class TransferCommand:
+    """Have the primary hand its leadership to the most up-to-date backup."""
+
+    addresses: Addresses
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Run the command and return the exit code."""
+        view = look_at_group(self.addresses)
+        primaries = view.primaries()
+        if len(primaries) != 1:
+            _complain(f"{len(primaries)} primaries are known")
+            return EXIT_UNREACHABLE
+        reply = request_transfer(primaries[0])
+        if isinstance(reply, Unreachable):
+            _complain(f"{reply.address}: {reply.reason}; the leadership may have been handed over")
+            return EXIT_UNREACHABLE
+        if reply.status != HTTP_OK:
+            _complain(f"{primaries[0]}: not handed over: {json.dumps(reply.body)}")
+            return EXIT_UNREACHABLE
+        print(json.dumps(reply.body) if self.json else f"{primaries[0]} has handed over")
+        return EXIT_DONE
+
+
+@cappa.command(name="verify")
+@dataclass
+class VerifyCommand:
+    """Check that no epoch has two primaries, and that copies and histories agree."""
+
+    addresses: Addresses
+    json: Json = False
+
+    def __call__(self) -> int:
+        """Run the command and return the exit code."""
+        view = look_at_group(self.addresses)
+        histories: list[MachineHistory] = []
+        for address in list(view.machines):
+            history = fetch_history(address, ALL_CHANGES)
+            if isinstance(history, MachineHistory):
+                histories.append(history)
+            else:
+                view.unreachable.append(history)
+        violations = find_violations(view.machines.values()) + find_history_violations(histories)
+        if self.json:
+            print(_as_json(view, violations))
+        else:
+            print(f"{len(view.machines)} machines compared, {len(violations)} broken rules")
+        return _finish(view, violations)
+
+
+@cappa.command(name="recover")
+@dataclass
+class RecoverCommand:
+    """Make the one copy that is left the start of a new group; for when a majority of disks is gone.
+
+    Run it on the machine that is to lead, with its control process stopped. Without --accept-loss it only
+    tells what it would do.
+    """
+
+    lost: Annotated[
+        list[str], cappa.Arg(long=True, default=[], help="member whose disk is gone (once for each)")
+    ] = field(default_factory=list)
+    from_copy: Annotated[
+        Path | None, cappa.Arg(long=True, help="folder of the copy that is left [default: datadir]")
+    ] = None
+    settings: Annotated[
+        Path | None, cappa.Arg(long=True, help="settings file of this machine [default: as its process]")
+    ] = None
+    accept_loss: Annotated[
+        bool, cappa.Arg(long=True, help="do it, and give up what the copy does not hold")
+    ] = False
+
+    def __call__(self) -> int:
+        """Run the command and return the exit code."""
+        path = str(self.settings) if self.settings else settings_path()
+        return recover(path, self.from_copy, frozenset(self.lost), self.accept_loss)
+
+
+@cappa.command(name="control")
+@dataclass
+class ControlCommand:
+    """Look at the control machines, hand the leadership over, recover a lost group."""
+
+    command: cappa.Subcommands[
+        StatusCommand | HistoryCommand | TransferCommand | VerifyCommand | RecoverCommand
+    ]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run `control` with the given arguments, without the program name, and return the exit code."""
+    argv = sys.argv[1:] if arguments is None else arguments
+    exit_code: int = cappa.invoke(ControlCommand, argv=argv)
+    return exit_code
+
+
+def _finish(view: GroupView, violations: list[Violation]) -> int:
+    for missing in view.unreachable:
+        _complain(f"{missing.address}: {missing.reason}")
+    for violation in violations:
+        _complain(f"broken: {violation.rule}, {violation.detail}: {', '.join(violation.machines)}")
+    if violations:
+        return EXIT_BROKEN
+    return EXIT_DONE if view.machines else EXIT_UNREACHABLE
+
+
+def _as_json(view: GroupView, violations: list[Violation]) -> str:
+    document: dict[str, Any] = {
+        "machines": {address: status.to_json() for address, status in view.machines.items()},
+        "unreachable": [asdict(missing) for missing in view.unreachable],
+        "violations": [asdict(violation) for violation in violations],
+    }
+    return json.dumps(document, indent=1)
+
+
+def _as_text(view: GroupView) -> str:
+    statuses = list(view.machines.values())
+    newest = max((status.committed for status in statuses), default=None)
+    rows = [COLUMNS]
+    for status in statuses:
+        behind = newest is not None and status.committed < newest
+        rows.append(
+            (
+                status.machine,
+                status.role.value + (f" ({status.reason})" if status.reason else ""),
+                str(status.epoch or "-"),
+                str(status.committed),
+                str(status.stored),
+                str(status.version),
+                _lag(status, newest.sequence if newest and behind else None, newest.epoch if newest else 0),
+                "yes" if status.holds_copy else "no",
+                status.digest,
+            )
+        )
+    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
+    return "\n".join(line.rstrip() for line in [*lines, *_summary(statuses)])
+
+
+def _summary(statuses: list[MachineStatus]) -> list[str]:
+    """Members, and how many machines have synced the newest committed document."""
+    if not statuses:
+        return []
+    newest = max(statuses, key=lambda status: status.committed)
+    holders = [status for status in statuses if status.holds_copy and status.stored >= newest.committed]
+    members = ", ".join(newest.members) or "none known"
+    return [f"members: {members}", f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}"]
+
+
+def _lag(status: MachineStatus, newest_sequence: int | None, newest_epoch: int) -> str:
+    if newest_sequence is None:
+        return "0"
+    if status.committed.epoch != newest_epoch:
+        return "older epoch"
+    return str(newest_sequence - status.committed.sequence)
+
+
+def _history_text(history: MachineHistory) -> str:
+    lines = [f"{history.machine} at {history.committed}"]
+    return "\n".join([*lines, *(f"{change.version}  {change.digest}" for change in history.changes)])
+
+
+def _complain(text: str) -> None:
+    print(text, file=sys.stderr)
--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -36,6 +36,15 @@
     sys.exit(run_config(list(arguments)))
 
 
+@main.command("control", context_settings={"ignore_unknown_options": True}, add_help_option=False)
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def control(arguments: tuple[str, ...]) -> None:
+    """The control machines: `control status`, `history`, `transfer`, `verify`, `recover`."""
+    from rookwood.cli.control import main as run_control
+
+    sys.exit(run_control(list(arguments)))
+
+
 @main.command(epilog=CODES)
 @click.option(
     "--config", type=click.Path(dir_okay=False), help="The platform's JSON file [default: $PROXY_CONFIG]."
--- /dev/null
+++ b/rookwood/controlplane/control_api.py
@@ -0,0 +1,112 @@
+"""The state of the control group over HTTP, for `rookwood control`: status, history, planned transfer."""
+
+from __future__ import annotations
+
+import hashlib
+
+from aiohttp import web
+
+from rookwood.cluster.control_status import (
+    HISTORY_PATH,
+    STATUS_PATH,
+    TRANSFER_PATH,
+    ControlRole,
+    HistoryEntry,
+    MachineHistory,
+    MachineStatus,
+    StatePosition,
+)
+from rookwood.controlplane.payload import read_payload
+from rookwood.coordination.group import (
+    Backup,
+    ControlGroup,
+    NoSuccessor,
+    NotPrimary,
+    Primary,
+    Role,
+    Snapshot,
+    Transferred,
+    Unattached,
+)
+
+DIGEST_CHARACTERS = 16
+DEFAULT_HISTORY = 20
+LIMIT_PARAMETER = "limit"
+
+
+class ControlApi:
+    """Handlers below /control. They tell what this machine knows, which may be less than the primary does."""
+
+    def __init__(self, ip: str, group: ControlGroup) -> None:
+        self._ip = ip
+        self._group = group
+
+    def add_routes(self, application: web.Application) -> None:
+        """Register the handlers."""
+        application.router.add_get(STATUS_PATH, self.status)
+        application.router.add_get(HISTORY_PATH, self.history)
+        application.router.add_post(TRANSFER_PATH, self.transfer)
+
+    async def status(self, request: web.Request) -> web.Response:
+        """This machine, its role and its copy."""
+        return web.json_response(self._status().to_json())
+
+    async def history(self, request: web.Request) -> web.Response:
+        """The newest changes that are remembered here; `limit` tells how many."""
+        text = request.query.get(LIMIT_PARAMETER, str(DEFAULT_HISTORY))
+        if not text.isascii() or not text.isdecimal() or not 0 < len(text) < DIGEST_CHARACTERS:
+            return web.json_response({"err": "limit is not a number"}, status=400)
+        snapshot = self._group.snapshot()
+        taken = read_payload(snapshot.payload).taken
+        newest = taken[max(0, len(taken) - int(text)) :]
+        changes = tuple(HistoryEntry(change.version, change.digest.hex()) for change in newest)
+        return web.json_response(MachineHistory(self._ip, position_of(snapshot), changes).to_json())
+
+    async def transfer(self, request: web.Request) -> web.Response:
+        """Hand the leadership over, where this machine is the primary."""
+        outcome = await self._group.transfer()
+        if isinstance(outcome, Transferred):
+            return web.json_response({"from": self._ip, "epoch": outcome.epoch})
+        if isinstance(outcome, NotPrimary):
+            return web.json_response({"err": "not the primary", "primary": outcome.primary}, status=409)
+        if isinstance(outcome, NoSuccessor):
+            return web.json_response({"err": "no other member is reachable"}, status=409)
+        return web.json_response({"err": outcome.why}, status=503)
+
+    def _status(self) -> MachineStatus:
+        group = self._group
+        role = group.role()
+        snapshot = group.snapshot()
+        stored = group.stored()
+        return MachineStatus(
+            machine=self._ip,
+            role=role_name(role),
+            reason=role.reason if isinstance(role, Unattached) else "",
+            primary=self._primary_of(role),
+            epoch=0 if isinstance(role, Unattached) else role.epoch,
+            fresh=isinstance(role, Primary) or (isinstance(role, Backup) and role.fresh),
+            holds_copy=group.holds_copy(),
+            members=group.members(),
+            reachable=tuple(sorted(group.reachable())),
+            committed=position_of(snapshot),
+            stored=StatePosition(stored.epoch, stored.sequence),
+            version=read_payload(snapshot.payload).version,
+            digest=hashlib.sha256(snapshot.payload).hexdigest()[:DIGEST_CHARACTERS],
+        )
+
+    def _primary_of(self, role: Role) -> str:
+        if isinstance(role, Primary):
+            return self._ip
+        return role.primary if isinstance(role, Backup) else ""
+
+
+def role_name(role: Role) -> ControlRole:
+    """The role without its particulars."""
+    if isinstance(role, Primary):
+        return ControlRole.PRIMARY
+    return ControlRole.BACKUP if isinstance(role, Backup) else ControlRole.UNATTACHED
+
+
+def position_of(snapshot: Snapshot) -> StatePosition:
+    """The position of a committed document."""
+    return StatePosition(snapshot.epoch, snapshot.sequence)
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -27,6 +27,7 @@
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.clusterconfig.loading import load_configuration
+from rookwood.controlplane.control_api import ControlApi
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
@@ -114,6 +115,7 @@
         application = web.Application(client_max_size=MAXIMUM_BODY)
         WorkerApi(self.group, self._table).add_routes(application)
         OperatorApi(self._settings, self.group).add_routes(application)
+        ControlApi(self._settings.ip, self.group).add_routes(application)
         self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.5)
         await self._runner.setup()
         address = self._settings.listen["ctl"]
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -40,10 +40,12 @@
     "ControlGroup",
     "Declined",
     "GroupSettings",
+    "NoSuccessor",
     "NotPrimary",
     "Primary",
     "Role",
     "Snapshot",
+    "Transferred",
     "Unattached",
     "Uncertain",
 ]
@@ -58,6 +60,18 @@
 INCARNATION_BITS = 62
 
 
+@dataclass(frozen=True)
+class Transferred:
+    """Another member leads now, under this epoch."""
+
+    epoch: int
+
+
+@dataclass(frozen=True)
+class NoSuccessor:
+    """No other member was heard lately, so nothing was handed over."""
+
+
 @dataclass(frozen=True)
 class GroupSettings(Timing):
     """Settings of one member; the times of the protocol are inherited as fields with defaults."""
@@ -160,6 +174,25 @@
         """Return the members heard within the lease time, this one included."""
         return frozenset() if self._replica is None else self._replica.reachable(self._now())
 
+    def stored(self) -> Position:
+        """Return the position of the document that is synced here."""
+        return Position() if self._replica is None else self._replica.record().document.position
+
+    def holds_copy(self) -> bool:
+        """Tell whether this machine takes part with the storage it has, neither joining nor recovering."""
+        return self._replica is not None and self._replica.is_member()
+
+    async def transfer(self) -> Transferred | NoSuccessor | NotPrimary | Uncertain:
+        """Hand the leadership to the most up-to-date member that is heard, and go on as its backup."""
+        role = self.role()
+        if self._replica is None or not isinstance(role, Primary):
+            return NotPrimary(role.primary if isinstance(role, Backup) else None)
+        if self.reachable() <= {self._settings.ip}:
+            return NoSuccessor()
+        await self._transfer(self._replica)
+        epoch = self.snapshot().epoch
+        return Transferred(epoch) if epoch > role.epoch else Uncertain("no successor was established in time")
+
     async def propose(
         self, change: Callable[[bytes], bytes | Declined], limit: float = 3.0
     ) -> Committed | Declined | NotPrimary | Uncertain:
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -92,6 +92,10 @@
         """Return the addresses of the members, as known here."""
         return self._context.configuration().addresses()
 
+    def is_member(self) -> bool:
+        """Tell whether this replica takes part with the storage it has."""
+        return self._context.is_member()
+
     def reachable(self, now: float) -> frozenset[str]:
         """Return the members heard within the lease time, this one included."""
         self._context.now = now
