--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -36,6 +36,15 @@
     sys.exit(run_config(list(arguments)))
 
 
+@main.command("control", context_settings={"ignore_unknown_options": True}, add_help_option=False)
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def control(arguments: tuple[str, ...]) -> None:
+    """The control machines: `control status`, `history`, `transfer`, `verify`, `recover`."""
+    from rookwood.cli.control import main as run_control
+
+    sys.exit(run_control(list(arguments)))
+
+
 @main.command(epilog=CODES)
 @click.option(
     "--config", type=click.Path(dir_okay=False), help="The platform's JSON file [default: $PROXY_CONFIG]."
@@ -514,6 +523,17 @@
     sys.exit(run_worker_answers(Plan(exchanges, seed, processes, clients, workers), json_file))
 
 
+@experiment.command("many-changes", epilog=CODES)
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def many_changes(json_file: Path | None) -> None:
+    """2,000 operators' changes at three control groups, with restarts, an absence and a loss of power."""
+    from rookwood.lab.many_changes import Plan, run_many_changes
+
+    sys.exit(run_many_changes(Plan(), json_file))
+
+
 @experiment.command("ledger", epilog=CODES)
 @click.option("--seed", default=1, show_default=True, help="For random choices.")
 @click.option("--unlocks", default=10_000, show_default=True, help="How many.")
