--- a/rookwood/coordination/election.py
+++ b/rookwood/coordination/election.py
@@ -17,30 +17,55 @@
 
 
 class PreVote:
-    """Asks the others whether they hear no primary either, before any epoch is spent."""
+    """Asks the others whether they hear no primary either, before any epoch is spent.
+
+    It asks again and again until its limit, since a member may come back or end its favour meanwhile.
+    """
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._ballot = context.random.getrandbits(62)
-        self._granted: dict[str, int | None] = context.own_voice()
+        self._asked_at: dict[int, float] = {}
+        self._granted_since: dict[str, float] = {}
+        self._resend_at = context.now
         self.highest_promise = context.journal.latest.promised
-        self.started_at = context.now
         self.deadline = context.now + context.timing.pre_vote_limit
-        request = PreVoteRequest(self._ballot, context.journal.latest.document.position)
-        for ip in context.configuration().everyone():
-            context.send(ip, request)
+        self._ask()
 
     def on_reply(self, sender: str, reply: PreVoteReply) -> None:
-        """Count an answer to this round."""
-        if reply.ballot != self._ballot:
+        """Count the answer to one of this candidate's questions."""
+        asked_at = self._asked_at.get(reply.ballot)
+        if asked_at is None:
             return
         self.highest_promise = max(self.highest_promise, reply.promised)
         if reply.granted:
-            self._granted[sender] = None
+            self._granted_since[sender] = asked_at
 
     def is_won(self) -> bool:
         """Tell whether a vote quorum hears no primary."""
-        return self._context.configuration().has_votes(self._granted)
+        voters = self._context.own_voice() | dict.fromkeys(self._granted_since)
+        return self._context.configuration().has_votes(voters)
+
+    def favoured_since(self) -> float:
+        """Return since when all that granted favour this candidate."""
+        return min([self._context.now, *self._granted_since.values()])
+
+    def tick(self) -> None:
+        """Ask again when it is time."""
+        if self._context.now >= self._resend_at:
+            self._ask()
+
+    def next_wakeup(self) -> float:
+        """Return when to look at this pre-vote again."""
+        return min(self.deadline, self._resend_at)
+
+    def _ask(self) -> None:
+        now = self._context.now
+        self._resend_at = now + self._context.timing.resend
+        ballot = self._context.random.getrandbits(62)
+        self._asked_at[ballot] = now
+        request = PreVoteRequest(ballot, self._context.journal.latest.document.position)
+        for ip in self._context.configuration().everyone():
+            self._context.send(ip, request)
 
 
 class Candidacy:
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -13,6 +13,7 @@
 
 Change = Callable[[bytes], bytes | Declined]
 MAX_ROUNDS_REMEMBERED = 32
+HEALTHY_BEATS = 2
 
 
 @dataclass
@@ -23,10 +24,11 @@
     token: int | None = None
     stored: Position = Position()
     round: int = 0
-    round_started_at: float = 0.0
+    round_started_at: float = float("-inf")
     sent: Position = Position()
     sent_at: float = float("-inf")
     disk_failed: bool = False
+    lagging: bool = False
 
 
 @dataclass
@@ -62,13 +64,14 @@
         self.epoch = epoch
         self.started_at = context.now
         self.established_at: float | None = None
-        self.transferring = False
+        self.leave_by: float | None = None
         self._replications: dict[str, Replication] = {}
         self._learners: dict[str, Learner] = {}
         self._proposals: deque[Proposal] = deque()
         self._waiters: list[Waiter] = []
         self._in_flight: int | None = None
         self._writing = False
+        self._patience_until: float | None = None
         self._committed = Position()
         self._round = 0
         self._confirmed_round = 0
@@ -82,6 +85,11 @@
         """Tell whether this primary may act."""
         return self.established_at is not None
 
+    @property
+    def leaving(self) -> bool:
+        """Tell whether another member is to take over."""
+        return self.leave_by is not None
+
     @property
     def committed(self) -> Position:
         """Return the newest committed position."""
@@ -122,9 +130,17 @@
         self._waiters.clear()
         self._in_flight = None
 
-    def is_idle(self) -> bool:
-        """Tell whether no write is under way."""
-        return not self._writing
+    def is_ready_to_leave(self) -> bool:
+        """Tell whether to hand over now: every healthy member holds the newest document, or it is time."""
+        if self.leave_by is None:
+            return False
+        position = self._document.position
+        stands_elsewhere = all(state.stored >= position for state in self._healthy_members())
+        return self._context.now >= self.leave_by or (not self._writing and stands_elsewhere)
+
+    def leave(self) -> None:
+        """Take no more changes, so that another member may take over."""
+        self.leave_by = self._context.now + self._context.timing.departure_limit
 
     # Messages
 
@@ -173,11 +189,14 @@
         if self._context.now >= self._heartbeat_at:
             self._start_round()
         self._drop_silent_learners()
+        self._check_commit()
         self._advance()
 
     def next_wakeup(self) -> float:
         """Return when to look at this leadership again."""
-        return self._heartbeat_at
+        if self._patience_until is None:
+            return self._heartbeat_at
+        return min(self._heartbeat_at, self._patience_until)
 
     def has_lease(self, now: float) -> bool:
         """Tell whether a vote quorum acknowledged a recent round."""
@@ -225,11 +244,39 @@
         if self._context.journal.durable.document.position < position:
             return
         holders = self._voices(lambda state: state.stored >= position)
-        if self._document.configuration.has_copies(holders, self._context.tolerate):
+        enough = self._document.configuration.has_copies(holders, self._context.tolerate)
+        if enough and not self._awaits_another_copy():
             self._commit()
 
+    def _awaits_another_copy(self) -> bool:
+        """Tell whether to wait for healthy members beyond the quorum; one that is late is not again."""
+        now = self._context.now
+        missing = [state for state in self._healthy_members() if state.stored < self._document.position]
+        if not missing:
+            return False
+        if self._patience_until is None:
+            self._patience_until = now + self._context.timing.copy_patience
+        if now < self._patience_until:
+            return True
+        for state in missing:
+            state.lagging = True
+        return False
+
+    def _healthy_members(self) -> list[Replication]:
+        """Return the other members that answer, and whose disks keep up."""
+        limit = self._context.now - HEALTHY_BEATS * self._context.timing.heartbeat
+        return [
+            state
+            for ip, state in self._replications.items()
+            if self._is_member(ip, state.token)
+            and not state.disk_failed
+            and not state.lagging
+            and state.round_started_at >= limit
+        ]
+
     def _commit(self) -> None:
         self._writing = False
+        self._patience_until = None
         self._committed = self._document.position
         if self.established_at is None:
             self.established_at = self._context.now
@@ -244,7 +291,7 @@
     def _advance(self) -> None:
         while self.established and not self._writing and self._proposals:
             self._start_proposal(self._proposals.popleft())
-        if self.established and not self._writing and not self.transferring:
+        if self.established and not self._writing and not self.leaving:
             self._advance_membership()
 
     def _start_proposal(self, proposal: Proposal) -> None:
@@ -379,5 +426,7 @@
         if stored.epoch == self.epoch and stored > replication.stored:
             replication.stored = stored
             replication.disk_failed = False
+            if self._context.now - replication.sent_at < self._context.timing.copy_patience:
+                replication.lagging = False
             self._check_commit()
             self._advance()
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -116,7 +116,7 @@
         elif self._candidacy is not None:
             moments.append(self._candidacy.next_wakeup())
         else:
-            moments.append(self._pre_vote.deadline if self._pre_vote else self._election_at)
+            moments.append(self._pre_vote.next_wakeup() if self._pre_vote else self._election_at)
         return min(moments)
 
     # Inputs
@@ -192,7 +192,7 @@
         """Hand the leadership to another member once the write under way is done."""
         self._context.now = now
         if self._leadership is not None:
-            self._leadership.transferring = True
+            self._leadership.leave()
         return self._finish()
 
     # Time
@@ -221,6 +221,7 @@
                 self._candidacy = None
                 self._reset_election_timer(0.0)
         elif self._pre_vote is not None:
+            self._pre_vote.tick()
             if self._context.now >= self._pre_vote.deadline:
                 self._pre_vote = None
                 self._reset_election_timer(0.0)
@@ -242,7 +243,7 @@
 
     def _check_pre_vote(self) -> None:
         if self._pre_vote is not None and self._pre_vote.is_won():
-            self._start_candidacy(self._pre_vote.highest_promise, self._pre_vote.started_at)
+            self._start_candidacy(self._pre_vote.highest_promise, self._pre_vote.favoured_since())
 
     def _start_candidacy(self, highest_promise: int, favoured_since: float) -> None:
         self._pre_vote = None
@@ -459,7 +460,7 @@
 
     def _acting(self) -> Leadership | None:
         leadership = self._leadership
-        if leadership is None or not leadership.established or leadership.transferring:
+        if leadership is None or not leadership.established or leadership.leaving:
             return None
         if not leadership.has_lease(self._context.now):
             self._step_down()
@@ -502,7 +503,7 @@
     def _finish(self) -> list[Effect]:
         context = self._context
         leadership = self._leadership
-        if leadership is not None and leadership.transferring and leadership.is_idle():
+        if leadership is not None and leadership.is_ready_to_leave():
             self._hand_over()
         begun = context.journal.begin(context.now)
         if begun is not None:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -91,8 +91,34 @@
         self.harness.receive(A, B, self.harness.take(WriteAck, A)[0])
         self.assertNotIn(1, self.harness.outcomes)
         self.harness.sync(A)
+        self.harness.now += Timing().copy_patience
+        self.harness.tick(A)
+        self.assertIsInstance(self.harness.outcomes[1], Committed)
+
+    def test_commit_waits_shortly_for_the_copies_of_healthy_members(self) -> None:
+        self.harness.propose(A, 1, b"x")
+        self.harness.sync(A)
+        for ip in (B, C):
+            self.assertNotIn(1, self.harness.outcomes)
+            self.harness.receive(ip, A, self.harness.take(Write, ip)[0])
+            self.harness.sync(ip)
+            self.harness.receive(A, ip, self.harness.take(WriteAck, A)[0])
         self.assertIsInstance(self.harness.outcomes[1], Committed)
 
+    def test_member_that_lags_is_waited_for_once(self) -> None:
+        for ticket in (1, 2):
+            self.harness.propose(A, ticket, b"x")
+            self.harness.take(Write, C)
+            self.harness.sync(A)
+            self.harness.receive(B, A, self.harness.take(Write, B)[0])
+            self.harness.sync(B)
+            self.harness.receive(A, B, self.harness.take(WriteAck, A)[0])
+            if ticket == 1:
+                self.assertNotIn(1, self.harness.outcomes)
+                self.harness.now += Timing().copy_patience
+                self.harness.tick(A)
+            self.assertIsInstance(self.harness.outcomes[ticket], Committed)
+
     def test_own_copy_alone_does_not_commit(self) -> None:
         self.harness.propose(A, 1, b"x")
         self.harness.sync(A)
@@ -376,6 +402,27 @@
         self.assertEqual(sum(isinstance(role, Primary) for role in roles), 1)
         self.assertIsInstance(self.harness.replicas[A].role(self.harness.now), Backup)
 
+    def test_primary_leaves_only_when_its_copies_stand_elsewhere(self) -> None:
+        self.harness.propose(A, 1, b"x")
+        self.harness.sync(A)
+        self.harness.receive(B, A, self.harness.take(Write, B)[0])
+        self.harness.sync(B)
+        self.harness.receive(A, B, self.harness.take(WriteAck, A)[0])
+        self.harness.apply(A, self.harness.replicas[A].transfer(self.harness.now))
+        self.assertEqual(self.harness.take(TransferNow), [])
+        self.harness.receive(C, A, self.harness.take(Write, C)[0])
+        self.harness.sync(C)
+        self.harness.receive(A, C, self.harness.take(WriteAck, A)[0])
+        self.assertEqual(len(self.harness.take(TransferNow)), 1)
+
+    def test_primary_leaves_in_time_though_a_copy_is_missing(self) -> None:
+        self.harness.propose(A, 1, b"x")
+        self.harness.down.add(C)
+        self.harness.apply(A, self.harness.replicas[A].transfer(self.harness.now))
+        self.harness.pass_time(Timing().departure_limit + 0.2)
+        self.assertIsInstance(self.harness.outcomes[1], Committed)
+        self.assertIsInstance(self.harness.replicas[B].role(self.harness.now), Primary)
+
     def test_primary_whose_disk_fails_hands_over(self) -> None:
         before = self.harness.disks[A]
         self.harness.propose(A, 1, b"x")
--- a/tests/test_replication_mutants.py
+++ b/tests/test_replication_mutants.py
@@ -1,12 +1,13 @@
 """Variants of the replication that are broken on purpose: the simulation has to find each of them."""
 
 import unittest
-from contextlib import AbstractContextManager
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
-from rookwood.coordination import document
+from rookwood.coordination import document, election
 from rookwood.coordination.admission import Admission
 from rookwood.coordination.context import Context
 from rookwood.coordination.document import Configuration, Document, Position, Record
@@ -14,7 +15,7 @@
 from rookwood.coordination.election import Candidacy, Supporter
 from rookwood.coordination.journal import Journal, PromiseStep
 from rookwood.coordination.leadership import Leadership
-from rookwood.coordination.messages import Promise, Write, WriteAck
+from rookwood.coordination.messages import PreVoteRequest, Promise, Write, WriteAck
 from rookwood.coordination.outcomes import Confirmed, Declined, NotPrimary, Snapshot
 from rookwood.coordination.replication import Replica
 from rookwood.coordination.voting import Voter
@@ -149,12 +150,19 @@
     return patch.object(Voter, "answer_vote", answer_vote)
 
 
-def stale_copy_elected() -> Patch:
+def pre_votes_of_the_first_version() -> Patch:
+    """Pre-votes without a position, which safety must not depend on; no mutant by itself."""
+    return patch.object(election, "PreVoteRequest", lambda ballot, position: PreVoteRequest(ballot))
+
+
+@contextmanager
+def stale_copy_elected() -> Iterator[None]:
     def on_promise(self: Candidacy, sender: str, incarnation: int, promise: Promise) -> None:
         if promise.epoch == self.epoch and promise.candidate == self._context.incarnation:
             self._promises[sender] = Supporter(incarnation, promise.token)
 
-    return patch.object(Candidacy, "on_promise", on_promise)
+    with pre_votes_of_the_first_version(), patch.object(Candidacy, "on_promise", on_promise):
+        yield
 
 
 def members_changed_at_one_stroke() -> Patch:
@@ -396,6 +404,12 @@
 class SoundTest(unittest.TestCase):
     """The replication itself holds under the plans that find the mutants."""
 
+    def test_seeds_hold_without_positions_in_pre_votes(self) -> None:
+        with pre_votes_of_the_first_version():
+            for seed in range(30):
+                with self.subTest(seed=seed):
+                    Simulation(seed).run()
+
     def test_plans_of_the_mutants_are_sound(self) -> None:
         for plan in (
             POWER,
