No coded body passes as the worker's; a client that left is no error of the dispatcher

A body with another transfer coding than chunks (gzip, or gzip in chunks) was passed on as it came over the wire, which is not the worker's body; its answer counts as broken now. Both tests fail without the mends.

--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -323,6 +323,9 @@
         try:
             traffic = self._pool.get(worker.id)
             ended = await self._copy_events(request, stream, progress, progress.response, traffic)
+        except ConnectionResetError:  # the client has left; errors of the worker's side are values
+            end_incomplete(client)
+            return progress.response
         finally:
             stream.answer.close()
         if isinstance(ended, StreamEnded):
--- a/rookwood/httpclient/client.py
+++ b/rookwood/httpclient/client.py
@@ -129,6 +129,9 @@
     """
     if response.status < FIRST_FINAL_STATUS:
         return f"status {response.status} is no final answer"
+    codings = response.headers.getall("Transfer-Encoding", ())
+    if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        return f"transfer coding {codings}"
     for text in (response.reason or "", *response.headers.values()):
         if STATUS_LINE.search(text):
             return "two heads in one"
--- a/tests/test_dataplane_streams.py
+++ b/tests/test_dataplane_streams.py
@@ -5,8 +5,9 @@
 import asyncio
 import unittest
 from dataclasses import dataclass
+from unittest import mock
 
-from aiohttp import ClientError
+from aiohttp import ClientConnectionResetError, ClientError, web
 
 from tests.fake_worker import (
     HOST,
@@ -329,6 +330,19 @@
 
                 await self.assert_freed(send_the_head_only, silence, prefix)
 
+    async def test_a_write_to_a_client_that_has_left_is_no_error_of_the_dispatcher(self) -> None:
+        """The client's connection may close before its handler is told."""
+        await self.start_worker(streaming([1, 2]))
+        gone = ClientConnectionResetError("Cannot write to closing transport")
+        with (
+            mock.patch.object(web.StreamResponse, "write", side_effect=gone) as write,
+            self.assertNoLogs("aiohttp.server", "ERROR"),
+        ):
+            stream = await self.read_stream(STREAM)
+            await self.no_request_in_flight()
+        self.assertEqual(1, write.call_count)
+        self.assert_cut(stream)
+
     async def test_a_client_that_leaves_between_events_frees_the_slot(self) -> None:
         for prefix in (STREAM, RESUMED):
             with self.subTest(prefix=prefix):
--- a/tests/test_httpclient_requests.py
+++ b/tests/test_httpclient_requests.py
@@ -133,6 +133,14 @@
                         outcome = await self.outcome_after(surplus[:cut] + answer(status=status))
                         self.assertIsInstance(outcome, Broken)
 
+    async def test_no_transfer_coding_but_chunks_is_passed_on(self) -> None:
+        for coding, body in ((b"gzip", b"answer"), (b"gzip, chunked", b"6\r\nanswer\r\n0\r\n\r\n")):
+            coded = answer(body=body).replace(
+                b"Content-Length: %d" % len(body), b"Transfer-Encoding: " + coding
+            )
+            with self.subTest(coding=coding):
+                self.assertIsInstance(await self.outcome_after(coded), Broken)
+
     async def test_no_second_length_counts(self) -> None:
         for lengths in (b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n"):
             spoilt = answer().replace(b"Content-Length: 6\r\n", lengths + b"Content-Length: 6\r\n")
