Tear a disk's write before it is marked as stored, as a loss of power does

test_coordination_storage_histories failed: the disk of the lab tore a file after the write had ended and the marker of the first record was made, which is a storage that was lost, as load() rightly said. The lab's disk now tears between the sync of the file in turn and the marker.

--- a/rookwood/lab/faulty_disk.py
+++ b/rookwood/lab/faulty_disk.py
@@ -47,7 +47,10 @@
             self.writes_refused += 1
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         super()._write(slot, packed)
-        if self._tear_next:
+
+    def _sync(self, slot: str) -> None:
+        super()._sync(slot)
+        if self._tear_next and slot == self.slot_in_turn:
             self._tear_next = False
             self.close()
             tear_file(self._path(slot))
