After the platform noticed, take only requests whose kind ends in half the time that is left

Ruled out: a wrong count of its tokens (the estimate took the most that it may generate). A demand that moves and workers that are replaced make requests slower than those seen before.

--- a/rookwood/dataplane/durations.py
+++ b/rookwood/dataplane/durations.py
@@ -14,6 +14,8 @@
 UPPER_DEVIATIONS = 4.0  # and that hardly any exceeds
 LONGEST_HALF_LIFE = 20.0  # seconds in which the longest duration seen loses half its lead over the mean
 UNTOLD_TOKENS = 1
+SAFETY = 2.0  # workers may become so much slower while a request runs
+ENOUGH_SAMPLES = 8  # attempts from which an upper bound can be told
 
 
 @dataclass(slots=True)
@@ -94,10 +96,15 @@
         return left if known is None else min(left, known.likely(output_tokens(request)))
 
     def upper(self, request: RoutedRequest, now: float) -> float:
-        """How long hardly any attempt takes; all the time that the request has if nothing is known."""
+        """How long no attempt should take, also at workers that become slower meanwhile.
+
+        All the time that the request has if too little is known of its kind.
+        """
         left = max(0.0, request.deadline - now)
         known = self._known(request)
-        return left if known is None else min(left, known.upper(output_tokens(request), now))
+        if known is None or known.head.samples < ENOUGH_SAMPLES:
+            return left
+        return min(left, SAFETY * known.upper(output_tokens(request), now))
 
     def _known(self, request: RoutedRequest) -> AttemptDurations | None:
         by_route = self._routes.get((request.service, request.route.name))
