Contact with a majority before serving; no drain acknowledged where it may reach nobody

Cause: a dispatcher took its first configuration from any control machine, so one that started beside a machine cut off from the others served an old version and called itself ready.

Now `FetchConfiguration` carries `confirm`. A dispatcher without a configuration asks only machines that claim to be the primary, which answer after a round of a majority that began with the question (`confirm()`), and else not at all. Until then it is not ready and answers 503. One that serves takes what is newer from any machine, never what is older. A control machine that is unattached, also just after its start, or a backup that has not heard its primary within the lease answers 503 to heartbeats, `draining` and DELETE (and takes them in all the same): before, a machine restarted behind a cut acknowledged them.

--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -49,18 +49,27 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchConfiguration:
-    """Asks for the newest committed configuration."""
+    """Asks for the newest committed configuration.
+
+    With `confirm` the primary first has a majority acknowledge that it still is the primary.
+    """
 
     sequence: int
+    confirm: bool
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationBody:
-    """The committed configuration under its position."""
+    """A committed configuration under its position.
+
+    `confirmed`: a majority acknowledged a round of the sender that began after it was asked, so no newer
+    configuration had been acknowledged to an operator when it was asked.
+    """
 
     epoch: int
     sequence: int
     source: bytes
+    confirmed: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,9 +225,13 @@
         ("dispatchers", "int"),
         ("members", _array("string")),
     ),
-    FetchConfiguration: _record("FetchConfiguration", ("sequence", "long")),
+    FetchConfiguration: _record("FetchConfiguration", ("sequence", "long"), ("confirm", "boolean")),
     ConfigurationBody: _record(
-        "ConfigurationBody", ("epoch", "long"), ("sequence", "long"), ("source", "bytes")
+        "ConfigurationBody",
+        ("epoch", "long"),
+        ("sequence", "long"),
+        ("source", "bytes"),
+        ("confirmed", "boolean"),
     ),
     WorkerUpdates: _record("WorkerUpdates", ("records", _array(_WORKER)), ("complete", "boolean")),
     WorkerGone: _record("WorkerGone", ("worker", "string"), ("deleted", "boolean")),
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -39,7 +39,11 @@
 
 
 class ClusterView:
-    """Merges feeds. Configuration never goes back; a worker goes when every informed source lacks it."""
+    """Merges feeds. Configuration never goes back; a worker goes when every informed source lacks it.
+
+    The first configuration must be confirmed by a majority since this process started: a control machine
+    that is cut off from the others may hold an old one. Later ones need only be newer.
+    """
 
     def __init__(
         self,
@@ -49,6 +53,7 @@
     ) -> None:
         self.registry = WorkerRegistry()
         self.position = NO_CONFIGURATION
+        self.confirmed = False
         self._on_configuration = on_configuration
         self._on_worker = on_worker
         self._on_worker_gone = on_worker_gone
@@ -124,14 +129,17 @@
     def _take_status(self, peer: str, status: Status) -> Message | None:
         self._sources.setdefault(peer, Source(linked=True)).status = status
         position = ConfigurationPosition(status.config_epoch, status.config_sequence)
-        if position > self.position and status.config_sequence > 0:
-            return FetchConfiguration(status.config_sequence)
+        if status.config_sequence <= 0 or position <= self.position:
+            return None
+        if self.confirmed or claims_primary(status):
+            return FetchConfiguration(status.config_sequence, confirm=not self.confirmed)
         return None
 
     def _take_configuration(self, body: ConfigurationBody) -> None:
         position = ConfigurationPosition(body.epoch, body.sequence)
-        if position <= self.position:
+        if position <= self.position or not (self.confirmed or body.confirmed):
             return
+        self.confirmed = True
         self.position = position
         if body.source:
             self._on_configuration(body.source)
@@ -176,3 +184,8 @@
         self._presence.pop(worker, None)
         if self.registry.forget(worker):
             self._on_worker_gone(worker)
+
+
+def claims_primary(status: Status) -> bool:
+    """Whether a control machine says that it is the primary; only a round of its own can confirm that."""
+    return status.fresh and status.primary == status.identity
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -37,6 +37,7 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import (
     Backup,
+    Confirmed,
     ControlGroup,
     GroupSettings,
     Primary,
@@ -60,6 +61,7 @@
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._answers: set[asyncio.Task[None]] = set()
         self._started = 0.0
         self._source = b""
         self.group = ControlGroup(
@@ -101,7 +103,7 @@
     async def _stop(self) -> None:
         logger.info("control plane stops")
         await self.group.stop(transfer=True)
-        await cancel_tasks(self._tasks)
+        await cancel_tasks([*self._tasks, *self._answers])
         if self._links is not None:
             self._links.close()
         await self._feed.stop()
@@ -189,7 +191,7 @@
     def received(self, connection: Connection, message: Message) -> None:
         """A message of a subscriber."""
         if isinstance(message, FetchConfiguration):
-            connection.send(self._configuration())
+            self._answer(connection, message)
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
         elif isinstance(message, WorkNotices):
@@ -204,10 +206,25 @@
     def lost(self, connection: Connection) -> None:
         """A subscriber is gone."""
 
-    def _configuration(self) -> ConfigurationBody:
-        snapshot = self.group.snapshot()
-        document = read_payload(snapshot.payload)
-        return ConfigurationBody(snapshot.epoch, snapshot.sequence, document.source)
+    def _answer(self, connection: Connection, question: FetchConfiguration) -> None:
+        if not question.confirm:
+            connection.send(configuration_body(self.group.snapshot(), confirmed=False))
+            return
+        answering = asyncio.create_task(self._send_confirmed(connection))
+        self._answers.add(answering)
+        answering.add_done_callback(self._answers.discard)
+
+    async def _send_confirmed(self, connection: Connection) -> None:
+        """Send the configuration once a round that begins now confirmed it; else nothing."""
+        outcome = await self.group.confirm()
+        if isinstance(outcome, Confirmed):
+            connection.send(configuration_body(outcome.snapshot, confirmed=True))
+
+
+def configuration_body(snapshot: Snapshot, *, confirmed: bool) -> ConfigurationBody:
+    """The configuration of a snapshot as a message."""
+    source = read_payload(snapshot.payload).source
+    return ConfigurationBody(snapshot.epoch, snapshot.sequence, source, confirmed)
 
 
 def is_core(connection: Connection) -> bool:
--- a/rookwood/controlplane/worker_api.py
+++ b/rookwood/controlplane/worker_api.py
@@ -10,7 +10,7 @@
 
 from rookwood.cluster.workers import MalformedHeartbeatError, WorkerState, parse_heartbeat
 from rookwood.controlplane.worker_table import WorkerTable
-from rookwood.coordination.group import ControlGroup, Unattached
+from rookwood.coordination.group import Backup, ControlGroup, Primary
 
 logger = logging.getLogger("rookwood")
 
@@ -21,7 +21,6 @@
     def __init__(self, group: ControlGroup, table: WorkerTable) -> None:
         self._group = group
         self._table = table
-        self._was_attached = False
 
     def add_routes(self, application: web.Application) -> None:
         """Register the handlers."""
@@ -50,7 +49,8 @@
         return web.json_response({})
 
     def _cut_off(self) -> bool:
-        if isinstance(self._group.role(), Unattached):
-            return self._was_attached
-        self._was_attached = True
-        return False
+        """Whether this machine may be cut off: what it hears then may not reach all dispatchers."""
+        role = self._group.role()
+        if isinstance(role, Backup):
+            return not role.fresh
+        return not isinstance(role, Primary)
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -25,7 +25,7 @@
 HELLO = Hello("10.0.0.7", "edge", "z1")
 STATUS = Status("10.0.0.1", 3, "10.0.0.1", True, True, 3, 7, 4, ("10.0.0.1",))
 GONE = WorkerGone("i-1", deleted=True)
-LARGE_MESSAGE = ConfigurationBody(1, 1, bytes(1024 * 1024))
+LARGE_MESSAGE = ConfigurationBody(1, 1, bytes(1024 * 1024), True)
 SHORT_SILENCE = 0.15
 KEPT_SILENCE = 0.5  # well above the interval of heartbeats, also on a busy machine
 SHORT_INTERVAL = 0.02
@@ -138,8 +138,8 @@
         recorder = LinkRecorder()
         self.open_link(recorder)
         connection = await within(recorder.links.get())
-        connection.send(FetchConfiguration(7))
-        self.assertEqual(FetchConfiguration(7), await within(self.handler.messages.get()))
+        connection.send(FetchConfiguration(7, False))
+        self.assertEqual(FetchConfiguration(7, False), await within(self.handler.messages.get()))
 
     async def test_a_subscriber_that_leaves_is_lost(self) -> None:
         recorder = LinkRecorder()
--- /dev/null
+++ b/tests/test_controlplane_confirmation.py
@@ -0,0 +1,84 @@
+"""What a control machine hands out as current when a dispatcher that starts asks it."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from typing import cast
+from unittest import mock
+
+from rookwood.cluster.feed import Connection
+from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Message
+from rookwood.cluster.settings import parse_settings
+from rookwood.clusterconfig.control_document import ControlDocument
+from rookwood.controlplane.program import ControlPlane
+from rookwood.coordination.group import Confirmed, NotPrimary, Snapshot, Uncertain
+from tests.fake_worker import within
+
+IP = "127.0.0.1"
+SOURCE = b'{"ver":3}'
+SNAPSHOT = Snapshot(2, 5, ControlDocument(version=3, source=SOURCE, taken=()).encode())
+
+
+class CollectingConnection:
+    """A dispatcher's link that keeps what it is sent."""
+
+    def __init__(self) -> None:
+        self.sent: asyncio.Queue[Message] = asyncio.Queue()
+
+    def send(self, message: Message) -> None:
+        """Keep a message."""
+        self.sent.put_nowait(message)
+
+
+class ConfirmationTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        document = {
+            "hostname": "c1",
+            "ip": IP,
+            "az": "z1",
+            "listen": {"ctl": f"{IP}:8080"},
+            "port-range": [7000, 7009],
+            "seeds": [f"{IP}:8080"],
+            "limits": {"nofile": 512, "disk-mb": 16},
+            "datadir": directory,
+        }
+        self.control = ControlPlane(parse_settings(document))
+        self.enterContext(mock.patch.object(self.control.group, "snapshot", lambda: SNAPSHOT))
+        self.connection = CollectingConnection()
+
+    def ask(self, confirm: bool, outcome: Confirmed | NotPrimary | Uncertain) -> mock.AsyncMock:
+        """A dispatcher asks while a round would end so."""
+        rounds = mock.AsyncMock(return_value=outcome)
+        self.enterContext(mock.patch.object(self.control.group, "confirm", rounds))
+        question = FetchConfiguration(5, confirm)
+        self.control.received(cast(Connection, self.connection), question)
+        return rounds
+
+    async def answered(self) -> None:
+        """Wait until all questions were dealt with."""
+        await within(asyncio.gather(*self.control._answers))
+
+    async def test_a_confirmed_primary_says_so(self) -> None:
+        rounds = self.ask(True, Confirmed(SNAPSHOT))
+        await self.answered()
+        rounds.assert_awaited_once()
+        self.assertEqual(ConfigurationBody(2, 5, SOURCE, confirmed=True), self.connection.sent.get_nowait())
+
+    async def test_whoever_no_majority_confirms_sends_nothing(self) -> None:
+        for outcome in (NotPrimary(None), Uncertain("no answer within the limit")):
+            with self.subTest(outcome=outcome):
+                self.ask(True, outcome)
+                await self.answered()
+                self.assertTrue(self.connection.sent.empty())
+
+    async def test_a_dispatcher_that_serves_gets_what_is_committed_without_a_round(self) -> None:
+        rounds = self.ask(False, NotPrimary(None))
+        rounds.assert_not_awaited()
+        self.assertEqual(ConfigurationBody(2, 5, SOURCE, confirmed=False), self.connection.sent.get_nowait())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -195,6 +195,15 @@
         self.group.current = Backup(PEER, 2, True)
         self.assertEqual(200, await self.beat(seq=3))
 
+    async def test_a_drain_is_not_acknowledged_where_it_may_reach_nobody(self) -> None:
+        """Restarted behind a cut, or a backup that has not heard its primary lately."""
+        for role in (Unattached("starting"), Backup(PEER, 2, False)):
+            with self.subTest(role=role):
+                self.group.current = role
+                self.assertEqual(503, await self.beat(state="draining"))
+                async with self.client.delete(self.url) as response:
+                    self.assertEqual(503, response.status)
+
     async def test_what_is_no_heartbeat_is_refused(self) -> None:
         for body in (b"", b"{", b"[]", b"7", b"null", b'"text"', b'{"svc":"models"}', b"\xff\xfe"):
             with self.subTest(body=body):
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -33,6 +33,7 @@
 HEADER_LIMIT = CONFIGURATION["limits"]["hdr-bytes"]
 HEADER_MARGIN = 2048  # bytes for the other headers of a request
 SHORT_NOTICE = 0.05
+REFUSALS = 3
 SHORT_DRAIN = 1.0  # seconds between SIGTERM and the end of the process
 
 
@@ -42,13 +43,16 @@
     def __init__(self) -> None:
         self.records: list[WorkerRecord] = []
         self.source = b""
+        self.fresh = True
+        self.confirms = True
+        self.asked: list[FetchConfiguration] = []
         self.messages: asyncio.Queue[Message] = asyncio.Queue()
         self.server = FeedServer(self)
 
     def status(self) -> Status:
         """What it tells of itself."""
         sequence = 1 if self.source else 0
-        return Status(CONTROL_IP, 1, CONTROL_IP, True, True, 1, sequence, 1, (CONTROL_IP,))
+        return Status(CONTROL_IP, 1, CONTROL_IP, self.fresh, True, 1, sequence, 1, (CONTROL_IP,))
 
     def greeting(self, connection: Connection) -> Iterable[Message]:
         """Status and workers."""
@@ -57,7 +61,8 @@
     def received(self, connection: Connection, message: Message) -> None:
         """Give out the configuration; keep reports of demand."""
         if isinstance(message, FetchConfiguration):
-            connection.send(ConfigurationBody(1, 1, self.source))
+            self.asked.append(message)
+            connection.send(ConfigurationBody(1, 1, self.source, confirmed=self.confirms))
         elif isinstance(message, DemandReport):
             self.messages.put_nowait(message)
 
@@ -162,6 +167,33 @@
         await self.feed()
         self.assertEqual((200, b"answer"), await self.send(MUTATING))
 
+    async def test_it_serves_nothing_of_a_control_machine_that_lost_its_primary(self) -> None:
+        self.control.fresh = False
+        await self.offer_unconfirmed()
+        self.assertEqual([], self.control.asked)
+        self.control.fresh = True
+        await self.feed()
+        self.assertEqual((200, b"answer"), await self.send(MUTATING))
+
+    async def test_it_serves_nothing_of_a_primary_that_no_majority_confirms(self) -> None:
+        self.control.confirms = False
+        await self.offer_unconfirmed()
+        self.assertEqual({True}, {question.confirm for question in self.control.asked})
+        self.control.confirms = True
+        await self.feed()
+        self.assertEqual((200, b"answer"), await self.send(MUTATING))
+
+    async def offer_unconfirmed(self) -> None:
+        """Tell of a configuration that must not be served, and see that it is not."""
+        await self.start_worker(FakeWorker(answering()))
+        self.control.source = json.dumps(CONFIGURATION).encode()
+        self.control.server.broadcast(WorkerUpdates(tuple(self.control.records), complete=True))
+        for _ in range(REFUSALS):
+            self.control.server.broadcast(self.control.status())
+            status, _ = await self.send(MUTATING, X_Time_Left="200")
+            self.assertEqual(503, status)
+        self.assertEqual(503, await self.readiness())
+
     async def test_a_request_before_the_configuration_is_answered_when_it_is_there(self) -> None:
         await self.start_worker(FakeWorker(answering()))
         sending = asyncio.create_task(self.send(MUTATING))
