replication.py split by concern; a pre-vote is favoured for 0.5 s only

Before the split: a granted pre-vote binds a member for 0.5 s, a promise for 1.2 s as before. A candidate that yielded to another one, with grants of others, left these bound for 1.2 s: of five, one frozen primary of 60 was followed by 1.9 s without a primary.

--- a/rookwood/coordination/admission.py
+++ b/rookwood/coordination/admission.py
@@ -5,7 +5,7 @@
 """
 
 from rookwood.coordination.context import Context
-from rookwood.coordination.messages import Inquiry, JoinRequest, Situation
+from rookwood.coordination.messages import Inquiry, JoinRequest, MembershipNotice, Situation
 
 
 class Admission:
@@ -37,3 +37,22 @@
     def _known_machines(self) -> tuple[str, ...]:
         everyone = (*self._context.seeds, *self._context.configuration().everyone())
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
+
+
+def answer_inquiry(context: Context, sender: str, incarnation: int, inquiry: Inquiry) -> None:
+    """Tell a machine that takes no part what this one knows."""
+    record = context.journal.latest
+    document = record.document if record.document.position > inquiry.known else None
+    recovering = not context.is_member()
+    context.send(sender, Situation(incarnation, recovering, record.promised, document))
+
+
+def may_answer_candidate(context: Context, candidate: str) -> bool:
+    """Tell whether both are members; a candidate that is none any more learns who they are."""
+    if not context.is_member():
+        return False
+    if context.configuration().has_address(candidate):
+        return True
+    document = context.journal.latest.document
+    context.send(candidate, MembershipNotice(document.position, document.configuration))
+    return False
--- a/rookwood/coordination/election.py
+++ b/rookwood/coordination/election.py
@@ -24,8 +24,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._asked_at: dict[int, float] = {}
-        self._granted_since: dict[str, float] = {}
+        self._ballots: set[int] = set()
+        self._granted: set[str] = set()
         self._resend_at = context.now
         self.highest_promise = context.journal.latest.promised
         self.deadline = context.now + context.timing.pre_vote_limit
@@ -33,22 +33,17 @@
 
     def on_reply(self, sender: str, reply: PreVoteReply) -> None:
         """Count the answer to one of this candidate's questions."""
-        asked_at = self._asked_at.get(reply.ballot)
-        if asked_at is None:
+        if reply.ballot not in self._ballots:
             return
         self.highest_promise = max(self.highest_promise, reply.promised)
         if reply.granted:
-            self._granted_since[sender] = asked_at
+            self._granted.add(sender)
 
     def is_won(self) -> bool:
         """Tell whether a vote quorum hears no primary."""
-        voters = self._context.own_voice() | dict.fromkeys(self._granted_since)
+        voters = self._context.own_voice() | dict.fromkeys(self._granted)
         return self._context.configuration().has_votes(voters)
 
-    def favoured_since(self) -> float:
-        """Return since when all that granted favour this candidate."""
-        return min([self._context.now, *self._granted_since.values()])
-
     def tick(self) -> None:
         """Ask again when it is time."""
         if self._context.now >= self._resend_at:
@@ -59,10 +54,9 @@
         return min(self.deadline, self._resend_at)
 
     def _ask(self) -> None:
-        now = self._context.now
-        self._resend_at = now + self._context.timing.resend
+        self._resend_at = self._context.now + self._context.timing.resend
         ballot = self._context.random.getrandbits(62)
-        self._asked_at[ballot] = now
+        self._ballots.add(ballot)
         request = PreVoteRequest(ballot, self._context.journal.latest.document.position)
         for ip in self._context.configuration().everyone():
             self._context.send(ip, request)
@@ -72,14 +66,14 @@
     """Collects promises of one epoch, and the newest document that the promising members hold.
 
     The others are asked while the own promise is being synced; nothing is won before it is. A candidacy
-    ends before the favour that its voters granted with the pre-vote lapses.
+    ends before the favour of those that promised lapses.
     """
 
-    def __init__(self, context: Context, epoch: int, favoured_since: float) -> None:
+    def __init__(self, context: Context, epoch: int) -> None:
         self._context = context
         self.epoch = epoch
         self.newest: Document = context.journal.latest.document
-        self.deadline = favoured_since + context.timing.election_limit
+        self.deadline = context.now + context.timing.election_limit
         self._own_promise = False
         self._promises: dict[str, Supporter] = {}
         context.journal.update(context.journal.latest.with_promise(epoch), OwnPromiseStep(epoch))
--- a/rookwood/coordination/timing.py
+++ b/rookwood/coordination/timing.py
@@ -15,6 +15,7 @@
     lease: float = 0.9
     pre_vote_limit: float = 0.8
     election_limit: float = 1.1
+    pre_vote_favour: float = 0.5
     favour: float = 1.2
     resend: float = 0.2
     write_resend: float = 0.5
--- a/rookwood/coordination/voting.py
+++ b/rookwood/coordination/voting.py
@@ -1,10 +1,10 @@
 """How a member answers candidates: pre-votes, promises, and favour for one candidate at a time.
 
-A member that granted a pre-vote, or promised an epoch, favours that candidate for a bounded time: it
-grants no other one meanwhile, except one with a newer document. A candidate gives up before the favour
-of its voters lapses, so two candidates hardly ever stand at once, and none deposes a primary that was
-just elected. A candidate that ends or stalls blocks the others for twice that time at most: it is asked
-for again, but favoured no longer.
+A member that granted a pre-vote, or promised an epoch, favours that candidate for a bounded time, a short
+one for a pre-vote: it grants no other one meanwhile, except one with a newer document. A candidate gives
+up before the favour of those that promised lapses, so two candidates hardly ever stand at once, and none
+deposes a primary that was just elected. A candidate that ends or stalls blocks the others for twice that
+time at most: it is asked for again, but favoured no longer.
 """
 
 from dataclasses import dataclass, replace
@@ -40,7 +40,7 @@
         position = request.position or Position()
         granted = willing and not self.favours_another(sender, position)
         if granted:
-            self._prefer(sender, position)
+            self._prefer(sender, position, self._context.timing.pre_vote_favour)
         promised = self._context.journal.latest.promised
         self._context.send(sender, PreVoteReply(request.ballot, granted, promised))
         return granted
@@ -57,7 +57,7 @@
             return False
         if not journal.healthy or self.favours_another(step.candidate, step.known):
             return False
-        self._prefer(step.candidate, step.known)
+        self._prefer(step.candidate, step.known, self._context.timing.favour)
         self._promised_to = (step.candidate, step.incarnation)
         journal.update(journal.latest.with_promise(step.epoch), step)
         return True
@@ -88,15 +88,15 @@
         self._favour = None
         return True
 
-    def _prefer(self, candidate: str, position: Position) -> None:
-        """Favour a candidate from now on; one that was favoured lately is so once more at most."""
+    def _prefer(self, candidate: str, position: Position, span: float) -> None:
+        """Favour a candidate for a span; one that was favoured for long lately is not again at once."""
         now = self._context.now
-        span = self._context.timing.favour
+        longest = self._context.timing.favour
         favour = self._favour
-        if favour is None or favour.candidate != candidate or now >= favour.since + FORGET_AFTER * span:
+        if favour is None or favour.candidate != candidate or now >= favour.since + FORGET_AFTER * longest:
             self._favour = Favour(candidate, position, now, now + span)
-        elif now < favour.since + span:
-            self._favour = replace(favour, position=position, until=now + span)
+        elif now < favour.since + longest:
+            self._favour = replace(favour, position=position, until=max(favour.until, now + span))
 
     def _repeat(self, step: PromiseStep) -> None:
         journal = self._context.journal
--- a/rookwood/lab/control_simulation.py
+++ b/rookwood/lab/control_simulation.py
@@ -32,7 +32,7 @@
 SEPARATOR = b","
 CALL_LIMIT = 3.0
 LONG_LEASE = Timing(lease=3.0, primary_silence=0.4, replace_after=0.8)
-NO_FAVOUR = Timing(favour=0.0)
+NO_FAVOUR = Timing(favour=0.0, pre_vote_favour=0.0)
 MAX_TRIGGERED_FAULTS = 6
 SHORTEST_DELAY = 0.0005
 LOSSY_DELAY = 0.3
@@ -547,9 +547,10 @@
 
         def change_sides() -> None:
             seconds = [ip for ip in others if self._is_primary(self.machines[ip])]
-            if self._healed or not seconds or not self._may_lose_storage():
+            voters = [ip for ip in others if ip not in seconds]
+            if self._healed or not seconds or not voters or not self._may_lose_storage():
                 return
-            victim = self.random.choice([ip for ip in others if ip not in seconds])
+            victim = self.random.choice(voters)
             if self.machines[victim].removed:
                 return
             self._cut_pairs.clear()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -300,7 +300,7 @@
         self.harness.receive(C, A, PreVoteRequest(1))
         self.harness.receive(C, B, PreVoteRequest(2))
         self.assertEqual(self.granted(), [True, False])
-        self.harness.now += Timing().favour + 0.01
+        self.harness.now += Timing().pre_vote_favour + 0.01
         self.harness.receive(C, B, PreVoteRequest(3))
         self.assertEqual(self.granted(), [True])
 
@@ -309,6 +309,8 @@
             self.harness.receive(C, A, PreVoteRequest(number))
             self.harness.now += Timing().favour * 0.6
         self.assertEqual(self.granted(), [True] * 4)
+        self.harness.receive(C, A, PreVoteRequest(8))
+        self.assertEqual(self.granted(), [True])
         self.harness.receive(C, B, PreVoteRequest(9))
         self.assertEqual(self.granted(), [True])
         self.harness.receive(C, A, PreVoteRequest(10))
@@ -356,7 +358,7 @@
         self.assertTrue(replies[A].granted)
         self.assertFalse(replies[B].granted)
 
-    def test_candidate_gives_up_before_the_favour_of_its_voters_lapses(self) -> None:
+    def test_candidate_gives_up_before_the_favour_of_those_that_promised_lapses(self) -> None:
         self.assertLess(Timing().election_limit, Timing().favour)
         self.harness.receive(A, "test", TransferNow(0))
         self.harness.sync_all()
--- a/tests/test_replication_mutants.py
+++ b/tests/test_replication_mutants.py
@@ -13,11 +13,11 @@
 from rookwood.coordination.document import Configuration, Document, Position, Record
 from rookwood.coordination.effects import CommitApplied, Resolve
 from rookwood.coordination.election import Candidacy, Supporter
+from rookwood.coordination.following import Follower
 from rookwood.coordination.journal import Journal, PromiseStep
 from rookwood.coordination.leadership import Leadership
 from rookwood.coordination.messages import PreVoteRequest, Promise, Write, WriteAck
 from rookwood.coordination.outcomes import Confirmed, Declined, NotPrimary, Snapshot
-from rookwood.coordination.replication import Replica
 from rookwood.coordination.voting import Voter
 from rookwood.lab.control_simulation import LONG_LEASE, NO_FAVOUR, Fault, InvariantError, Plan, Simulation
 
@@ -26,14 +26,15 @@
 
 
 def acknowledge_before_sync() -> Patch:
-    original = Replica._store
+    original = Follower.store
 
-    def store(self: Replica, sender: str, write: Write) -> None:
+    def store(self: Follower, sender: str, write: Write) -> None:
         original(self, sender, write)
-        position = self._context.journal.latest.document.position
-        self._context.send(sender, WriteAck(write.document.position.epoch, position))
+        latest = self._context.journal.latest
+        acknowledgement = WriteAck(write.document.position.epoch, latest.document.position, latest.token)
+        self._context.send(sender, acknowledgement)
 
-    return patch.object(Replica, "_store", store)
+    return patch.object(Follower, "store", store)
 
 
 def commit_before_own_sync() -> Patch:
@@ -179,7 +180,7 @@
 
 
 def older_epoch_accepted() -> Patch:
-    return patch.object(Replica, "_accepts_epoch", lambda self, sender, epoch: True)
+    return patch.object(Follower, "accepts", lambda self, sender, epoch: True)
 
 
 def epoch_promised_twice() -> Patch:
