A successor of a holder of load orders waits for orders under way and for unseen holders

Cause, found by a simulation of holders, successors and late orders (rookwood/lab/tenure_simulation.py): - the margin on the lease was 0.3 s, but an order under way when its sender was deposed may take 0.7 s; - where workers check no fences, a holder that was cut off may order for the group's lease (0.9 s) after its successor was elected, and that was not waited for; - the shortcut for a failed holder counted any break of its link within the lease, also one from before it led, also at the edge where it is in touch again; and it looked at the last holder seen alone: one between the two, unseen or short-lived, let its own predecessor's orders fall within the lease. Ruled out: that the shortcut must go. Narrowed, it holds: fences are checked, the holder of the epoch right before is known, has led for longer than the wait (or is the first), and its link broke since, is still down or broke within the lease less 0.5 s.

--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -172,10 +172,11 @@
 
     def _role_changed(self, role: Role) -> None:
         logger.info("role changed", extra={"role": repr(role)})
+        now = asyncio.get_running_loop().time()
         if isinstance(role, Primary):
-            self._tenure.primary_seen(self._settings.ip)
+            self._tenure.primary_seen(self._settings.ip, role.epoch, now)
         elif isinstance(role, Backup):
-            self._tenure.primary_seen(role.primary)
+            self._tenure.primary_seen(role.primary, role.epoch, now)
         self._send_status()
 
     def _worker_changed(self, record: object) -> None:
