Deliver no frame of an earlier life of a member once a later one is connected

Cause: a new connection of a member replaces the one before, but frames of that one which had arrived by then were still delivered, after those of the new life (lives 22, 23, 22). Acknowledgements name epoch and round, so no rule of the replication hung on it; a repetition was the cost. Change: a connection that was replaced delivers nothing more. Test: in test_coordination_transport.py, both lives' bytes in one turn of the event loop; 4 of 4 runs failed before, 4 of 4 pass now.

--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -168,6 +168,8 @@
             self._replace_incoming(sender, writer)
             while True:
                 message = await _read_message(reader)
+                if self._incoming.get(sender) is not writer:
+                    return  # what is still buffered here is of an earlier life, or of an older connection
                 self._note_answer(sender)
                 self._receiver(sender, incarnation, message)
         except (OSError, EOFError, DecodeError, UnicodeDecodeError):
--- a/tests/test_coordination_transport.py
+++ b/tests/test_coordination_transport.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 from rookwood.coordination import transport as transport_module
+from rookwood.coordination.codec import encode_message
 from rookwood.coordination.messages import JoinRequest, Message
 from rookwood.coordination.transport import Transport
 
@@ -20,6 +21,19 @@
         return port
 
 
+def preamble(ip: str, incarnation: int) -> bytes:
+    """What one life of a member sends first."""
+    address = ip.encode()
+    life = incarnation.to_bytes(transport_module.INCARNATION_BYTES)
+    return transport_module.PREAMBLE + life + bytes((len(address),)) + address
+
+
+def frame(message: Message) -> bytes:
+    """A message as it goes over the wire."""
+    body = encode_message(message)
+    return len(body).to_bytes(transport_module.LENGTH_BYTES) + body
+
+
 class Inbox:
     """Messages that a transport received, with a signal."""
 
@@ -52,6 +66,12 @@
         self.addAsyncCleanup(transport.stop)
         return transport, inbox
 
+    def connect_by_hand(self) -> socket.socket:
+        """Open a connection to the first transport that a test writes bytes on."""
+        connection = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(connection.close)
+        return connection
+
     async def test_messages_tell_their_sender_and_its_life(self) -> None:
         first, _ = await self.open(FIRST, 11)
         _, inbox = await self.open(SECOND, 22)
@@ -76,6 +96,19 @@
                 await inbox.next()
         self.assertEqual(await inbox_again.next(), (FIRST, 11, JoinRequest(2)))
 
+    async def test_frames_of_an_earlier_life_count_for_nothing_once_a_later_one_is_connected(self) -> None:
+        _, inbox = await self.open("127.0.0.1", 1)
+        earlier = self.connect_by_hand()
+        later = self.connect_by_hand()
+        earlier.sendall(preamble("127.0.0.2", 22) + frame(JoinRequest(1)))
+        self.assertEqual(await inbox.next(), ("127.0.0.2", 22, JoinRequest(1)))
+        # Both arrive before the event loop looks again, the later life first.
+        later.sendall(preamble("127.0.0.2", 23) + frame(JoinRequest(2)))
+        earlier.sendall(frame(JoinRequest(3)))
+        self.assertEqual(await inbox.next(), ("127.0.0.2", 23, JoinRequest(2)))
+        later.sendall(frame(JoinRequest(4)))
+        self.assertEqual(await inbox.next(), ("127.0.0.2", 23, JoinRequest(4)))
+
     async def test_end_of_a_peer_is_told(self) -> None:
         _, inbox = await self.open(FIRST, 11)
         second, _ = await self.open(SECOND, 22)
