--- a/rookwood/coordination/admission.py
+++ b/rookwood/coordination/admission.py
@@ -5,6 +5,7 @@
 """
 
 from rookwood.coordination.context import Context
+from rookwood.coordination.document import Position
 from rookwood.coordination.messages import Inquiry, JoinRequest, MembershipNotice, Situation
 
 
@@ -47,12 +48,17 @@
     context.send(sender, Situation(incarnation, recovering, record.promised, document))
 
 
-def may_answer_candidate(context: Context, candidate: str) -> bool:
-    """Tell whether both are members; a candidate that is none any more learns who they are."""
+def may_answer_candidate(context: Context, candidate: str, position: Position | None) -> bool:
+    """Tell whether this member answers a candidate whose document is at the position.
+
+    A candidate that is no member any more learns who they are. One with a newer document may know newer
+    members than this one does, itself among them, and is answered.
+    """
     if not context.is_member():
         return False
-    if context.configuration().has_address(candidate):
+    own = context.newest_position()
+    is_newer = position is not None and position > own
+    if is_newer or context.configuration().has_address(candidate):
         return True
-    document = context.journal.latest.document
-    context.send(candidate, MembershipNotice(document.position, document.configuration))
+    context.send(candidate, MembershipNotice(own, context.configuration()))
     return False
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -278,7 +278,7 @@
         self._campaign.on_refused(refused)
 
     def _on_pre_vote_request(self, sender: str, request: PreVoteRequest) -> None:
-        if not may_answer_candidate(self._context, sender):
+        if not may_answer_candidate(self._context, sender, request.position):
             return
         free = not self._follower.hears_primary() and self._leadership is None
         willing = free and self._campaign.gives_way(sender, request)
@@ -286,7 +286,7 @@
             self._campaign.withdraw_pre_vote()
 
     def _on_vote_request(self, sender: str, incarnation: int, request: VoteRequest) -> None:
-        if not may_answer_candidate(self._context, sender):
+        if not may_answer_candidate(self._context, sender, request.position):
             return
         step = PromiseStep(sender, incarnation, request.epoch, request.position)
         if self._voter.answer_vote(step):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -629,6 +629,18 @@
             assert isinstance(acknowledgement, WriteAck)
             self.assertNotIn(acknowledgement.token, (None, admitted.token))
 
+    def test_candidate_with_a_newer_document_is_answered_by_a_member_that_does_not_know_it(self) -> None:
+        self.harness.now += 2.0
+        self.harness.receive(B, D, PreVoteRequest(1, Position(9, 9)))
+        self.harness.receive(B, D, VoteRequest(10, Position(9, 9)))
+        self.harness.sync_all()
+        self.assertEqual(self.harness.take(MembershipNotice, D), [])
+        replies = [
+            reply.granted for reply in self.harness.take(PreVoteReply) if isinstance(reply, PreVoteReply)
+        ]
+        self.assertEqual(replies, [True])
+        self.assertEqual(len(self.harness.take(Promise, D)), 1)
+
     def test_learner_counts_neither_as_copy_nor_as_vote(self) -> None:
         self.harness.down.update((B, C))
         self.harness.start(D, None)
--- a/tests/test_replication_simulation.py
+++ b/tests/test_replication_simulation.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from rookwood.lab.control_families import FAMILIES, HUNDREDS_OF_CHANGES
 from rookwood.lab.control_simulation import Plan, Simulation
 
 SEEDS_PER_TEST = 30
+SEEDS_PER_FAMILY = 4
 
 
 class SimulationTest(unittest.TestCase):
@@ -65,3 +67,15 @@
             )
             epochs = [Simulation(seed, plan).run().highest_epoch for seed in range(40)]
             self.assertEqual(epochs, [1] * 40)
+
+    def test_member_with_old_members_elects_one_that_it_does_not_know(self) -> None:
+        Simulation(5799).run()
+
+    def test_families_of_bad_days(self) -> None:
+        for name, plan in FAMILIES.items():
+            for seed in range(SEEDS_PER_FAMILY):
+                with self.subTest(family=name, seed=seed):
+                    Simulation(seed, plan).run()
+
+    def test_hundreds_of_changes_are_what_the_family_says(self) -> None:
+        self.assertGreater(Simulation(0, HUNDREDS_OF_CHANGES).run().committed, 300)
