Torn first writes leave no marker in the emulated disk; a run waits for catch-up before its loss of power

The emulation tore it after the marker had been made, which the real order of writes rules out (the marker follows the synced record), so the storage said lost, rightly. The emulation takes the marker back, and a test pins it. - many-changes cut the power while a member that had come back 8 changes before was still catching up, and then asked for that member. The run waits for the catch-up first; the limit of 2 s for it stands.

--- a/rookwood/lab/faulty_disk.py
+++ b/rookwood/lab/faulty_disk.py
@@ -7,7 +7,7 @@
 import threading
 from pathlib import Path
 
-from rookwood.coordination.storage import SLOTS, Storage
+from rookwood.coordination.storage import MARKER, SLOTS, Storage
 
 
 class FaultyStorage(Storage):
@@ -46,11 +46,15 @@
         if self.full:
             self.writes_refused += 1
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        marker = self._path(MARKER)
+        marked = marker.exists()
         super()._write(slot, packed)
         if self._tear_next:
             self._tear_next = False
             self.close()
             tear_file(self._path(slot))
+            if not marked:
+                marker.unlink()  # it is made only once the first write is whole
             raise OSError(errno.EIO, os.strerror(errno.EIO))
 
 
--- a/rookwood/lab/many_changes.py
+++ b/rookwood/lab/many_changes.py
@@ -232,6 +232,7 @@
             await members.start(away)
             self._background.append(asyncio.create_task(self._follow(away, "away_caught_up_s")))
         if number == plan.power_lost_at:
+            await asyncio.gather(*self._background)
             await self._lose_power(number)
 
     async def _follow(self, ip: str, figure: str) -> None:
--- a/tests/test_coordination_disk.py
+++ b/tests/test_coordination_disk.py
@@ -7,8 +7,9 @@
 import unittest
 from pathlib import Path
 
+from rookwood.coordination.document import Record
 from rookwood.coordination.group import Backup, Committed, Primary
-from rookwood.coordination.storage import MARKER
+from rookwood.coordination.storage import MARKER, Empty, Found
 from rookwood.lab.faulty_disk import FaultyStorage, tear_slot_in_turn
 from rookwood.lab.systemstage import eventually
 from tests.test_coordination_group import FIRST_MEMBERS, Cluster
@@ -80,6 +81,21 @@
         self.assertEqual(self.run_script(FULL_AT_START_SCRIPT), "healed")
 
 
+class FaultyStorageTest(unittest.TestCase):
+    def test_first_write_that_comes_out_torn_leaves_an_empty_storage(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            storage = FaultyStorage(directory, 128)
+            storage.load()
+            storage.tear_next_write()
+            self.assertFalse(storage.save(Record(5, 1)))
+            self.assertEqual(storage.load(), Empty())
+            self.assertTrue(storage.save(Record(5, 2)))
+            storage.tear_next_write()
+            self.assertFalse(storage.save(Record(5, 3)))
+            self.assertEqual(storage.load(), Found(Record(5, 2)))
+            storage.close()
+
+
 class DiskTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
