A report whose sequence goes back is of another worker and counts for nothing

Workers answer GET /report whatever X-Want-Instance says, and addresses are used again by other workers. Where the answer does not name its instance, a report read at a reused address passed for one of the worker that was there before: its holdings were published, and an order under way could be taken as done by it. The sequence of one incarnation never goes back, so a lower one shows another worker. Such a report is now treated as a failed one: the worker counts as not answering. The first report of an id counts, and so do those of the same and of later sequences.

Another worker whose sequence is at least as high is still not told apart by this.

Two new tests (of holdings, and of an order under way) were seen to fail without the change; a third holds that the same sequence and later ones count.

--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -220,22 +220,25 @@
         finally:
             status.reading = False
         status.read_at = self._now()
-        if isinstance(report, ReportFailed):
-            status.failures += 1
-            return
-        self._take_report(record.id, status, report)
-        if first:
+        taken = self._take_report(record.id, status, report)
+        if taken is not None and first:
             self._wake.set()
 
-    def _take_report(self, worker: str, status: WorkerStatus, report: WorkerReport) -> None:
+    def _take_report(
+        self, worker: str, status: WorkerStatus, report: WorkerReport | ReportFailed
+    ) -> WorkerReport | None:
+        """Take in what a worker answered; return the report, or None if it counts for nothing."""
+        if isinstance(report, ReportFailed) or is_of_another_worker(status.report, report):
+            status.failures += 1
+            return None
         status.failures = 0
         status.report = report
         status.read_at = self._now()
         epoch = self._leading_epoch
-        if epoch is None:
-            return
-        self._counter += 1
-        self._table.set_holding(worker, report.models, HoldingStamp(epoch, self._counter))
+        if epoch is not None:
+            self._counter += 1
+            self._table.set_holding(worker, report.models, HoldingStamp(epoch, self._counter))
+        return report
 
     async def _execute(self, plan: ServicePlan, order: LoadOrder, epoch: int) -> None:
         assert self._client is not None
@@ -274,12 +277,9 @@
         deadline = self._now() + ORDER_PATIENCE
         while self._now() < deadline and self._view.registry.get(record.id) is not None:
             await asyncio.sleep(interval)
-            report = await self._client.report(record.address, record.id)
-            if isinstance(report, ReportFailed):
-                status.failures += 1
-                return
-            self._take_report(record.id, status, report)
-            if report.sequence > sequence and not report.busy:
+            answer = await self._client.report(record.address, record.id)
+            report = self._take_report(record.id, status, answer)
+            if report is None or (report.sequence > sequence and not report.busy):
                 return
 
     def _start(self, work: object) -> None:
@@ -292,6 +292,15 @@
         return asyncio.get_running_loop().time()
 
 
+def is_of_another_worker(before: WorkerReport | None, report: WorkerReport) -> bool:
+    """Whether a report cannot come from the worker that gave the one before.
+
+    Workers answer whatever instance is asked for, and addresses are used again. The sequence of one
+    incarnation never goes back, so a report in which it does comes from another worker at the address.
+    """
+    return before is not None and report.sequence < before.sequence
+
+
 def poll_interval(plan: ServicePlan, order: LoadOrder) -> float:
     """How often to ask after an order, in seconds."""
     model = plan.engine.models.get(order.key.model)
--- a/tests/test_controlplane_orders.py
+++ b/tests/test_controlplane_orders.py
@@ -12,11 +12,12 @@
 from rookwood.cluster.settings import Bounds
 from rookwood.cluster.tasks import cancel_tasks
 from rookwood.cluster.view import ClusterView
-from rookwood.cluster.workers import WorkerRecord, parse_heartbeat
+from rookwood.cluster.workers import HeldModel, WorkerRecord, parse_heartbeat
 from rookwood.clusterconfig.loading import load_configuration
 from rookwood.controlplane import load_scheduler
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.tenure import LAST_ORDER_LIMIT, LEASE_MARGIN, Tenure
+from rookwood.controlplane.worker_client import OrderCall, OrderTaken, WorkerReport
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import Backup, ControlGroup, Primary, Role
 from rookwood.lab.emulatedworker.settings import WorkerSettings
@@ -135,6 +136,45 @@
         return self._role
 
 
+class ScriptedClient:
+    """Answers with the given reports in turn, the last one again and again, and notes orders.
+
+    With `ordered_first` it stays with the first report until an order is given.
+    """
+
+    def __init__(self, reports: list[WorkerReport], ordered_first: bool) -> None:
+        self._reports = reports
+        self._ordered_first = ordered_first
+        self._times_last = 0
+        self.orders: list[OrderCall] = []
+        self.last_often_read = asyncio.Event()
+
+    async def report(self, address: str, worker: str) -> WorkerReport:
+        """The next report."""
+        if self._ordered_first and not self.orders:
+            return self._reports[0]
+        if len(self._reports) > 1:
+            return self._reports.pop(0)
+        self._times_last += 1
+        if self._times_last >= OFTEN:
+            self.last_often_read.set()
+        return self._reports[0]
+
+    async def order(self, address: str, worker: str, call: OrderCall) -> OrderTaken:
+        """An order is taken and never carried out."""
+        self.orders.append(call)
+        return OrderTaken(done=False)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+def idle_report(sequence: int, *models: str) -> WorkerReport:
+    """The report of a worker that holds these models."""
+    held = tuple(HeldModel(model, version=1, adapters=frozenset()) for model in models)
+    return WorkerReport(held, busy=False, sequence=sequence, queued=0, active=0)
+
+
 class LoadSchedulerTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.changed = asyncio.Event()
@@ -195,6 +235,37 @@
             await within(group.asked_often.wait())
         self.assertEqual([], self.worker.records.orders)
 
+    async def play_reports(
+        self, *reports: WorkerReport, ordered_first: bool = False
+    ) -> tuple[ScriptedClient, bool]:
+        """Let the scheduler read these reports; returns the client and whether "small" is known as held."""
+        client = ScriptedClient(list(reports), ordered_first)
+        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda: client))
+        for pause in ("PLAN_INTERVAL", "LEAST_PLAN_PAUSE", "IDLE_REPORT_AGE", "BUSY_POLL_INTERVAL"):
+            self.enterContext(mock.patch.object(load_scheduler, pause, SHORT_INTERVAL))
+        await self.start_scheduler(Primary(1, asyncio.get_running_loop().time()))
+        await within(client.last_often_read.wait())
+        record = self.view.registry.get(self.worker.instance)
+        assert record is not None
+        return client, record.holds("small", "")
+
+    async def test_a_report_whose_sequence_goes_back_counts_for_nothing(self) -> None:
+        client, held = await self.play_reports(idle_report(5, "small"), idle_report(3))
+        self.assertTrue(held)
+        self.assertEqual([], client.orders)
+
+    async def test_a_report_whose_sequence_goes_back_does_not_tell_that_an_order_is_done(self) -> None:
+        reports = (idle_report(5), idle_report(5), idle_report(4, "small"))
+        client, held = await self.play_reports(*reports, ordered_first=True)
+        self.assertFalse(held)
+        self.assertEqual([5], [order.if_sequence for order in client.orders])
+
+    async def test_reports_of_the_same_sequence_and_of_later_ones_count(self) -> None:
+        for sequence in (5, 6):
+            with self.subTest(sequence=sequence):
+                _, held = await self.play_reports(idle_report(5), idle_report(sequence, "small"))
+                self.assertTrue(held)
+
 
 if __name__ == "__main__":
     unittest.main()
