Answer the operator before a commit is parsed and sent; encode a configuration once

At a commit the group calls the control plane and then resolves the operator's call, in one go of the event loop. So the load scheduler's parsing of the configuration and the status to all subscribers came before the operator's answer. They now run from a timer without delay, which comes after all that is ready by then, the answer among it. Several commits in one go are taken in once, as the newest. The order of effects in the group is left as it is.

Each subscriber that fetches a configuration had it encoded for itself.

Tests: the order of answer, parsing and sending in a whole control plane over loopback was seen to fail without the change (parsed, sent, answered). That one configuration is encoded once for each form was seen to fail with a cache of no entries. The link of the confirmation tests now decodes the frames that it is sent, and compares the same messages as before.

--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -12,7 +12,6 @@
 
 from rookwood.cluster.feed import Connection, FeedServer, LinkSet
 from rookwood.cluster.messages import (
-    ConfigurationBody,
     DemandReport,
     FetchConfiguration,
     Hello,
@@ -31,7 +30,7 @@
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
-from rookwood.controlplane.payload import read_payload
+from rookwood.controlplane.payload import configuration_frame, read_payload
 from rookwood.controlplane.peer_feed import PeerFeed
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
@@ -65,6 +64,7 @@
         self._answers: set[asyncio.Task[None]] = set()
         self._started = 0.0
         self._source = b""
+        self._commit_timer: asyncio.TimerHandle | None = None
         self.group = ControlGroup(
             group_settings(settings), on_commit=self._committed, on_role=self._role_changed
         )
@@ -104,6 +104,8 @@
     async def _stop(self) -> None:
         logger.info("control plane stops")
         await self.group.stop(transfer=True)
+        if self._commit_timer is not None:
+            self._commit_timer.cancel()
         await cancel_tasks([*self._tasks, *self._answers])
         if self._links is not None:
             self._links.close()
@@ -166,7 +168,18 @@
                 connection.send_frame(frame)
 
     def _committed(self, snapshot: Snapshot) -> None:
-        document = read_payload(snapshot.payload)
+        """Have the newest commit taken in once whoever asked for it is answered.
+
+        The group resolves the call of the operator right after this. A timer, also one without delay,
+        runs after all that is ready by then, the operator's answer among it.
+        """
+        if self._commit_timer is None:
+            self._commit_timer = asyncio.get_running_loop().call_later(0, self._take_commit)
+
+    def _take_commit(self) -> None:
+        """Configure the load scheduler by the newest commit, and tell all subscribers of it."""
+        self._commit_timer = None
+        document = read_payload(self.group.snapshot().payload)
         if document.source and document.source != self._source:
             self._source = document.source
             self._scheduler.configure(load_configuration(document.source))
@@ -211,7 +224,7 @@
 
     def _answer(self, connection: Connection, question: FetchConfiguration) -> None:
         if not question.confirm:
-            connection.send(configuration_body(self.group.snapshot(), confirmed=False))
+            connection.send_frame(configuration_frame(self.group.snapshot(), confirmed=False))
             return
         answering = asyncio.create_task(self._send_confirmed(connection))
         self._answers.add(answering)
@@ -221,13 +234,7 @@
         """Send the configuration once a round that begins now confirmed it; else nothing."""
         outcome = await self.group.confirm()
         if isinstance(outcome, Confirmed):
-            connection.send(configuration_body(outcome.snapshot, confirmed=True))
-
-
-def configuration_body(snapshot: Snapshot, *, confirmed: bool) -> ConfigurationBody:
-    """The configuration of a snapshot as a message."""
-    source = read_payload(snapshot.payload).source
-    return ConfigurationBody(snapshot.epoch, snapshot.sequence, source, confirmed)
+            connection.send_frame(configuration_frame(outcome.snapshot, confirmed=True))
 
 
 def is_core(connection: Connection) -> bool:
--- /dev/null
+++ b/tests/test_controlplane_commit.py
@@ -0,0 +1,119 @@
+"""What a control machine does at a commit, and in which order."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import tempfile
+import unittest
+from typing import Any
+from unittest import mock
+
+from aiohttp import ClientError, ClientSession, web
+
+from rookwood.cluster.feed import FeedServer
+from rookwood.cluster.messages import Message, Status
+from rookwood.cluster.settings import SETTINGS_VARIABLE, parse_settings
+from rookwood.cluster.tasks import cancel_tasks
+from rookwood.clusterconfig.document import Configuration
+from rookwood.clusterconfig.loading import load_configuration
+from rookwood.controlplane import program
+from rookwood.controlplane.program import ControlPlane
+from tests.fake_worker import HOST, within
+
+PORTS = 5
+LAST_PORT = 65535
+HTTP_OK = 200
+ANSWERED, PARSED, SENT = "answered", "parsed", "sent"
+CONFIGURATION: dict[str, Any] = {
+    "ver": 1,
+    "routes": [],
+    "svcs": [{"name": "pages", "health": "/healthz", "max-conns": 64}],
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports in a row that nobody listens on now."""
+    while True:
+        with socket.socket() as first:
+            first.bind((HOST, 0))
+            start: int = first.getsockname()[1]
+        ports = list(range(start, start + count))
+        if ports[-1] < LAST_PORT and all(is_free(port) for port in ports):
+            return ports
+
+
+def is_free(port: int) -> bool:
+    """Whether nobody listens on the port."""
+    with socket.socket() as probe:
+        return probe.connect_ex((HOST, port)) != 0
+
+
+class CommitTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        ports = free_ports(PORTS)
+        self.address = f"{HOST}:{ports[0]}"
+        document = {
+            "hostname": "c1",
+            "ip": HOST,
+            "az": "z1",
+            "listen": {"ctl": self.address},
+            "port-range": [ports[1], ports[-1]],
+            "seeds": [self.address],
+            "bootstrap": True,
+            "limits": {"nofile": 512, "disk-mb": 16},
+            "datadir": directory,
+        }
+        self.enterContext(mock.patch.dict("os.environ", {SETTINGS_VARIABLE: directory}))
+        self.events: list[str] = []
+        self.sent = asyncio.Event()
+        self.note_events()
+        running = asyncio.create_task(ControlPlane(parse_settings(document)).run())
+        self.addAsyncCleanup(cancel_tasks, [running])
+
+    def note_events(self) -> None:
+        """Note when an answer leaves, a configuration is parsed and its position is sent to subscribers."""
+        write_eof, broadcast = web.Response.write_eof, FeedServer.broadcast
+
+        async def note_answer(response: web.Response, data: bytes = b"") -> None:
+            await write_eof(response, data)
+            if response.status == HTTP_OK:
+                self.events.append(ANSWERED)
+
+        def note_parsing(source: bytes) -> Configuration:
+            self.events.append(PARSED)
+            return load_configuration(source)
+
+        def note_sending(server: FeedServer, message: Message) -> None:
+            broadcast(server, message)
+            if isinstance(message, Status) and message.config_sequence > 0 and PARSED in self.events:
+                self.events.append(SENT)
+                self.sent.set()
+
+        self.enterContext(mock.patch.object(web.Response, "write_eof", note_answer))
+        self.enterContext(mock.patch.object(program, "load_configuration", note_parsing))
+        self.enterContext(mock.patch.object(FeedServer, "broadcast", note_sending))
+
+    async def put_configuration(self) -> None:
+        """Put the configuration, again until the machine listens and leads."""
+        async with ClientSession() as session:
+            while True:
+                headers = {"If-Match": "0"}
+                url = f"http://{self.address}/config"
+                try:
+                    async with session.put(url, data=json.dumps(CONFIGURATION), headers=headers) as answer:
+                        if answer.status == HTTP_OK:
+                            return
+                except ClientError:
+                    await asyncio.sleep(0)
+
+    async def test_the_operator_is_answered_before_the_configuration_is_parsed_and_sent(self) -> None:
+        await within(self.put_configuration())
+        await within(self.sent.wait())
+        self.assertEqual([ANSWERED, PARSED, SENT], self.events[:3])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_controlplane_confirmation.py
+++ b/tests/test_controlplane_confirmation.py
@@ -9,9 +9,17 @@
 from unittest import mock
 
 from rookwood.cluster.feed import Connection
-from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Message
+from rookwood.cluster.messages import (
+    HEADER,
+    ConfigurationBody,
+    FetchConfiguration,
+    Message,
+    decode_message,
+    encode_frame,
+)
 from rookwood.cluster.settings import parse_settings
 from rookwood.clusterconfig.control_document import ControlDocument
+from rookwood.controlplane import payload
 from rookwood.controlplane.program import ControlPlane
 from rookwood.coordination.group import Confirmed, NotPrimary, Snapshot, Uncertain
 from tests.fake_worker import within
@@ -27,9 +35,12 @@
     def __init__(self) -> None:
         self.sent: asyncio.Queue[Message] = asyncio.Queue()
 
-    def send(self, message: Message) -> None:
-        """Keep a message."""
-        self.sent.put_nowait(message)
+    def send_frame(self, frame: bytes) -> None:
+        """Keep the message of a frame."""
+        length, number = HEADER.unpack_from(frame)
+        body = frame[HEADER.size :]
+        assert len(body) == length
+        self.sent.put_nowait(decode_message(number, body))
 
 
 class ConfirmationTests(unittest.IsolatedAsyncioTestCase):
@@ -79,6 +90,16 @@
         rounds.assert_not_awaited()
         self.assertEqual(ConfigurationBody(2, 5, SOURCE, confirmed=False), self.connection.sent.get_nowait())
 
+    async def test_a_configuration_is_encoded_once_for_all_subscribers(self) -> None:
+        payload.configuration_frame.cache_clear()
+        encoder = self.enterContext(mock.patch.object(payload, "encode_frame", side_effect=encode_frame))
+        for _ in range(3):
+            self.ask(False, NotPrimary(None))
+            self.ask(True, Confirmed(SNAPSHOT))
+            await self.answered()
+        self.assertEqual(2, encoder.call_count)
+        self.assertEqual(6, self.connection.sent.qsize())
+
 
 if __name__ == "__main__":
     unittest.main()
