Explorer of the replication: brought up to date, checked at each state, tested

The explorer had no test, and the protocol had changed under it. Time stood still for it, so a favour never lapsed, a primary waited for ever for healthy copies, a candidate never gave up, and a primary never lost its lease: schedules that need one of these were left out without a word. The write after a failed one began in the same step, so nothing came between. A candidate knew its own promise alone.

Now standing, giving up and the loss of the lease are steps; favour, patience and the pause after a failed write are nothing; a candidate stands above any epoch that it can have heard of. At each state it is checked that any voters who can elect hold what was acknowledged, whichever record a crash leaves on each disk; at each sync that the storage does not go back; at each Write that its epoch has one writer, established or not. The ledger and its checks are a module of their own. `rookwood experiment replication-states` runs the parts and keeps figures.

Seen to fail: test_write_under_way_answered_as_not_done. The last change of a history had the ticket 0, and refusals count from 1 on, so with one change no refusal was ever checked: the mutant passed through the whole exploration. Tickets begin at 1 now.

--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -534,6 +534,18 @@
     sys.exit(run_many_changes(Plan(), json_file))
 
 
+@experiment.command("replication-states", epilog=CODES)
+@click.option("--most", default=400_000, show_default=True, help="States of each part.")
+@click.option(
+    "--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), help="Keep the figures here."
+)
+def replication_states(most: int, json_file: Path | None) -> None:
+    """Explore the replication of the control document exhaustively within small bounds."""
+    from rookwood.lab.replication_states import run_replication_states
+
+    sys.exit(run_replication_states(json_file, most))
+
+
 @experiment.command("ledger", epilog=CODES)
 @click.option("--seed", default=1, show_default=True, help="For random choices.")
 @click.option("--unlocks", default=10_000, show_default=True, help="How many.")
--- a/rookwood/coordination/explore.py
+++ b/rookwood/coordination/explore.py
@@ -1,8 +1,9 @@
 """Exhaustive exploration of small histories of the replication, over the real replicas.
 
 The network keeps every message for ever and may deliver it at any moment, any number of times or never,
-which covers loss, doubling, delay, reordering and cuts. Time stands still: a primary never notices that
-it lost its lease, and any member may stand for election, so nothing that is found sound rests on clocks.
+which covers loss, doubling, delay, reordering and cuts without a bound. Time is abstract: what a clock does
+(to stand for election, to give a candidacy up, to lose the lease) is a step of its own that may happen at any
+moment, so nothing that is found sound rests on clocks. docs/control-state.md says what is left out.
 """
 
 import pickle
@@ -13,27 +14,50 @@
 from typing import Concatenate, Generic, NamedTuple, ParamSpec, TypeVar
 
 from rookwood.coordination.document import Configuration, Document, Member, Position, Record
-from rookwood.coordination.effects import CommitApplied, Effect, Persist, Resolve, RoleChanged, Send
-from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Message, TransferNow
-from rookwood.coordination.outcomes import Committed, Confirmed, NotPrimary, Primary, Snapshot
+from rookwood.coordination.effects import CommitApplied, Effect, Persist, Resolve, Send
+from rookwood.coordination.exploration_ledger import (
+    BrokenError,
+    Ledger,
+    check_durability,
+    check_sync,
+    with_answer,
+    with_commit,
+    with_primary,
+)
+from rookwood.coordination.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    Message,
+    PreVoteReply,
+    PreVoteRequest,
+    TransferNow,
+    Write,
+)
 from rookwood.coordination.replication import Replica
+from rookwood.coordination.timing import Timing
 
 NOW = 0.0
+CANDIDACY_OVER = 2.0
+LEASE_OVER = 20.0
+FIRST_EPOCH = 1
 INCARNATION_STEP = 10
+NEVER = float("inf")
+TIMELESS = Timing(
+    lease=10.0,
+    favour=0.0,
+    pre_vote_favour=0.0,
+    copy_patience=0.0,
+    disk_limit=NEVER,
+    disk_retry=0.0,
+    replace_after=NEVER,
+    learner_silence=NEVER,
+)
+"""Time stands still but in the steps that are its work: no favour, no patience, no limit of a disk."""
 
 Item = TypeVar("Item", bound=Hashable)
 Arguments = ParamSpec("Arguments")
 
 
-class BrokenError(Exception):
-    """An invariant does not hold; `trace` is a shortest way there."""
-
-    def __init__(self, why: str, trace: tuple[str, ...] = ()) -> None:
-        super().__init__(why)
-        self.why = why
-        self.trace = trace
-
-
 @dataclass(frozen=True)
 class Bounds:
     """How much of each kind of event one history may hold."""
@@ -42,21 +66,25 @@
     tolerate: int = 1
     changes: int = 1
     elections: int = 1
+    lease_losses: int = 0
     kills: int = 0
     power_losses: int = 0
     wipes: int = 0
     failed_writes: int = 0
     confirms: int = 0
+    rounds: bool = False
     instant_writes: bool = False
     states: int = 1_000_000
 
 
 @dataclass(frozen=True)
 class Report:
-    """What an exploration covered."""
+    """What an exploration covered; `acknowledged` counts the states in which some change is acknowledged."""
 
     states: int
     transitions: int
+    acknowledged: int
+    epochs: int
     whole: bool
 
 
@@ -100,17 +128,6 @@
     incarnation: int
 
 
-@dataclass(frozen=True)
-class Ledger:
-    """What has become known outside: commits, answers, and who was primary in which epoch."""
-
-    committed: tuple[Snapshot, ...] = ()
-    acknowledged: frozenset[bytes] = frozenset()
-    refused: frozenset[bytes] = frozenset()
-    primaries: frozenset[tuple[int, str, int]] = frozenset()
-    confirming: frozenset[tuple[int, frozenset[bytes]]] = frozenset()
-
-
 @dataclass(frozen=True)
 class Letter:
     """A message in the network."""
@@ -195,6 +212,10 @@
         self._compact = _Compact()
         self._letters = _Table[Letter]()
         self._serialised: dict[bytes, bytes] = {}
+        self._leading: dict[bytes, bool] = {}
+        self._checked: set[Hashable] = set()
+        self._acknowledged = 0
+        self._epochs: set[int] = set()
 
     def explore(self) -> Report:
         """Visit the states; raises `BrokenError` with a shortest trace."""
@@ -204,10 +225,12 @@
         transitions = 0
         while queue:
             if len(parents) > self._bounds.states:
-                return Report(len(parents), transitions, whole=False)
+                return self._report(len(parents), transitions, whole=False)
             key = queue.popleft()
+            world = self._compact.world(key)
             try:
-                for action, successor in self._steps(self._compact.world(key)):
+                self._check_state(world)
+                for action, successor in self._steps(world):
                     transitions += 1
                     successor_key = self._compact.key(successor)
                     if successor_key not in parents:
@@ -215,7 +238,26 @@
                         queue.append(successor_key)
             except BrokenError as error:
                 raise BrokenError(error.why, (*_trace(parents, key), *error.trace)) from None
-        return Report(len(parents), transitions, whole=True)
+        return self._report(len(parents), transitions, whole=True)
+
+    def _report(self, states: int, transitions: int, *, whole: bool) -> Report:
+        return Report(states, transitions, self._acknowledged, len(self._epochs), whole)
+
+    def _check_state(self, world: World) -> None:
+        ledger = world.ledger
+        self._epochs.update(epoch for epoch, *_ in ledger.primaries)
+        if not ledger.acknowledged:
+            return
+        self._acknowledged += 1
+        disks = tuple(
+            frozenset({machine.durable, machine.visible, machine.writing or machine.visible})
+            for machine in world.machines
+        )
+        if (disks, ledger.acknowledged) in self._checked:
+            return
+        named = zip(self._addresses, disks, strict=True)
+        check_durability(ledger.acknowledged, tuple((ip, _records(found)) for ip, found in named))
+        self._checked.add((disks, ledger.acknowledged))
 
     # The first state: one primary, everything settled
 
@@ -231,7 +273,7 @@
         for index in range(self._bounds.members):
             world = self._boot(world, index, found)
         world = self._settle(world)
-        world = self._stand(world, 0)
+        world = self._stand(world, 0, 0)
         return self._settle(world)._replace(letters=0, left=self._bounds)
 
     def _settle(self, world: World) -> World:
@@ -261,9 +303,14 @@
 
     def _operator_steps(self, world: World, index: int) -> Iterator[Step]:
         left = world.left
-        if left.elections:
+        leads = self._leads(world.machines[index])
+        if left.elections and not leads:
             after = world._replace(left=replace(left, elections=left.elections - 1))
-            yield from self._step(f"stand {index}", self._stand, after, index)
+            for known in self._epochs_to_know(world, index):
+                yield from self._step(f"stand {index} above {known}", self._stand, after, index, known)
+        if left.lease_losses and leads:
+            after = world._replace(left=replace(left, lease_losses=left.lease_losses - 1))
+            yield from self._step(f"lease lost {index}", self._lose_lease, after, index)
         if left.changes:
             after = world._replace(left=replace(left, changes=left.changes - 1))
             yield from self._step(f"propose {index}", self._propose, after, index)
@@ -276,11 +323,11 @@
         in_cache = machine.writing or machine.visible
         if left.kills:
             after = world._replace(left=replace(left, kills=left.kills - 1))
-            for found in {machine.visible, in_cache}:
+            for found in sorted({machine.visible, in_cache}):
                 yield from self._step(f"kill {index}", self._boot, after, index, found)
         if left.power_losses:
             after = world._replace(left=replace(left, power_losses=left.power_losses - 1))
-            for found in {machine.durable, machine.visible, in_cache}:
+            for found in sorted({machine.durable, machine.visible, in_cache}):
                 yield from self._step(f"power loss {index}", self._boot_after_power, after, index, found)
         if left.wipes:
             after = world._replace(left=replace(left, wipes=left.wipes - 1))
@@ -289,7 +336,7 @@
             )
         if left.failed_writes and machine.writing is not None:
             after = world._replace(left=replace(left, failed_writes=left.failed_writes - 1))
-            for found in {machine.visible, in_cache}:
+            for found in sorted({machine.visible, in_cache}):
                 yield from self._step(f"failed write {index}", self._fail_write, after, index, found)
 
     def _step(
@@ -318,6 +365,7 @@
         assert machine.writing is not None
         written = machine.writing
         record = pickle.loads(written)
+        check_sync(pickle.loads(machine.durable), record)
         machine = machine._replace(durable=written, visible=written, writing=None)
         world = _with_machine(world, index, machine)
         return self._input(world, index, "persisted", (machine.ticket, record, True, NOW))
@@ -326,17 +374,29 @@
         machine = world.machines[index]
         world = _with_machine(world, index, machine._replace(visible=found, writing=None))
         arguments = (machine.ticket, pickle.loads(found), False, NOW)
-        world = self._input(world, index, "persisted", arguments)
-        return self._input(world, index, "tick", (NOW + 1.0,))
+        return self._input(world, index, "persisted", arguments)
+
+    def _leads(self, machine: Machine) -> bool:
+        if machine.replica not in self._leading:
+            self._leading[machine.replica] = _replica(machine).leads()
+        return self._leading[machine.replica]
+
+    def _epochs_to_know(self, world: World, index: int) -> range:
+        """Return what a candidate may have heard to be the highest promise: any epoch ever stood for."""
+        highest = FIRST_EPOCH + self._bounds.elections - world.left.elections
+        return range(_replica(world.machines[index]).promised(), highest + 1)
 
-    def _stand(self, world: World, index: int) -> World:
-        replica = _replica(world.machines[index])
-        epoch = replica.record().promised
-        return self._input(world, index, "receive", (explorer_address(index), 0, TransferNow(epoch), NOW))
+    def _stand(self, world: World, index: int, known: int) -> World:
+        """Give an earlier candidacy up, and stand for the epoch after the one that is known."""
+        world = self._input(world, index, "tick", (NOW + CANDIDACY_OVER,))
+        return self._input(world, index, "receive", (explorer_address(index), 0, TransferNow(known), NOW))
+
+    def _lose_lease(self, world: World, index: int) -> World:
+        return self._input(world, index, "tick", (NOW + LEASE_OVER,))
 
     def _propose(self, world: World, index: int) -> World:
-        label = b"%d," % world.left.changes
-        return self._input(world, index, "propose", (world.left.changes, Append(label), NOW))
+        ticket = world.left.changes + 1
+        return self._input(world, index, "propose", (ticket, Append(b"%d," % ticket), NOW))
 
     def _confirm(self, world: World, index: int) -> World:
         ticket = -1 - world.left.confirms
@@ -359,6 +419,7 @@
             record=pickle.loads(found),
             random=FixedRandom(incarnation),
             now=NOW,
+            timing=TIMELESS,
         )
         machine = Machine(self._serialise(replica), machine.durable, found, None, 0, incarnation)
         return self._input(_with_machine(world, index, machine), index, "tick", (NOW,))
@@ -400,12 +461,9 @@
                 writing = self._serialise(effect.record)
                 return _with_machine(world, index, machine._replace(writing=writing, ticket=effect.ticket))
             case CommitApplied():
-                return world._replace(ledger=_with_commit(world.ledger, effect.snapshot))
-            case RoleChanged(role=Primary(epoch=epoch)):
-                holder = (epoch, self._addresses[index], machine.incarnation)
-                return world._replace(ledger=_with_primary(world.ledger, holder))
+                return world._replace(ledger=with_commit(world.ledger, effect.snapshot))
             case Resolve():
-                return world._replace(ledger=_with_answer(world.ledger, effect))
+                return world._replace(ledger=with_answer(world.ledger, effect))
             case _:
                 return world
 
@@ -414,13 +472,22 @@
         return self._serialised.setdefault(serialised, serialised)
 
     def _send(self, world: World, index: int, send: Send) -> World:
-        is_round = isinstance(send.message, Heartbeat | HeartbeatAck)
-        if (is_round and not self._bounds.confirms) or send.to not in self._addresses:
-            return world
+        message = send.message
         incarnation = world.machines[index].incarnation
-        letter = Letter(self._addresses[index], incarnation, send.to, send.message)
+        if isinstance(message, Write):
+            holder = (message.document.position.epoch, self._addresses[index], incarnation)
+            world = world._replace(ledger=with_primary(world.ledger, holder))
+        if send.to not in self._addresses or self._is_left_out(message):
+            return world
+        letter = Letter(self._addresses[index], incarnation, send.to, message)
         return world._replace(letters=world.letters | 1 << self._letters.number(letter))
 
+    def _is_left_out(self, message: Message) -> bool:
+        if isinstance(message, PreVoteRequest | PreVoteReply):
+            return True
+        is_round = isinstance(message, Heartbeat | HeartbeatAck)
+        return is_round and not (self._bounds.confirms or self._bounds.rounds)
+
 
 def _bits(letters: int) -> Iterator[int]:
     while letters:
@@ -434,6 +501,11 @@
     return f"explorer-{index}"
 
 
+def _records(found: frozenset[bytes]) -> frozenset[Record]:
+    loaded = (pickle.loads(record) for record in found)
+    return frozenset(record for record in loaded if record is not None)
+
+
 def _replica(machine: Machine) -> Replica:
     replica: Replica = pickle.loads(machine.replica)
     return replica
@@ -444,49 +516,6 @@
     return world._replace(machines=machines)
 
 
-def _with_commit(ledger: Ledger, snapshot: Snapshot) -> Ledger:
-    if snapshot in ledger.committed:
-        return ledger
-    committed = tuple(sorted((*ledger.committed, snapshot), key=lambda known: known.sequence))
-    for first, second in zip(committed, committed[1:], strict=False):
-        if first.sequence == second.sequence or not second.payload.startswith(first.payload):
-            raise BrokenError(f"history forked between {first} and {second}")
-    _check_refused(ledger.refused, committed[-1].payload)
-    return replace(ledger, committed=committed)
-
-
-def _with_primary(ledger: Ledger, holder: tuple[int, str, int]) -> Ledger:
-    if any(epoch == holder[0] for epoch, *_ in ledger.primaries - {holder}):
-        raise BrokenError(f"epoch {holder[0]} has two primaries")
-    return replace(ledger, primaries=ledger.primaries | {holder})
-
-
-def _with_answer(ledger: Ledger, answer: Resolve) -> Ledger:
-    label = b"%d," % answer.ticket
-    match answer.outcome:
-        case Committed():
-            return replace(ledger, acknowledged=ledger.acknowledged | {label})
-        case NotPrimary() if answer.ticket > 0:
-            refused = ledger.refused | {label}
-            if ledger.committed:
-                _check_refused(refused, ledger.committed[-1].payload)
-            return replace(ledger, refused=refused)
-        case Confirmed(snapshot=snapshot):
-            _check_confirmed(ledger, answer.ticket, snapshot)
-    return ledger
-
-
-def _check_refused(refused: frozenset[bytes], payload: bytes) -> None:
-    if any(label in payload for label in refused):
-        raise BrokenError("a refused change is in force")
-
-
-def _check_confirmed(ledger: Ledger, ticket: int, snapshot: Snapshot) -> None:
-    for started, acknowledged in ledger.confirming:
-        if started == ticket and any(label not in snapshot.payload for label in acknowledged):
-            raise BrokenError("a confirmed document lacks an acknowledged change")
-
-
 def _trace(parents: dict[_Key, tuple[_Key, str] | None], key: _Key) -> tuple[str, ...]:
     actions: list[str] = []
     step = parents[key]
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -104,6 +104,14 @@
         """Return the record that is known to be durable."""
         return self._context.journal.durable
 
+    def promised(self) -> int:
+        """Return the highest epoch promised, synced or not."""
+        return self._context.journal.latest.promised
+
+    def leads(self) -> bool:
+        """Tell whether this process leads an epoch, established or not."""
+        return self._leadership is not None
+
     def next_wakeup(self) -> float:
         """Return when `tick` is to be called next."""
         moments = [self._context.now + self._context.timing.primary_silence]
