--- a/rookwood/lab/replication_states.py
+++ b/rookwood/lab/replication_states.py
@@ -27,6 +27,7 @@
     "an election, a lost lease": Bounds(changes=0, elections=1, lease_losses=1),
     "a change, an election, writes at once": Bounds(changes=1, elections=1, instant_writes=True),
     "an election, a kill, writes at once": Bounds(changes=0, elections=1, kills=1, instant_writes=True),
+    "a wipe, writes at once": Bounds(changes=0, elections=0, wipes=1, instant_writes=True),
 }
 """Bounds whose states are all visited in some minutes."""
 
