Add relays before the feeds, and reproduce stale configurations at a high rate of changes

The test fails on this state: every data plane fetches the whole configuration from each control plane for each change.

--- a/rookwood/lab/systemstage/machines.py
+++ b/rookwood/lab/systemstage/machines.py
@@ -59,6 +59,11 @@
         """The first and last port for what processes say to each other."""
         return self.first + 3, self.first + 2 + INTERNAL_PORTS
 
+    @property
+    def feed(self) -> int:
+        """Where control planes serve their feeds: the second internal port."""
+        return self.internal[0] + 1
+
     def all(self) -> range:
         """Every port of a machine."""
         return range(self.first, self.first + 3 + INTERNAL_PORTS)
@@ -207,6 +212,11 @@
         """Whether its process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def process_id(self) -> int | None:
+        """The id of the process, while it runs."""
+        return self._process.pid if self._process is not None and self.running else None
+
     @property
     def exit_status(self) -> int | None:
         """The exit status of the last process, where it has ended; a signal counts negative."""
--- a/rookwood/lab/systemstage/stage.py
+++ b/rookwood/lab/systemstage/stage.py
@@ -28,6 +28,7 @@
 from rookwood.lab.emulatedworker.worker import ModelWorker
 from rookwood.lab.systemstage.client import Client
 from rookwood.lab.systemstage.configuration import Configuration, ServiceSpec
+from rookwood.lab.systemstage.feed_relay import FeedRelays
 from rookwood.lab.systemstage.judge import Judge, Rule, RuleBreak
 from rookwood.lab.systemstage.machines import MachineSettings, ProcessRole, SystemProcess, Timing
 from rookwood.lab.systemstage.network import choose_network
@@ -50,8 +51,13 @@
     """
 
     def __init__(
-        self, control_planes: int = 3, data_planes: int = 2, timing: Timing = DEFAULT_TIMING
+        self,
+        control_planes: int = 3,
+        data_planes: int = 2,
+        timing: Timing = DEFAULT_TIMING,
+        feed_rate: float | None = None,
     ) -> None:
+        """`feed_rate`: where given, the feeds of each data plane come over a link of so many bytes/s."""
         self.timing = timing
         self._tolerated_machines = (control_planes - 1) // 2
         self.workers: list[ModelWorker] = []
@@ -66,8 +72,14 @@
             self._machine(ProcessRole.CONTROL_PLANE, number, ip, seeds)
             for number, ip in enumerate(control_hosts)
         ]
+        self.feed_relays: list[FeedRelays] = []  # in the order of the data planes, where there are any
         self.data_planes = [
-            self._machine(ProcessRole.DATA_PLANE, number, self._next_ip(), seeds)
+            self._machine(
+                ProcessRole.DATA_PLANE,
+                number,
+                self._next_ip(),
+                seeds if feed_rate is None else self._add_feed_relays(control_hosts, feed_rate),
+            )
             for number in range(data_planes)
         ]
         self.operator = Operator(self.control_addresses)
@@ -84,6 +96,7 @@
         return [machine.control_address for machine in self.control_planes]
 
     async def __aenter__(self) -> Self:
+        await asyncio.gather(*(relays.start() for relays in self.feed_relays))
         await asyncio.gather(*(machine.start() for machine in self.processes))
         return self
 
@@ -97,6 +110,7 @@
         await self.operator.close()
         await asyncio.gather(*(worker.stop() for worker in self.workers))
         await asyncio.gather(*(machine.kill() for machine in self.processes if machine.running))
+        await asyncio.gather(*(relays.stop() for relays in self.feed_relays))
         self._print_logs()
         shutil.rmtree(self._directory)
 
@@ -229,6 +243,13 @@
             return []
         return [RuleBreak(Rule.CEILING, f"{most} loads began within {LOAD_WINDOW_S} s")]
 
+    def _add_feed_relays(self, control_ips: Sequence[str], rate: float) -> tuple[str, ...]:
+        """Puts relays before all control planes for the next data plane; returns its seeds."""
+        relay_ips = {control_ip: self._next_ip() for control_ip in control_ips}
+        feed_port = self._network.ports.feed
+        self.feed_relays.append(FeedRelays(relay_ips, feed_port, rate))
+        return tuple(f"{ip}:{self._network.ports.control}" for ip in list(relay_ips.values())[:SEEDS])
+
     def _next_ip(self) -> str:
         return self._network.ip(next(self._hosts))
 
