--- /dev/null
+++ b/tests/test_configuration_distribution.py
@@ -0,0 +1,215 @@
+"""Configuration changes cost what a link carries, however many changes and control machines there are."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import tempfile
+import unittest
+from collections.abc import Iterable
+from typing import Any
+from unittest import mock
+
+from aiohttp import ClientError, ClientSession
+
+from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedServer
+from rookwood.cluster.messages import (
+    ConfigurationBody,
+    FetchConfiguration,
+    Hello,
+    Message,
+    Status,
+    encode_frame,
+    read_message,
+)
+from rookwood.cluster.settings import SETTINGS_VARIABLE, parse_settings
+from rookwood.cluster.tasks import cancel_tasks
+from rookwood.controlplane.program import ControlPlane
+from rookwood.dataplane import program
+from rookwood.dataplane.program import DataPlane
+from tests.fake_worker import HOST, within
+from tests.test_controlplane_commit import CONFIGURATION, PORTS, free_ports
+
+CONTROL_MACHINES = tuple(f"127.0.0.{number}" for number in range(2, 7))
+PRIMARY = CONTROL_MACHINES[0]
+MOST_QUESTIONS = 2  # one under way, and one more after the first is overdue
+CHANGES = 100
+SHORT_NOTICE = 0.05
+SMALL_WINDOW = 16 * 1024  # bytes that the kernel keeps for a subscriber that does not read
+QUESTIONS = 400
+MODELS = 300
+MOST_UNREAD = 1024 * 1024  # bytes that a machine may hold for one slow subscriber, kernel buffers included
+HTTP_OK = 200
+
+
+def large_configuration(version: int) -> dict[str, Any]:
+    """A configuration of some tens of kilobytes."""
+    models = [{"name": f"model-{number}", "size-mb": 65000.0, "load-s": 0.6} for number in range(MODELS)]
+    runtime = {"slots": 64, "models": models, "size-mb": 220000.0, "lora-slots": 8, "loads-per-s": 4.0}
+    service = {"name": "engine", "health": "/healthz", "max-conns": 64, "runtime": runtime}
+    return {"ver": version, "routes": [], "svcs": [service]}
+
+
+class AnnouncingMachine:
+    """A control machine that announces positions and leaves all questions but the first one open."""
+
+    def __init__(self, ip: str) -> None:
+        self.ip = ip
+        self.questions: list[FetchConfiguration] = []
+        self.answers = ip == PRIMARY
+        self.subscribed = asyncio.Event()
+        self.heard = asyncio.Event()
+        self.server = FeedServer(self)
+
+    def status(self, sequence: int) -> Status:
+        """An announcement of a position."""
+        return Status(self.ip, 1, PRIMARY, True, True, 1, sequence, 1, CONTROL_MACHINES)
+
+    def greeting(self, connection: Connection) -> Iterable[Message]:
+        """The first position."""
+        self.subscribed.set()
+        return (self.status(1),)
+
+    def received(self, connection: Connection, message: Message) -> None:
+        """Answer the first question, and keep the others."""
+        if not isinstance(message, FetchConfiguration):
+            self.heard.set()
+            return
+        if self.answers:
+            self.answers = False
+            source = json.dumps(CONFIGURATION).encode()
+            connection.send(ConfigurationBody(1, 1, source, confirmed=True))
+            return
+        self.questions.append(message)
+
+    def lost(self, connection: Connection) -> None:
+        """Nothing to do."""
+
+    def announce_changes(self) -> None:
+        """Announce many positions, one right after the other."""
+        for sequence in range(2, 2 + CHANGES):
+            self.server.broadcast(self.status(sequence))
+
+
+class RequestsUnderWayTests(unittest.IsolatedAsyncioTestCase):
+    """A dispatcher that five control machines feed."""
+
+    async def asyncSetUp(self) -> None:
+        first_port = free_ports(PORTS)[0]
+        document = {
+            "hostname": "e1",
+            "ip": HOST,
+            "az": "z1",
+            "listen": {"edge": f"{HOST}:{first_port}", "readyz": f"{HOST}:{first_port + 1}"},
+            "port-range": [first_port + 2, first_port + 4],
+            "seeds": [f"{ip}:8080" for ip in CONTROL_MACHINES],
+            "limits": {"nofile": 512},
+        }
+        settings = parse_settings(document)
+        self.machines = [AnnouncingMachine(ip) for ip in CONTROL_MACHINES]
+        for machine in self.machines:
+            await machine.server.start(machine.ip, settings.feed_port)
+            self.addAsyncCleanup(machine.server.stop)
+        self.enterContext(mock.patch.object(program, "INGRESS_NOTICE", SHORT_NOTICE))
+        self.running = asyncio.create_task(DataPlane(settings).run())
+        self.addAsyncCleanup(self.stop_dispatcher)
+
+    async def stop_dispatcher(self) -> None:
+        """End it as the platform does."""
+        os.kill(os.getpid(), signal.SIGTERM)
+        await within(self.running)
+
+    async def test_one_request_is_under_way_however_many_machines_announce_however_many_changes(self) -> None:
+        for machine in self.machines:
+            await within(machine.subscribed.wait())
+            await within(machine.heard.wait())  # the first configuration is in force by then
+            machine.heard.clear()
+        for machine in self.machines:
+            machine.announce_changes()
+        for machine in self.machines:
+            await within(machine.heard.wait())  # a heartbeat, sent after the announcements were taken in
+        questions = [question for machine in self.machines for question in machine.questions]
+        self.assertLessEqual(len(questions), MOST_QUESTIONS)
+        self.assertGreaterEqual(len(questions), 1)
+
+
+class SlowSubscriberTests(unittest.IsolatedAsyncioTestCase):
+    """A control machine, and a subscriber that asks for the configuration and does not read."""
+
+    async def asyncSetUp(self) -> None:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        ports = free_ports(PORTS)
+        self.address = f"{HOST}:{ports[0]}"
+        document = {
+            "hostname": "c1",
+            "ip": HOST,
+            "az": "z1",
+            "listen": {"ctl": self.address},
+            "port-range": [ports[1], ports[-1]],
+            "seeds": [self.address],
+            "bootstrap": True,
+            "limits": {"nofile": 512, "disk-mb": 16},
+            "datadir": directory,
+        }
+        self.enterContext(mock.patch.dict("os.environ", {SETTINGS_VARIABLE: directory}))
+        settings = parse_settings(document)
+        self.feed_port = settings.feed_port
+        running = asyncio.create_task(ControlPlane(settings).run())
+        self.addAsyncCleanup(cancel_tasks, [running])
+
+    async def put(self, version: int, base: int) -> None:
+        """Put a configuration, again until the machine listens and leads."""
+        url = f"http://{self.address}/config"
+        body = json.dumps(large_configuration(version))
+        async with ClientSession() as session:
+            while True:
+                try:
+                    async with session.put(url, data=body, headers={"If-Match": str(base)}) as answer:
+                        if answer.status == HTTP_OK:
+                            return
+                except ClientError:
+                    pass
+                await asyncio.sleep(0)
+
+    async def subscribe(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A subscription whose kernel buffer is small."""
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (HOST, self.feed_port))
+        reader, writer = await asyncio.open_connection(sock=connection, limit=SMALL_WINDOW)
+        self.addCleanup(writer.transport.abort)
+        writer.write(encode_frame(Hello("127.0.0.9", "edge", "z1")))
+        return reader, writer
+
+    async def test_a_subscriber_that_reads_slowly_is_sent_the_newest_and_not_all_that_it_missed(self) -> None:
+        await within(self.put(1, 0))
+        reader, writer = await within(self.subscribe())
+        for _ in range(QUESTIONS):
+            writer.write(encode_frame(FetchConfiguration(1, confirm=False)))
+        await within(writer.drain())
+        await within(self.put(2, 1))
+        received = await within(self.read_until_announced(reader, 2))
+        self.assertLess(received, MOST_UNREAD)
+
+    async def read_until_announced(self, reader: asyncio.StreamReader, sequence: int) -> int:
+        """Read until the position of the second change is announced; returns the bytes that came before."""
+        received = 0
+        first: int | None = None
+        while True:
+            try:
+                message: Message = await read_message(reader)
+            except LINK_ERRORS as error:
+                self.fail(f"the subscription ended after {received} bytes: {error!r}")
+            received += len(encode_frame(message))
+            if isinstance(message, Status) and message.config_sequence > 0:
+                first = first or message.config_sequence
+                if message.config_sequence > first:
+                    return received
+
+
+if __name__ == "__main__":
+    unittest.main()
