--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -17,8 +17,10 @@
     Hello,
     Message,
     encode_frame,
+    frame_type,
     read_message,
 )
+from rookwood.metrics.traffic import FEED_TRAFFIC, PEER_CORE, PEER_UNIDENTIFIED, peer_kind
 
 HEARTBEAT_INTERVAL = 0.4
 SILENCE_LIMIT = 1.4
@@ -42,13 +44,20 @@
         self._reader = reader
         self._writer = writer
         self.hello: Hello | None = None
+        self.peer_kind = PEER_UNIDENTIFIED
         _send_at_once(writer)
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that were sent by the process and not yet taken by the kernel."""
+        return self._writer.transport.get_write_buffer_size()
+
     def send_frame(self, frame: bytes) -> None:
         """Queue a frame; a link whose peer does not read is dropped."""
         if self._writer.is_closing():
             return
         self._writer.write(frame)
+        FEED_TRAFFIC.sent(self.peer_kind, frame_type(frame), len(frame))
         if self._writer.transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT:
             self.abort()
 
@@ -59,12 +68,15 @@
     async def receive(self) -> Message:
         """The next message; raises one of LINK_ERRORS, also after SILENCE_LIMIT without any."""
         async with asyncio.timeout(SILENCE_LIMIT):
-            return await read_message(self._reader)
+            return await read_message(self._reader, self._count_received)
 
     def abort(self) -> None:
         """Close without waiting for what is queued."""
         self._writer.transport.abort()
 
+    def _count_received(self, message_type: str, size: int) -> None:
+        FEED_TRAFFIC.received(self.peer_kind, message_type, size)
+
 
 class FeedHandler(Protocol):
     """What a feed server calls."""
@@ -118,6 +130,7 @@
             if not isinstance(hello, Hello):
                 return
             connection.hello = hello
+            connection.peer_kind = peer_kind(hello.tier)
             self._connections.add(connection)
             for message in self._handler.greeting(connection):
                 connection.send(message)
@@ -172,6 +185,7 @@
         except (OSError, TimeoutError):
             return
         connection = Connection(reader, writer)
+        connection.peer_kind = PEER_CORE
         connection.send(self._hello)
         beats = asyncio.create_task(self._send_heartbeats(connection))
         self.connection = connection
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -8,6 +8,7 @@
 import asyncio
 import io
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -248,6 +249,7 @@
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
 _TYPES: tuple[type, ...] = tuple(_SCHEMAS)
 _NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
+_TYPE_FIELD = 4  # offset of the message type in a frame
 
 
 def _worker_to_avro(record: WorkerRecord) -> dict[str, Any]:
@@ -335,6 +337,11 @@
     return HEADER.pack(len(body), _NUMBERS[type(message)]) + body
 
 
+def frame_type(frame: bytes) -> str:
+    """The name of the message type of an encoded frame."""
+    return _TYPES[frame[_TYPE_FIELD]].__name__
+
+
 def decode_message(number: int, body: bytes) -> Message:
     """The message of a frame's body; raises FrameError."""
     if number >= len(_TYPES):
@@ -349,9 +356,17 @@
     return _from_avro(kind, value)
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError."""
+async def read_message(
+    reader: asyncio.StreamReader, observe: Callable[[str, int], None] | None = None
+) -> Message:
+    """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError.
+
+    `observe` is told the type's name and the size of each frame that could be read.
+    """
     length, number = HEADER.unpack(await reader.readexactly(HEADER.size))
     if length > MAXIMUM_FRAME:
         raise FrameError(f"a frame of {length} bytes")
-    return decode_message(number, await reader.readexactly(length))
+    message = decode_message(number, await reader.readexactly(length))
+    if observe is not None:
+        observe(type(message).__name__, HEADER.size + length)
+    return message
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from rookwood.cluster.control_status import StatePosition
 from rookwood.cluster.messages import (
     ConfigurationBody,
     FetchConfiguration,
@@ -13,6 +14,7 @@
     WorkerGone,
     WorkerUpdates,
 )
+from rookwood.cluster.progress import ConfigurationProgress
 from rookwood.cluster.workers import WorkerRecord, WorkerRegistry
 
 
@@ -54,6 +56,7 @@
         self.registry = WorkerRegistry()
         self.position = NO_CONFIGURATION
         self.confirmed = False
+        self.progress = ConfigurationProgress()
         self._on_configuration = on_configuration
         self._on_worker = on_worker
         self._on_worker_gone = on_worker_gone
@@ -129,6 +132,8 @@
     def _take_status(self, peer: str, status: Status) -> Message | None:
         self._sources.setdefault(peer, Source(linked=True)).status = status
         position = ConfigurationPosition(status.config_epoch, status.config_sequence)
+        if status.config_sequence > 0:
+            self.progress.announce(StatePosition(position.epoch, position.sequence))
         if status.config_sequence <= 0 or position <= self.position:
             return None
         if self.confirmed or claims_primary(status):
@@ -143,6 +148,7 @@
         self.position = position
         if body.source:
             self._on_configuration(body.source)
+        self.progress.put_in_force(StatePosition(position.epoch, position.sequence))
 
     def _compare(self, peer: str, source: Source, named: set[str], now: float) -> None:
         """Workers that a complete list lacks are gone; a source that just started may hear of them yet."""
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from rookwood.cluster.control_status import StatePosition
 from rookwood.cluster.feed import Connection, FeedServer, LinkSet
 from rookwood.cluster.messages import (
     DemandReport,
@@ -22,12 +23,14 @@
     WorkNotices,
     encode_frame,
 )
+from rookwood.cluster.progress import DispatcherProgress
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.clusterconfig.loading import load_configuration
 from rookwood.controlplane.control_api import ControlApi
 from rookwood.controlplane.load_scheduler import LoadScheduler
+from rookwood.controlplane.metrics import ControlPlaneMetrics
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
 from rookwood.controlplane.payload import configuration_frame, read_payload
@@ -44,6 +47,7 @@
     Role,
     Snapshot,
 )
+from rookwood.metrics.server import MetricsServer
 
 logger = logging.getLogger("rookwood")
 
@@ -70,6 +74,7 @@
         )
         self._view = ClusterView(lambda source: None, self._worker_changed, self._worker_gone)
         self._feed = FeedServer(self)
+        self.dispatchers = DispatcherProgress()
         self._notices = NoticeRelay(self._send_notices)
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
@@ -77,6 +82,7 @@
             settings.hostname, settings.bounds, self.group, self._view, self._table, self._tenure
         )
         self._links: LinkSet | None = None
+        self._metrics: MetricsServer | None = None
         self._runner: web.AppRunner | None = None
 
     async def run(self) -> None:
@@ -91,6 +97,11 @@
         hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone)
         peers = PeerFeed(self._view, self._publish, self._tenure)
         self._links = LinkSet(self._settings.feed_port, hello, peers, self._settings.ip)
+        figures = ControlPlaneMetrics(
+            self.group, self._view, self._feed, self._links, self.dispatchers, self._answers
+        )
+        self._metrics = MetricsServer(self._settings.ip, [figures.families])
+        await self._metrics.start()
         self._tasks = [
             asyncio.create_task(repeat(STATUS_INTERVAL, self._send_status)),
             asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house)),
@@ -107,6 +118,8 @@
         if self._commit_timer is not None:
             self._commit_timer.cancel()
         await cancel_tasks([*self._tasks, *self._answers])
+        if self._metrics is not None:
+            await self._metrics.stop()
         if self._links is not None:
             self._links.close()
         await self._feed.stop()
@@ -173,13 +186,16 @@
         The group resolves the call of the operator right after this. A timer, also one without delay,
         runs after all that is ready by then, the operator's answer among it.
         """
+        self.dispatchers.committed(StatePosition(snapshot.epoch, snapshot.sequence))
         if self._commit_timer is None:
             self._commit_timer = asyncio.get_running_loop().call_later(0, self._take_commit)
 
     def _take_commit(self) -> None:
         """Configure the load scheduler by the newest commit, and tell all subscribers of it."""
         self._commit_timer = None
-        document = read_payload(self.group.snapshot().payload)
+        snapshot = self.group.snapshot()
+        self._view.progress.put_in_force(StatePosition(snapshot.epoch, snapshot.sequence))
+        document = read_payload(snapshot.payload)
         if document.source and document.source != self._source:
             self._source = document.source
             self._scheduler.configure(load_configuration(document.source))
@@ -221,6 +237,8 @@
 
     def lost(self, connection: Connection) -> None:
         """A subscriber is gone."""
+        if connection.hello is not None:
+            self.dispatchers.lost(connection.hello.identity)
 
     def _answer(self, connection: Connection, question: FetchConfiguration) -> None:
         if not question.confirm:
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, fields
 from random import Random
 
+from rookwood.coordination.activity import GroupActivity
 from rookwood.coordination.document import Configuration, Document, Member, Position, Record
 from rookwood.coordination.effects import CommitApplied, Effect, Persist, Resolve, RoleChanged, Send
 from rookwood.coordination.messages import Message
@@ -122,6 +123,7 @@
         self._applying = False
         self._writes: set[asyncio.Task[None]] = set()
         self._stopped = False
+        self.activity = GroupActivity()
 
     async def start(self) -> None:
         """Open the storage and listen; returns without waiting for other members."""
@@ -178,6 +180,25 @@
         """Return the position of the document that is synced here."""
         return Position() if self._replica is None else self._replica.record().document.position
 
+    def promised(self) -> int:
+        """Return the highest epoch that is promised here."""
+        return 0 if self._replica is None else self._replica.promised()
+
+    @property
+    def transport(self) -> Transport:
+        """The links to the other members."""
+        return self._transport
+
+    @property
+    def open_calls(self) -> int:
+        """How many calls of this process await their outcome."""
+        return len(self._calls)
+
+    @property
+    def open_writes(self) -> int:
+        """How many writes are under way on the storage's thread or wait for it."""
+        return len(self._writes)
+
     def holds_copy(self) -> bool:
         """Tell whether this machine takes part with the storage it has, neither joining nor recovering."""
         return self._replica is not None and self._replica.is_member()
@@ -314,6 +335,7 @@
     def _apply_one(self, effect: Effect) -> None:
         match effect:
             case Send():
+                self.activity.sending(effect.message)
                 self._transport.send(effect.to, effect.message)
             case Persist():
                 self._persist(effect)
@@ -323,6 +345,7 @@
                 self._committed.set()
                 self._on_commit(effect.snapshot)
             case RoleChanged():
+                self.activity.role_changes += 1
                 self._on_role(effect.role)
 
     def _persist(self, effect: Persist) -> None:
@@ -339,7 +362,9 @@
 
     def _save(self, record: Record) -> Record | None:
         """Store a record; after a failure, return what the disk holds."""
-        return record if self._storage.save(record) else self._load()
+        with self.activity.writes.measure() as write:
+            write.succeeded = self._storage.save(record)
+        return record if write.succeeded else self._load()
 
     def _resolve(self, effect: Resolve) -> None:
         future = self._calls.get(effect.ticket)
--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -8,6 +8,7 @@
 
 from rookwood.coordination.codec import DecodeError, decode_message, encode_message
 from rookwood.coordination.messages import Message
+from rookwood.metrics.traffic import PEER_CORE, MessageTraffic
 
 PREAMBLE = b"RKC1"
 LENGTH_BYTES = 4
@@ -60,6 +61,7 @@
         self._readers: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._closed = False
+        self.traffic = MessageTraffic()
 
     async def start(self) -> None:
         """Listen for other members."""
@@ -87,6 +89,7 @@
         link.used_at = now
         body = encode_message(message)
         frame = len(body).to_bytes(LENGTH_BYTES) + body
+        self.traffic.sent(PEER_CORE, type(message).__name__, len(frame))
         if link.writer is not None:
             self._write(link, frame, now)
             return
@@ -94,6 +97,16 @@
         if link.opening is None and now >= link.blocked_until:
             link.opening = asyncio.create_task(self._open(to, link))
 
+    def open_links(self) -> int:
+        """Return how many connections to other members are open."""
+        return sum(link.writer is not None for link in self._links.values())
+
+    def queued_bytes(self) -> int:
+        """Return the bytes that wait for a connection or for the kernel, over all links."""
+        waiting = sum(len(frame) for link in self._links.values() for frame in link.queue)
+        writers = [link.writer for link in self._links.values() if link.writer is not None]
+        return waiting + sum(writer.transport.get_write_buffer_size() for writer in writers)
+
     async def drain(self, limit: float) -> None:
         """Wait until what was sent has left this process, or the limit is over."""
         writers = [link.writer for link in self._links.values() if link.writer is not None]
@@ -167,7 +180,7 @@
             sender, incarnation = await _read_preamble(reader)
             self._replace_incoming(sender, writer)
             while True:
-                message = await _read_message(reader)
+                message = await self._receive(reader)
                 if self._incoming.get(sender) is not writer:
                     return  # what is still buffered here is of an earlier life, or of an older connection
                 self._note_answer(sender)
@@ -185,6 +198,12 @@
                     self._on_disconnect(sender)
             writer.transport.abort()
 
+    async def _receive(self, reader: asyncio.StreamReader) -> Message:
+        body = await _read_frame(reader)
+        message = decode_message(body)
+        self.traffic.received(PEER_CORE, type(message).__name__, LENGTH_BYTES + len(body))
+        return message
+
     def _replace_incoming(self, sender: str, writer: asyncio.StreamWriter) -> None:
         """Take the newest connection of a peer, which also shows that it can be called at once."""
         previous = self._incoming.get(sender)
@@ -208,11 +227,11 @@
     return (await reader.readexactly(length)).decode(), incarnation
 
 
-async def _read_message(reader: asyncio.StreamReader) -> Message:
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
     length = int.from_bytes(await reader.readexactly(LENGTH_BYTES))
     if length > MAX_FRAME_BYTES:
         raise DecodeError("frame too long")
-    return decode_message(await reader.readexactly(length))
+    return await reader.readexactly(length)
 
 
 def _prepare_socket(writer: asyncio.StreamWriter) -> None:
--- a/rookwood/dataplane/demand.py
+++ b/rookwood/dataplane/demand.py
@@ -68,6 +68,11 @@
         if not waits:
             del self._waiting[key]
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for weights to be loaded."""
+        return sum(len(waits) for waits in self._waiting.values())
+
     def report(self, key: ServiceKey, now: float) -> KeyDemand:
         """The demand for one key."""
         use = self._use(key, now)
--- /dev/null
+++ b/rookwood/dataplane/metrics.py
@@ -0,0 +1,74 @@
+"""The figures that a dispatcher tells."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from prometheus_client.metrics_core import Metric
+
+from rookwood.cluster.feed import LinkSet
+from rookwood.cluster.invariants import INVARIANTS
+from rookwood.cluster.metrics import (
+    FEED_CHANNEL,
+    configuration_families,
+    invariant_families,
+    link_families,
+    traffic_families,
+)
+from rookwood.cluster.view import ClusterView
+from rookwood.dataplane.client_server import ClientServer
+from rookwood.dataplane.demand import DemandMeter
+from rookwood.dataplane.proxy import Proxy
+from rookwood.dataplane.request_counts import RequestCounts
+from rookwood.dataplane.router import Router
+from rookwood.metrics.families import Sample, counter, counters, gauge
+from rookwood.metrics.traffic import FEED_TRAFFIC
+
+
+class DataPlaneMetrics:
+    """Reads the parts of a dispatcher when it is scraped."""
+
+    def __init__(
+        self,
+        router: Router,
+        view: ClusterView,
+        links: LinkSet,
+        proxy: Proxy,
+        demand: DemandMeter,
+        clients: ClientServer,
+    ) -> None:
+        self._router = router
+        self._view = view
+        self._links = links
+        self._proxy = proxy
+        self._demand = demand
+        self._clients = clients
+
+    def families(self) -> Iterator[Metric]:
+        """All figures."""
+        configuration = self._router.configuration
+        version = 0 if configuration is None else configuration.version
+        yield from configuration_families(version, self._view.progress)
+        yield from link_families(self._links.connections())
+        yield from traffic_families({FEED_CHANNEL: FEED_TRAFFIC})
+        yield from request_families(self._proxy.counts)
+        yield gauge("requests_in_flight", "Requests being handled.", self._proxy.in_flight)
+        yield gauge("requests_waiting", "Requests that wait for weights.", self._demand.waiting)
+        yield gauge("client_connections", "Open client connections.", len(self._clients.connections))
+        yield gauge("workers_known", "Workers in the view.", sum(1 for _ in self._view.registry))
+        yield from invariant_families(INVARIANTS)
+
+
+def request_families(counts: RequestCounts) -> Iterator[Metric]:
+    """Requests by outcome, own refusals by cause, and attempts at workers."""
+    ended = (
+        Sample({"outcome": end.outcome.value, "status": end.status_class}, count)
+        for end, count in counts.ended.items()
+    )
+    refusals = (
+        Sample({"status": str(cause.status), "reason": cause.reason}, count)
+        for cause, count in counts.refusals.items()
+    )
+    yield counters("requests", "Ended requests by outcome.", ("outcome", "status"), ended)
+    yield counters("refusals", "Own refusals by cause.", ("status", "reason"), refusals)
+    yield counter("attempts", "Attempts at workers.", counts.attempts)
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -17,10 +17,12 @@
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.closing import INGRESS_NOTICE
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
+from rookwood.dataplane.metrics import DataPlaneMetrics
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.proxy import Proxy
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
+from rookwood.metrics.server import MetricsServer
 
 logger = logging.getLogger("rookwood")
 
@@ -68,11 +70,15 @@
         clients = self._client_server(self._proxy)
         runner = await self._serve_clients(clients)
         runners = [runner, await self._serve_readiness()]
+        figures = DataPlaneMetrics(self._router, self._view, self._links, self._proxy, self._demand, clients)
+        metrics = MetricsServer(self._settings.ip, [figures.families])
+        await metrics.start()
         keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
         logger.info("data plane started")
         await run_until(self._stopping, [keeper])
         await self._finish(self._proxy, clients, runner)
         await cancel_tasks([keeper])
+        await metrics.stop()
         self._links.close()
         for runner in runners:
             await runner.cleanup()
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -22,6 +22,7 @@
 from rookwood.dataplane.durations import DurationMeter
 from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
+from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
@@ -71,11 +72,16 @@
     def response(self) -> web.Response:
         """The answer to send."""
         response = web.Response(status=self.status, text=self.reason)
+        response[REFUSAL_KEY] = self
         if self.retry_after is not None:
             response.headers[names.RETRY_AFTER] = f"{self.retry_after:.2f}"
         return response
 
 
+REFUSAL_KEY = web.ResponseKey("refusal", Refusal)  # marks the dispatcher's own answers
+OUTCOME_KEY = web.ResponseKey("outcome", RequestOutcome)  # marks answers that are not whole
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
     """The stream reached its end."""
@@ -122,6 +128,7 @@
         self._client = client
         self._on_work = on_work
         self.in_flight = 0
+        self.counts = RequestCounts()
         self._durations = DurationMeter()
         self._closing = ClosingTime()
 
@@ -145,10 +152,24 @@
             response = await self._handle(request)
             if self.draining:
                 response.force_close()
+            self._count_answer(response)
             return response
+        except asyncio.CancelledError:
+            self.counts.end(RequestOutcome.ABANDONED)
+            raise
+        except Exception:
+            self.counts.end(RequestOutcome.FAILED)
+            raise
         finally:
             self.in_flight -= 1
 
+    def _count_answer(self, response: web.StreamResponse) -> None:
+        refusal = response.get(REFUSAL_KEY)
+        if refusal is not None:
+            self.counts.refuse(refusal.status, refusal.reason)
+        else:
+            self.counts.end(response.get(OUTCOME_KEY, RequestOutcome.ANSWERED), response.status)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request, at the latest when the process ends."""
         progress = RequestProgress()
@@ -243,6 +264,7 @@
         traffic.in_flight += 1
         progress.excluded.add(worker.id)
         progress.sends += 1
+        self.counts.attempts += 1
         result = Outcome.FAILED
         try:
             sending = self._client.send(
@@ -377,6 +399,7 @@
             traffic = self._pool.get(worker.id)
             ended = await self._copy_events(request, stream, progress, progress.response, traffic)
         except ConnectionResetError:  # the client has left; errors of the worker's side are values
+            progress.response[OUTCOME_KEY] = RequestOutcome.ABANDONED
             end_incomplete(client)
             return progress.response
         finally:
@@ -509,6 +532,7 @@
     @staticmethod
     def _cut(client: web.BaseRequest, response: web.StreamResponse) -> web.StreamResponse:
         """End an answer that can't be finished so that it doesn't look whole."""
+        response[OUTCOME_KEY] = RequestOutcome.CUT
         end_incomplete(client)
         return response
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from rookwood.metrics.server import METRICS_PATH, METRICS_PORT
 from rookwood.net.destinations import Address
 from rookwood.net.handover import Handover
 from tests import stage as st
@@ -43,6 +44,21 @@
         assert b"/ld-" in program.read(8192)  # names its loader, as what is linked statically does not
 
 
+def test_both_roles_name_the_port_and_path_at_which_the_programs_tell_their_figures() -> None:
+    deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "system.toml").read_text())
+    named = {name: role["metrics"] for name, role in deploy["roles"].items()}
+    expected = f"{METRICS_PORT}{METRICS_PATH}"
+    assert named == {"dataplane": expected, "controlplane": expected}
+
+
+def test_build_installs_the_libraries_in_the_releases_that_the_extra_system_pins() -> None:
+    root = Path(__file__).parent.parent
+    extra = tomllib.loads((root / "pyproject.toml").read_text())["project"]["optional-dependencies"]["system"]
+    pinned = set((root / "requirements-system.txt").read_text().split())
+    assert pinned <= set(extra)
+    assert any(pin.startswith("prometheus-client==") for pin in pinned)
+
+
 def test_program_serves_where_other_programs_and_unix_sockets_are_refused(tmp_path: Path) -> None:
     async def story() -> None:
         endpoint = Endpoint(st.served)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,350 @@
+"""Figures: traffic, lag of the loop, progress of configurations, invariants, and their text over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import unittest
+from collections.abc import Iterator
+from unittest import mock
+
+from aiohttp import ClientSession
+from prometheus_client.metrics_core import Metric
+
+from rookwood.cluster.control_status import StatePosition
+from rookwood.cluster.invariants import LOG_INTERVAL, Invariant, InvariantCounter
+from rookwood.cluster.messages import Heartbeat, encode_frame, frame_type, read_message
+from rookwood.cluster.metrics import configuration_families, invariant_families, traffic_families
+from rookwood.cluster.progress import (
+    NOTHING,
+    REMEMBERED_COMMITS,
+    ConfigurationProgress,
+    DispatcherLag,
+    DispatcherProgress,
+)
+from rookwood.controlplane.metrics import activity_families, dispatcher_families, write_families
+from rookwood.coordination.activity import GroupActivity, WriteTimes
+from rookwood.coordination.document import Position
+from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Refused, VoteRequest
+from rookwood.dataplane.metrics import request_families
+from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
+from rookwood.metrics.exposition import FamilySource, loop_families, process_families, render
+from rookwood.metrics.families import gauge
+from rookwood.metrics.loop_lag import WINDOW, LoopLag
+from rookwood.metrics.server import METRICS_PATH, MetricsServer
+from rookwood.metrics.traffic import PEER_EDGE, PEER_UNIDENTIFIED, MessageTraffic, peer_kind
+from tests.fake_worker import HOST, within
+from tests.metrics_text import MetricsText
+
+FIRST = StatePosition(1, 1)
+SECOND = StatePosition(1, 2)
+THIRD = StatePosition(2, 3)
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def scrape(*sources: FamilySource) -> MetricsText:
+    """The text of these sources, parsed."""
+    return MetricsText(render(sources).decode())
+
+
+class TrafficTest(unittest.TestCase):
+    def test_volumes_are_told_by_channel_direction_peer_and_type(self) -> None:
+        traffic = MessageTraffic()
+        traffic.sent(PEER_EDGE, "Status", 10)
+        traffic.sent(PEER_EDGE, "Status", 30)
+        traffic.received(PEER_EDGE, "Heartbeat", 7)
+        text = scrape(lambda: traffic_families({"feed": traffic}))
+        status = {"channel": "feed", "direction": "sent", "peer": "edge", "type": "Status"}
+        self.assertEqual(text.sum("rookwood_messages_total", **status), 2)
+        self.assertEqual(text.sum("rookwood_message_bytes_total", **status), 40)
+        self.assertEqual(text.sum("rookwood_message_bytes_total", direction="received"), 7)
+
+    def test_unknown_tiers_are_one_kind(self) -> None:
+        self.assertEqual(peer_kind("edge"), PEER_EDGE)
+        self.assertEqual({peer_kind("x"), peer_kind("y")}, {PEER_UNIDENTIFIED})
+
+
+class FrameTest(unittest.IsolatedAsyncioTestCase):
+    async def test_type_and_size_of_a_frame_are_the_same_on_both_sides(self) -> None:
+        frame = encode_frame(Heartbeat("10.0.0.7"))
+        reader = asyncio.StreamReader()
+        reader.feed_data(frame)
+        observed: list[tuple[str, int]] = []
+        await within(read_message(reader, lambda name, size: observed.append((name, size))))
+        self.assertEqual(observed, [(frame_type(frame), len(frame))])
+        self.assertEqual(frame_type(frame), "Heartbeat")
+
+
+class LoopLagTest(unittest.TestCase):
+    def test_last_and_maxima_are_kept(self) -> None:
+        lag = LoopLag()
+        lag.observe(0.3, 1.0)
+        lag.observe(-0.001, 1.1)
+        self.assertEqual((lag.last, lag.recent_maximum, lag.maximum, lag.wakes), (0.0, 0.3, 0.3, 2))
+
+    def test_recent_maximum_is_forgotten_after_two_windows(self) -> None:
+        lag = LoopLag()
+        lag.observe(0.3, 1.0)
+        lag.observe(0.1, 1.5 + WINDOW)
+        self.assertEqual(lag.recent_maximum, 0.3)
+        lag.observe(0.2, 2.0 + 2 * WINDOW)
+        self.assertEqual((lag.recent_maximum, lag.maximum), (0.2, 0.3))
+
+
+class ConfigurationProgressTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.progress = ConfigurationProgress(self.clock)
+
+    def test_nothing_is_in_force_at_first(self) -> None:
+        self.assertEqual(self.progress.in_force, NOTHING)
+        self.assertEqual((self.progress.seconds_in_force(), self.progress.seconds_behind()), (0.0, 0.0))
+
+    def test_behind_from_the_announcement_until_level(self) -> None:
+        self.progress.put_in_force(FIRST)
+        self.progress.announce(SECOND)
+        self.clock.now += 1.0
+        self.progress.announce(THIRD)
+        self.clock.now += 1.0
+        self.assertEqual(self.progress.seconds_behind(), 2.0)
+        self.progress.put_in_force(SECOND)
+        self.clock.now += 1.0
+        self.assertEqual(self.progress.seconds_behind(), 3.0, "never level in between")
+        self.progress.put_in_force(THIRD)
+        self.clock.now += 5.0
+        self.assertEqual((self.progress.seconds_behind(), self.progress.seconds_in_force()), (0.0, 5.0))
+
+    def test_what_is_old_or_already_in_force_is_no_lag(self) -> None:
+        self.progress.put_in_force(SECOND)
+        self.progress.announce(SECOND)
+        self.progress.announce(FIRST)
+        self.clock.now += 1.0
+        self.assertEqual((self.progress.seconds_behind(), self.progress.announced), (0.0, SECOND))
+
+    def test_families_tell_version_and_positions(self) -> None:
+        self.progress.put_in_force(SECOND)
+        self.progress.announce(THIRD)
+        self.clock.now += 4.0
+        text = scrape(lambda: configuration_families(7, self.progress))
+        self.assertEqual(text.sum("rookwood_configuration_version"), 7)
+        self.assertEqual(text.sum("rookwood_configuration_epoch"), 1)
+        self.assertEqual(text.sum("rookwood_configuration_sequence"), 2)
+        self.assertEqual(text.sum("rookwood_announced_epoch"), 2)
+        self.assertEqual(text.sum("rookwood_announced_sequence"), 3)
+        self.assertEqual(text.sum("rookwood_configuration_in_force_seconds"), 4.0)
+        self.assertEqual(text.sum("rookwood_configuration_behind_seconds"), 4.0)
+
+
+class DispatcherProgressTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.progress = DispatcherProgress(self.clock)
+
+    def lag(self) -> DispatcherLag:
+        """The lag of the only dispatcher."""
+        (lag,) = self.progress.lags()
+        return lag
+
+    def test_behind_is_the_age_of_the_oldest_commit_not_reported(self) -> None:
+        self.progress.committed(FIRST)
+        self.progress.reported("e-1", FIRST)
+        self.progress.committed(SECOND)
+        self.clock.now += 1.0
+        self.progress.committed(THIRD)
+        self.clock.now += 1.0
+        self.assertEqual(self.lag().behind, 2.0)
+        self.progress.reported("e-1", SECOND)
+        self.assertEqual(self.lag(), DispatcherLag("e-1", SECOND, behind=1.0, take_up=2.0))
+        self.progress.reported("e-1", THIRD)
+        self.assertEqual(self.lag(), DispatcherLag("e-1", THIRD, behind=0.0, take_up=1.0))
+
+    def test_repeated_reports_keep_the_first_take_up(self) -> None:
+        self.progress.committed(FIRST)
+        self.progress.reported("e-1", FIRST)
+        self.progress.committed(SECOND)
+        self.clock.now += 1.0
+        self.progress.reported("e-1", SECOND)
+        self.clock.now += 9.0
+        self.progress.reported("e-1", SECOND)
+        self.assertEqual(self.lag().take_up, 1.0)
+
+    def test_first_report_over_a_link_tells_no_take_up(self) -> None:
+        self.progress.committed(FIRST)
+        self.clock.now += 60.0
+        self.progress.reported("e-1", FIRST)
+        self.assertIsNone(self.lag().take_up)
+
+    def test_lost_dispatcher_is_not_told(self) -> None:
+        self.progress.reported("e-1", FIRST)
+        self.progress.lost("e-1")
+        self.progress.lost("e-1")
+        self.assertEqual(list(self.progress.lags()), [])
+
+    def test_a_dispatcher_ahead_of_this_machine_is_level(self) -> None:
+        self.progress.committed(FIRST)
+        self.progress.reported("e-1", THIRD)
+        self.assertEqual(self.lag().behind, 0.0)
+
+    def test_commits_are_bounded(self) -> None:
+        for sequence in range(REMEMBERED_COMMITS + 10):
+            self.progress.committed(StatePosition(1, sequence))
+            self.clock.now += 1.0
+        self.progress.reported("e-1", StatePosition(1, 0))
+        self.assertEqual(self.lag().behind, REMEMBERED_COMMITS)
+
+    def test_families_name_the_dispatcher(self) -> None:
+        lags = [DispatcherLag("e-1", SECOND, 1.5, None), DispatcherLag("e-2", THIRD, 0.0, 0.25)]
+        text = scrape(lambda: dispatcher_families(lags))
+        self.assertEqual(text.sum("rookwood_dispatcher_behind_seconds", dispatcher="e-1"), 1.5)
+        self.assertEqual(text.sum("rookwood_dispatcher_sequence", dispatcher="e-2"), 3)
+        self.assertEqual(text.sum("rookwood_dispatcher_take_up_seconds"), 0.25)
+
+
+class InvariantTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.invariants = InvariantCounter(self.clock)
+
+    def test_counts_start_at_zero_for_each(self) -> None:
+        self.assertEqual(self.invariants.counts, dict.fromkeys(Invariant, 0))
+        text = scrape(lambda: invariant_families(self.invariants))
+        self.assertEqual(text.sum("rookwood_invariant_violations_total"), 0)
+
+    def test_violations_are_counted_each_and_logged_at_a_bounded_rate(self) -> None:
+        with self.assertLogs("rookwood", logging.ERROR) as logs:
+            for _ in range(3):
+                self.invariants.violated(Invariant.OUTBOX_BOUNDED, "9 MB")
+            self.invariants.check(False, Invariant.POSITION_MONOTONIC, "2 after 3")
+            self.invariants.check(True, Invariant.POSITION_MONOTONIC, "4 after 3")
+            self.clock.now += LOG_INTERVAL
+            self.invariants.violated(Invariant.OUTBOX_BOUNDED, "9 MB")
+        self.assertEqual(len(logs.records), 3)
+        self.assertEqual(self.invariants.counts[Invariant.OUTBOX_BOUNDED], 4)
+        self.assertEqual(self.invariants.total, 5)
+        text = scrape(lambda: invariant_families(self.invariants))
+        labels = {"invariant": "outbox_bounded"}
+        self.assertEqual(text.sum("rookwood_invariant_violations_total", **labels), 4)
+
+
+class ActivityTest(unittest.TestCase):
+    def test_a_question_to_several_members_counts_once(self) -> None:
+        activity = GroupActivity()
+        for _ in range(2):
+            activity.sending(PreVoteRequest(5, Position(1, 1)))
+            activity.sending(VoteRequest(4, Position(1, 1)))
+        activity.sending(VoteRequest(5, Position(1, 1)))
+        activity.sending(Refused(4, 5))
+        activity.sending(PreVoteReply(5, False, 4))
+        activity.sending(PreVoteReply(5, True, 4))
+        text = scrape(lambda: activity_families(activity))
+        self.assertEqual(text.sum("rookwood_pre_votes_begun_total"), 1)
+        self.assertEqual(text.sum("rookwood_elections_begun_total"), 2)
+        self.assertEqual(text.sum("rookwood_promises_refused_total", kind="older_epoch"), 1)
+        self.assertEqual(text.sum("rookwood_promises_refused_total", kind="pre_vote"), 1)
+
+    def test_writes_are_timed_and_failures_counted(self) -> None:
+        writes = WriteTimes()
+        with mock.patch("rookwood.coordination.activity.time.monotonic", side_effect=(1.0, 3.0, 5.0, 6.0)):
+            with writes.measure() as write:
+                write.succeeded = True
+            with writes.measure():
+                pass
+        text = scrape(lambda: write_families(writes))
+        self.assertEqual(text.sum("rookwood_disk_writes_total"), 2)
+        self.assertEqual(text.sum("rookwood_disk_write_failures_total"), 1)
+        self.assertEqual(text.sum("rookwood_disk_write_seconds_total"), 3.0)
+        self.assertEqual(text.sum("rookwood_disk_write_last_seconds"), 1.0)
+        self.assertEqual(text.sum("rookwood_disk_write_longest_seconds"), 2.0)
+
+
+class RequestCountsTest(unittest.TestCase):
+    def test_outcomes_and_causes_are_told(self) -> None:
+        counts = RequestCounts()
+        counts.end(RequestOutcome.ANSWERED, 204)
+        counts.end(RequestOutcome.ABANDONED)
+        counts.refuse(503, 'no "worker"')
+        text = scrape(lambda: request_families(counts))
+        self.assertEqual(text.sum("rookwood_requests_total", outcome="answered", status="2xx"), 1)
+        self.assertEqual(text.sum("rookwood_requests_total", outcome="abandoned", status=""), 1)
+        self.assertEqual(text.sum("rookwood_requests_total", outcome="refused", status="5xx"), 1)
+        self.assertEqual(text.sum("rookwood_refusals_total", status="503", reason='no "worker"'), 1)
+
+
+def one_family() -> Iterator[Metric]:
+    yield gauge("example", "An example.", 3)
+
+
+def failing_families() -> Iterator[Metric]:
+    raise RuntimeError("a source that fails")
+    yield gauge("never", "Never told.", 0)
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            self.port: int = probe.getsockname()[1]
+        self.session = await self.enterAsyncContext(ClientSession())
+
+    async def start(self, *sources: FamilySource) -> None:
+        """Serve these sources until the test ends."""
+        server = MetricsServer(HOST, sources, self.port)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def status_and_text(self, path: str) -> tuple[int, str]:
+        """One answer."""
+        async with self.session.get(f"http://{HOST}:{self.port}{path}") as response:
+            return response.status, await response.text()
+
+    async def test_path_is_answered_with_all_sources(self) -> None:
+        await self.start(one_family)
+        status, text = await within(self.status_and_text(METRICS_PATH))
+        self.assertEqual(status, 200)
+        told = MetricsText(text)
+        self.assertEqual(told.sum("rookwood_example"), 3)
+        self.assertIn("rookwood_loop_lag_seconds", told.names())
+        self.assertGreater(told.sum("rookwood_process_resident_bytes"), 1024 * 1024)
+        self.assertFalse([name for name in told.names() if not name.startswith("rookwood_")])
+
+    async def test_other_paths_are_unknown(self) -> None:
+        await self.start(one_family)
+        status, _ = await within(self.status_and_text("/"))
+        self.assertEqual(status, 404)
+
+    async def test_a_failing_source_is_an_answer_and_a_log_record(self) -> None:
+        await self.start(failing_families)
+        with self.assertLogs("rookwood", logging.ERROR):
+            status, _ = await within(self.status_and_text(METRICS_PATH))
+        self.assertEqual(status, 500)
+
+    async def test_a_taken_port_is_a_warning(self) -> None:
+        await self.start(one_family)
+        second = MetricsServer(HOST, [one_family], self.port)
+        with self.assertLogs("rookwood", logging.WARNING) as logs:
+            await second.start()
+        await second.stop()
+        self.assertIn("figures are not served", logs.output[0])
+
+
+class ExpositionTest(unittest.TestCase):
+    def test_loop_and_process_are_told(self) -> None:
+        lag = LoopLag()
+        lag.observe(0.25, 1.0)
+        text = scrape(lambda: loop_families(lag), process_families)
+        self.assertEqual(text.sum("rookwood_loop_lag_seconds", kind="maximum"), 0.25)
+        self.assertGreater(text.sum("rookwood_process_open_descriptors"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
