Count requests, feed traffic and positions in tests of the parts

Need: the figures must be right where requests are cut or abandoned. Change: tests over loopback for outcomes, both ends of a feed link and the view.

--- a/rookwood/dataplane/metrics.py
+++ b/rookwood/dataplane/metrics.py
@@ -62,8 +62,8 @@
 def request_families(counts: RequestCounts) -> Iterator[Metric]:
     """Requests by outcome, own refusals by cause, and attempts at workers."""
     ended = (
-        Sample({"outcome": end.outcome.value, "status": end.status_class}, count)
-        for end, count in counts.ended.items()
+        Sample({"outcome": end.outcome.value, "status": end.status_class}, end.count)
+        for end in counts.ended()
     )
     refusals = (
         Sample({"status": str(cause.status), "reason": cause.reason}, count)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -154,7 +154,7 @@
                 response.force_close()
             self._count_answer(response)
             return response
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, OSError, web.RequestPayloadError):
             self.counts.end(RequestOutcome.ABANDONED)
             raise
         except Exception:
--- a/rookwood/dataplane/request_counts.py
+++ b/rookwood/dataplane/request_counts.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 
 STATUS_CLASS = 100
+NO_ANSWER = 0
 
 
 class RequestOutcome(StrEnum):
@@ -20,11 +22,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndedRequest:
-    """An outcome and the class of the answer's status, such as `2xx`; empty without an answer."""
+class EndedRequests:
+    """How many requests ended in one way, with the class of the answer's status, such as `2xx`.
+
+    The class is empty where there was no answer.
+    """
 
     outcome: RequestOutcome
-    status_class: str = ""
+    status_class: str
+    count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,16 +45,29 @@
     """Counts since the start of the process."""
 
     def __init__(self) -> None:
-        self.ended: Counter[EndedRequest] = Counter()
+        self._by_status: dict[str, Counter[int]] = {outcome.value: Counter() for outcome in RequestOutcome}
         self.refusals: Counter[RefusalCause] = Counter()
         self.attempts = 0
 
-    def end(self, outcome: RequestOutcome, status: int | None = None) -> None:
+    def end(self, outcome: RequestOutcome, status: int = NO_ANSWER) -> None:
         """A request ended, with this status if it was answered."""
-        status_class = "" if status is None else f"{status // STATUS_CLASS}xx"
-        self.ended[EndedRequest(outcome, status_class)] += 1
+        self._by_status[outcome.value][status] += 1
 
     def refuse(self, status: int, reason: str) -> None:
         """A request was given an answer of the dispatcher's own."""
         self.refusals[RefusalCause(status, reason)] += 1
         self.end(RequestOutcome.REFUSED, status)
+
+    def ended(self) -> Iterator[EndedRequests]:
+        """All requests that ended, by outcome and class of status."""
+        for outcome in RequestOutcome:
+            classes: Counter[str] = Counter()
+            for status, count in self._by_status[outcome.value].items():
+                classes[status_class(status)] += count
+            for name, count in classes.items():
+                yield EndedRequests(outcome, name, count)
+
+
+def status_class(status: int) -> str:
+    """The class of a status, such as `2xx`; empty for no answer."""
+    return "" if status == NO_ANSWER else f"{status // STATUS_CLASS}xx"
--- a/rookwood/metrics/traffic.py
+++ b/rookwood/metrics/traffic.py
@@ -46,34 +46,41 @@
     volume: Volume
 
 
+_Volumes = dict[str, dict[str, Volume]]  # by kind of peer and message type
+
+
 class MessageTraffic:
-    """Counts messages; a count costs three dictionary lookups."""
+    """Counts messages; a count costs two dictionary lookups."""
 
     def __init__(self) -> None:
-        self._volumes: dict[Direction, dict[str, dict[str, Volume]]] = {
-            direction: {} for direction in Direction
-        }
+        self._sent: _Volumes = {}
+        self._received: _Volumes = {}
 
     def sent(self, peer: str, message_type: str, size: int) -> None:
         """A message was queued to be sent."""
-        self._volume(Direction.SENT, peer, message_type).add(size)
+        _volume(self._sent, peer, message_type).add(size)
 
     def received(self, peer: str, message_type: str, size: int) -> None:
         """A message arrived whole."""
-        self._volume(Direction.RECEIVED, peer, message_type).add(size)
+        _volume(self._received, peer, message_type).add(size)
 
     def records(self) -> Iterator[TrafficRecord]:
         """Everything that was counted so far."""
-        for direction, peers in self._volumes.items():
-            for peer, types in peers.items():
-                for message_type, volume in types.items():
-                    yield TrafficRecord(direction, peer, message_type, volume)
-
-    def _volume(self, direction: Direction, peer: str, message_type: str) -> Volume:
-        try:
-            return self._volumes[direction][peer][message_type]
-        except KeyError:
-            return self._volumes[direction].setdefault(peer, {}).setdefault(message_type, Volume())
+        yield from _records(Direction.SENT, self._sent)
+        yield from _records(Direction.RECEIVED, self._received)
+
+
+def _volume(volumes: _Volumes, peer: str, message_type: str) -> Volume:
+    try:
+        return volumes[peer][message_type]
+    except KeyError:
+        return volumes.setdefault(peer, {}).setdefault(message_type, Volume())
+
+
+def _records(direction: Direction, volumes: _Volumes) -> Iterator[TrafficRecord]:
+    for peer, types in volumes.items():
+        for message_type, volume in types.items():
+            yield TrafficRecord(direction, peer, message_type, volume)
 
 
 FEED_TRAFFIC = MessageTraffic()  # one for the process, as its links come and go
--- /dev/null
+++ b/tests/test_dataplane_counts.py
@@ -0,0 +1,116 @@
+"""What a dispatcher counts of its requests, of its feed's traffic and of the configurations it hears of."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from aiohttp import ClientSession, ClientTimeout
+
+from rookwood.cluster import feed
+from rookwood.cluster.control_status import StatePosition
+from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Status, encode_frame
+from rookwood.cluster.view import ClusterView
+from rookwood.dataplane.request_counts import EndedRequests, RefusalCause, RequestOutcome
+from rookwood.metrics.traffic import PEER_CORE, PEER_EDGE, Direction, MessageTraffic, Volume
+from tests.fake_worker import answering, held_back, streaming, streaming_until_broken, within
+from tests.test_cluster_feed import HELLO, STATUS, FeedCase, LinkRecorder
+from tests.test_dataplane_proxy import MUTATING, STREAM
+from tests.test_dataplane_streams import StreamCase
+
+CONTROL = "10.0.0.1"
+
+
+def status(sequence: int) -> Status:
+    """A primary that has committed this position of epoch 1."""
+    return Status(CONTROL, 1, CONTROL, True, True, 1, sequence, 1, (CONTROL,))
+
+
+class RequestCountsTest(StreamCase):
+    """Outcomes of real requests."""
+
+    def ended(self) -> list[EndedRequests]:
+        """All requests that ended."""
+        return list(self.dispatcher.proxy.counts.ended())
+
+    async def test_answers_count_by_status_whoever_they_are_from(self) -> None:
+        await self.start_worker(answering(), answering(b"failed", 500))
+        await self.send(MUTATING, "try-1")
+        await self.send(MUTATING, "try-2")
+        await self.send("/nowhere/")
+        await self.no_request_in_flight()
+        expected = [
+            EndedRequests(RequestOutcome.ANSWERED, "2xx", 1),
+            EndedRequests(RequestOutcome.ANSWERED, "5xx", 1),
+            EndedRequests(RequestOutcome.REFUSED, "4xx", 1),
+        ]
+        self.assertEqual(self.ended(), expected)
+        self.assertEqual(self.dispatcher.proxy.counts.refusals, {RefusalCause(404, "no route"): 1})
+        self.assertEqual(self.dispatcher.proxy.counts.attempts, 2)
+
+    async def test_whole_and_cut_streams_are_told_apart(self) -> None:
+        await self.start_worker(streaming([1, 2]), streaming_until_broken([1]))
+        self.assertTrue((await self.read_stream(STREAM, "try-1")).complete)
+        self.assertFalse((await self.read_stream(STREAM, "try-2")).complete)
+        await self.no_request_in_flight()
+        expected = [
+            EndedRequests(RequestOutcome.ANSWERED, "2xx", 1),
+            EndedRequests(RequestOutcome.CUT, "2xx", 1),
+        ]
+        self.assertEqual(self.ended(), expected)
+
+    async def test_a_client_that_leaves_abandons_its_request(self) -> None:
+        release = asyncio.Event()
+        worker = await self.start_worker(held_back(answering(), release))
+        async with ClientSession(timeout=ClientTimeout(total=None)) as leaving:
+            request = leaving.post(self.url(MUTATING), headers=self.headers("try-1"))
+            sending = asyncio.create_task(request.__aenter__())
+            await within(worker.request_came.wait())
+            sending.cancel()
+            await asyncio.wait([sending])
+        await within(self.no_request_in_flight())
+        release.set()
+        self.assertEqual(self.ended(), [EndedRequests(RequestOutcome.ABANDONED, "", 1)])
+
+
+class FeedTrafficTest(FeedCase):
+    """Both ends of a link count the same bytes, under the kind of the other end."""
+
+    async def test_both_directions_are_counted_by_kind_of_peer(self) -> None:
+        fetch = FetchConfiguration(7, False)
+        with mock.patch.object(feed, "FEED_TRAFFIC", MessageTraffic()) as traffic:
+            recorder = LinkRecorder()
+            self.open_link(recorder)
+            self.assertEqual(STATUS, await within(recorder.messages.get()))
+            connection = await within(recorder.links.get())
+            connection.send(fetch)
+            await within(self.handler.messages.get())
+            counted = {(r.direction, r.peer, r.message_type): r.volume for r in traffic.records()}
+        self.assertEqual(connection.queued_bytes, 0)
+        status, question = (Volume(1, len(encode_frame(message))) for message in (STATUS, fetch))
+        self.assertEqual(counted[Direction.SENT, PEER_EDGE, "Status"], status)
+        self.assertEqual(counted[Direction.RECEIVED, PEER_CORE, "Status"], status)
+        self.assertEqual(counted[Direction.SENT, PEER_CORE, "FetchConfiguration"], question)
+        self.assertEqual(counted[Direction.RECEIVED, PEER_EDGE, "FetchConfiguration"], question)
+        self.assertEqual(counted[Direction.SENT, PEER_CORE, "Hello"].size, len(encode_frame(HELLO)))
+
+
+class ViewProgressTest(unittest.TestCase):
+    """The view tells what was announced and what is in force."""
+
+    def test_announced_before_it_is_fetched_and_level_after(self) -> None:
+        view = ClusterView(lambda source: None, lambda record: None, lambda worker: None)
+        view.linked(CONTROL)
+        view.received(CONTROL, status(0), 0.0)
+        self.assertEqual(view.progress.seconds_behind(), 0.0, "nothing was ever committed")
+        view.received(CONTROL, status(2), 0.0)
+        self.assertEqual(view.progress.announced, StatePosition(1, 2))
+        self.assertGreater(view.progress.seconds_behind(), 0.0)
+        view.received(CONTROL, ConfigurationBody(1, 2, b"{}", confirmed=True), 0.0)
+        self.assertEqual(view.progress.in_force, StatePosition(1, 2))
+        self.assertEqual(view.progress.seconds_behind(), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
