--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from rookwood.cluster.control_status import StatePosition
+from rookwood.cluster.invariants import INVARIANTS, Invariant, InvariantCounter
 
 Clock = Callable[[], float]
 
@@ -19,8 +20,9 @@
 class ConfigurationProgress:
     """The position in force in this process, and the newest one that any control machine announced."""
 
-    def __init__(self, clock: Clock = time.monotonic) -> None:
+    def __init__(self, clock: Clock = time.monotonic, invariants: InvariantCounter = INVARIANTS) -> None:
         self._clock = clock
+        self._invariants = invariants
         self.in_force = NOTHING
         self.announced = NOTHING
         self._in_force_since = clock()
@@ -34,6 +36,8 @@
 
     def put_in_force(self, position: StatePosition) -> None:
         """The configuration of this position is in force from now on."""
+        detail = f"{position} after {self.in_force}"
+        self._invariants.check(position >= self.in_force, Invariant.POSITION_MONOTONIC, detail)
         self.in_force = position
         self._in_force_since = self._clock()
         if position >= self.announced:
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -14,6 +14,7 @@
     WorkerGone,
     WorkerUpdates,
 )
+from rookwood.cluster.primary_witness import PrimaryWitness
 from rookwood.cluster.progress import ConfigurationProgress
 from rookwood.cluster.workers import WorkerRecord, WorkerRegistry
 
@@ -57,6 +58,7 @@
         self.position = NO_CONFIGURATION
         self.confirmed = False
         self.progress = ConfigurationProgress()
+        self._witness = PrimaryWitness()
         self._on_configuration = on_configuration
         self._on_worker = on_worker
         self._on_worker_gone = on_worker_gone
@@ -132,6 +134,8 @@
     def _take_status(self, peer: str, status: Status) -> Message | None:
         self._sources.setdefault(peer, Source(linked=True)).status = status
         position = ConfigurationPosition(status.config_epoch, status.config_sequence)
+        if claims_primary(status):
+            self._witness.claimed(status.epoch, status.identity)
         if status.config_sequence > 0:
             self.progress.announce(StatePosition(position.epoch, position.sequence))
         if status.config_sequence <= 0 or position <= self.position:
