--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -1,40 +1,59 @@
 """Links that carry updates from control machines to dispatchers and to each other, over TCP.
 
 A link may be cut without a word from the network, so both sides send heartbeats and close a link on
-which nothing arrived for a while. Slow readers are disconnected instead of being buffered for.
+which nothing arrived for a while. What a slow reader has not taken yet waits in a bounded outbox, where newer
+states take the place of older ones.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
+import random
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Hashable, Iterable
 from typing import Protocol
 
+from rookwood.cluster.invariants import INVARIANTS, Invariant
 from rookwood.cluster.messages import (
+    HEADER,
     FrameError,
     Heartbeat,
     Hello,
     Message,
+    decode_message,
     encode_frame,
     frame_type,
-    read_message,
+    read_header,
 )
+from rookwood.cluster.outbox import Never, Outbox, subject_of
+from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.metrics.traffic import FEED_TRAFFIC, PEER_CORE, PEER_UNIDENTIFIED, peer_kind
 
+logger = logging.getLogger("rookwood")
+
 HEARTBEAT_INTERVAL = 0.4
 SILENCE_LIMIT = 1.4
+MESSAGE_LIMIT = 15.0  # seconds for one message, as long as its bytes keep coming
 CONNECT_LIMIT = 0.5
 RECONNECT_PAUSE = 0.2
-WRITE_BUFFER_LIMIT = 8 * 1024 * 1024
+RECONNECT_SPREAD = (0.5, 1.5)  # of the pause; links that broke together do not all come back at once
+UNSENT_LIMIT = 64 * 1024  # bytes that are handed to the transport before others wait in the outbox
+UNSENT_LOW = 16 * 1024  # bytes below which the transport is handed more
+KERNEL_BUFFER = 32 * 1024  # bytes that the kernel may keep unsent for a link; Linux doubles it
+OUTBOX_LIMIT = 1024 * 1024  # bytes that may wait before what no later message replaces ends the link
+QUEUE_BOUND = 4 * OUTBOX_LIMIT  # bytes that may wait at all: one of each state and what nothing replaces
+READ_CHUNK = 64 * 1024
 
 LINK_ERRORS = (OSError, EOFError, FrameError, asyncio.TimeoutError)
 
 
-def _send_at_once(writer: asyncio.StreamWriter) -> None:
+def _prepare(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     if connection is not None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
+    writer.transport.set_write_buffer_limits(high=UNSENT_LIMIT, low=UNSENT_LOW)
 
 
 class Connection:
@@ -43,35 +62,101 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
+        self._outbox = Outbox()
+        self._flushing: asyncio.Task[None] | None = None
+        self._part_received_at: float | None = None
         self.hello: Hello | None = None
+        self.position = NO_CONFIGURATION  # of the configuration by which the peer serves
         self.peer_kind = PEER_UNIDENTIFIED
-        _send_at_once(writer)
+        _prepare(writer)
 
     @property
     def queued_bytes(self) -> int:
-        """Bytes that were sent by the process and not yet taken by the kernel."""
-        return self._writer.transport.get_write_buffer_size()
+        """Bytes that wait in this process."""
+        return self._writer.transport.get_write_buffer_size() + self._outbox.size
+
+    def send(self, message: Message) -> None:
+        """Send one message, or queue it."""
+        self.send_frame(encode_frame(message), subject_of(message))
 
-    def send_frame(self, frame: bytes) -> None:
-        """Queue a frame; a link whose peer does not read is dropped."""
+    def send_frame(self, frame: bytes, subject: Hashable | Never | None = None) -> None:
+        """Send a frame at once, or queue it under its subject where the peer reads slowly."""
         if self._writer.is_closing():
             return
-        self._writer.write(frame)
+        if self._flushing is None and self._fits(frame):
+            self._write(frame)
+        elif subject is not Never.QUEUED:
+            self._queue(frame, subject)
+
+    def _write(self, frame: bytes) -> None:
         FEED_TRAFFIC.sent(self.peer_kind, frame_type(frame), len(frame))
-        if self._writer.transport.get_write_buffer_size() > WRITE_BUFFER_LIMIT:
+        self._writer.write(frame)
+
+    def _fits(self, frame: bytes) -> bool:
+        return self._writer.transport.get_write_buffer_size() + len(frame) <= UNSENT_LIMIT
+
+    def _queue(self, frame: bytes, subject: Hashable | None) -> None:
+        if subject is None and self._outbox and self._outbox.size + len(frame) > OUTBOX_LIMIT:
             self.abort()
+            return
+        self._outbox.put(subject, frame)
+        detail = f"{self._outbox.size} bytes for {self.hello}"
+        INVARIANTS.check(self._outbox.size <= QUEUE_BOUND, Invariant.LINK_QUEUE_BOUNDED, detail)
+        if self._flushing is None:
+            self._flushing = asyncio.create_task(self._flush())
 
-    def send(self, message: Message) -> None:
-        """Queue one message."""
-        self.send_frame(encode_frame(message))
+    async def _flush(self) -> None:
+        try:
+            while self._outbox:
+                await self._write_in_pieces(self._outbox.take())
+        except OSError:
+            self.abort()
+        finally:
+            self._flushing = None
+
+    async def _write_in_pieces(self, frame: bytes) -> None:
+        """Hand a frame to the transport as it drains, since that copies whatever it can't send at once."""
+        FEED_TRAFFIC.sent(self.peer_kind, frame_type(frame), len(frame))
+        for start in range(0, len(frame), UNSENT_LIMIT):
+            await self._writer.drain()
+            self._writer.write(frame[start : start + UNSENT_LIMIT])
 
     async def receive(self) -> Message:
-        """The next message; raises one of LINK_ERRORS, also after SILENCE_LIMIT without any."""
+        """The next message; raises one of LINK_ERRORS, also after SILENCE_LIMIT without a byte."""
         async with asyncio.timeout(SILENCE_LIMIT):
-            return await read_message(self._reader, self._count_received)
+            header = await self._reader.readexactly(HEADER.size)
+        length, number = read_header(header)
+        body = await self._read_body(length)
+        message = decode_message(number, body)
+        self._count_received(type(message).__name__, HEADER.size + length)
+        return message
+
+    async def _read_body(self, length: int) -> bytes:
+        body = bytearray()
+        try:
+            async with asyncio.timeout(MESSAGE_LIMIT):
+                while len(body) < length:
+                    self._part_received_at = asyncio.get_running_loop().time()
+                    async with asyncio.timeout(SILENCE_LIMIT):
+                        body += await self._read_some(length - len(body))
+        finally:
+            self._part_received_at = None
+        return bytes(body)
+
+    def is_receiving(self, now: float, within: float) -> bool:
+        """Whether a part of a message came in the last seconds, and the rest is awaited."""
+        return self._part_received_at is not None and now - self._part_received_at < within
+
+    async def _read_some(self, most: int) -> bytes:
+        data = await self._reader.read(min(most, READ_CHUNK))
+        if not data:
+            raise EOFError("the peer closed the link within a message")
+        return data
 
     def abort(self) -> None:
         """Close without waiting for what is queued."""
+        if self._flushing is not None:
+            self._flushing.cancel()
         self._writer.transport.abort()
 
     def _count_received(self, message_type: str, size: int) -> None:
@@ -119,9 +204,15 @@
         """Send one message to all subscribers, encoded once."""
         if not self._connections:
             return
+        self.send_to(list(self._connections), message)
+
+    @staticmethod
+    def send_to(connections: Iterable[Connection], message: Message) -> None:
+        """Send one message to some subscribers, encoded once."""
         frame = encode_frame(message)
-        for connection in list(self._connections):
-            connection.send_frame(frame)
+        subject = subject_of(message)
+        for connection in connections:
+            connection.send_frame(frame, subject)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader, writer)
@@ -135,7 +226,10 @@
             for message in self._handler.greeting(connection):
                 connection.send(message)
             while True:
-                self._handler.received(connection, await connection.receive())
+                message = await connection.receive()
+                if isinstance(message, Heartbeat):
+                    connection.position = message.position
+                self._handler.received(connection, message)
         except LINK_ERRORS:
             pass
         finally:
@@ -158,11 +252,28 @@
         """The link is gone; it is opened again by itself."""
 
 
+PositionReader = Callable[[], ConfigurationPosition]
+"""Tells the position of the configuration in force, for heartbeats."""
+
+
+def read_no_position() -> ConfigurationPosition:
+    """For machines that serve by no configuration."""
+    return NO_CONFIGURATION
+
+
 class FeedLink:
     """Keeps a subscription to one control machine open."""
 
-    def __init__(self, peer: str, port: int, hello: Hello, handler: LinkHandler) -> None:
+    def __init__(
+        self,
+        peer: str,
+        port: int,
+        hello: Hello,
+        handler: LinkHandler,
+        position: PositionReader = read_no_position,
+    ) -> None:
         self.peer = peer
+        self._position = position
         self._port = port
         self._hello = hello
         self._handler = handler
@@ -175,8 +286,11 @@
 
     async def _run(self) -> None:
         while True:
-            await self._attempt()
-            await asyncio.sleep(RECONNECT_PAUSE)
+            try:
+                await self._attempt()
+            except Exception:
+                logger.exception("link failed", extra={"peer": self.peer})
+            await asyncio.sleep(RECONNECT_PAUSE * random.uniform(*RECONNECT_SPREAD))
 
     async def _attempt(self) -> None:
         try:
@@ -204,13 +318,22 @@
     async def _send_heartbeats(self, connection: Connection) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL)
-            connection.send(Heartbeat(self._hello.identity))
+            position = self._position()
+            connection.send(Heartbeat(self._hello.identity, position.epoch, position.sequence))
 
 
 class LinkSet:
     """The links to all control machines that are known: the seeds and whoever these name."""
 
-    def __init__(self, port: int, hello: Hello, handler: LinkHandler, own_ip: str) -> None:
+    def __init__(
+        self,
+        port: int,
+        hello: Hello,
+        handler: LinkHandler,
+        own_ip: str,
+        position: PositionReader = read_no_position,
+    ) -> None:
+        self._position = position
         self._port = port
         self._hello = hello
         self._handler = handler
@@ -221,7 +344,7 @@
         """Open links to these peers and close those to others."""
         wanted = {peer for peer in peers if peer != self._own_ip}
         for peer in wanted - self._links.keys():
-            self._links[peer] = FeedLink(peer, self._port, self._hello, self._handler)
+            self._links[peer] = FeedLink(peer, self._port, self._hello, self._handler, self._position)
         for peer in self._links.keys() - wanted:
             self._links.pop(peer).close()
 
--- a/rookwood/cluster/invariants.py
+++ b/rookwood/cluster/invariants.py
@@ -18,6 +18,10 @@
     """What must always hold."""
 
     POSITION_MONOTONIC = "position_monotonic"  # the configuration in force never goes back
+    IN_FORCE_IN_TIME = "in_force_in_time"  # what a linked machine announced is in force within `apply-ms`
+    DISPATCHERS_IN_TIME = "dispatchers_in_time"  # linked dispatchers report a commit within `apply-ms`
+    DELTA_FITS = "delta_fits"  # changes lead to the configuration of their sender
+    LINK_QUEUE_BOUNDED = "link_queue_bounded"  # what waits for a slow reader stays below a limit
     ONE_PRIMARY_PER_EPOCH = "one_primary_per_epoch"  # control machines name one primary of an epoch
 
 
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -8,16 +8,28 @@
 import asyncio
 import io
 import struct
-from collections.abc import Callable
+import zlib
 from dataclasses import dataclass
 from typing import Any
 
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 
+from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+from rookwood.clusterconfig.items import (
+    DIGEST_BYTES,
+    Item,
+    ItemChanges,
+    ItemKey,
+    Section,
+    decode_name,
+    encode_name,
+)
 
 HEADER = struct.Struct(">IB")
 MAXIMUM_FRAME = 16 * 1024 * 1024
+MAXIMUM_SOURCE = 64 * 1024 * 1024  # bytes of a configuration after decompression
+COMPRESSION_LEVEL = 1  # configurations repeat themselves; higher levels gain little
 
 
 class FrameError(Exception):
@@ -47,16 +59,34 @@
     dispatchers: int
     members: tuple[str, ...]
 
+    @property
+    def position(self) -> ConfigurationPosition:
+        """The position of the committed configuration."""
+        return ConfigurationPosition(self.config_epoch, self.config_sequence)
+
+    @property
+    def claims_primary(self) -> bool:
+        """Whether its sender says to be the primary; only a round of the sender can confirm that."""
+        return self.fresh and self.primary == self.identity
+
 
 @dataclass(frozen=True, slots=True)
 class FetchConfiguration:
     """Asks for the newest committed configuration.
 
-    With `confirm` the primary first has a majority acknowledge that it still is the primary.
+    With `confirm` the primary first has a majority acknowledge that it still is the primary. The base is the
+    position of the configuration that the sender has, to which the answer may be told as changes.
     """
 
     sequence: int
     confirm: bool
+    base_epoch: int = NO_CONFIGURATION.epoch
+    base_sequence: int = NO_CONFIGURATION.sequence
+
+    @property
+    def base(self) -> ConfigurationPosition:
+        """The position of the configuration that the sender has."""
+        return ConfigurationPosition(self.base_epoch, self.base_sequence)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +102,37 @@
     source: bytes
     confirmed: bool
 
+    @property
+    def position(self) -> ConfigurationPosition:
+        """The position of this configuration."""
+        return ConfigurationPosition(self.epoch, self.sequence)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationDelta:
+    """A committed configuration under its position, told by its changes since a base.
+
+    It may be applied to any configuration from the base up to this one. `digest` is that of all items of
+    this configuration; whoever gets another one by applying the changes asks for the whole.
+    """
+
+    epoch: int
+    sequence: int
+    base_epoch: int
+    base_sequence: int
+    changes: ItemChanges
+    digest: int
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """The position of this configuration."""
+        return ConfigurationPosition(self.epoch, self.sequence)
+
+    @property
+    def base(self) -> ConfigurationPosition:
+        """The position of the oldest configuration to which the changes may be applied."""
+        return ConfigurationPosition(self.base_epoch, self.base_sequence)
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerUpdates:
@@ -147,9 +208,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Keeps an otherwise silent link known to be alive."""
+    """Keeps a link known to be alive, and tells by which configuration its sender serves."""
 
     identity: str
+    config_epoch: int = NO_CONFIGURATION.epoch
+    config_sequence: int = NO_CONFIGURATION.sequence
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """The position of the configuration in force at the sender."""
+        return ConfigurationPosition(self.config_epoch, self.config_sequence)
 
 
 Message = (
@@ -157,6 +225,7 @@
     | Status
     | FetchConfiguration
     | ConfigurationBody
+    | ConfigurationDelta
     | WorkerUpdates
     | WorkerGone
     | DemandReport
@@ -212,6 +281,7 @@
     ("seconds", "float"),
     ("parts", _array("long")),
 )
+_DIGEST = {"type": "fixed", "name": "ItemsDigest", "size": DIGEST_BYTES}
 _SCHEMAS: dict[type, Any] = {
     Hello: _record("Hello", ("identity", "string"), ("tier", "string"), ("zone", "string")),
     Status: _record(
@@ -226,7 +296,13 @@
         ("dispatchers", "int"),
         ("members", _array("string")),
     ),
-    FetchConfiguration: _record("FetchConfiguration", ("sequence", "long"), ("confirm", "boolean")),
+    FetchConfiguration: _record(
+        "FetchConfiguration",
+        ("sequence", "long"),
+        ("confirm", "boolean"),
+        ("base_epoch", "long"),
+        ("base_sequence", "long"),
+    ),
     ConfigurationBody: _record(
         "ConfigurationBody",
         ("epoch", "long"),
@@ -244,7 +320,19 @@
         ("complete", "boolean"),
     ),
     WorkNotices: _record("WorkNotices", ("notices", _array(_WORK_NOTICE))),
-    Heartbeat: _record("Heartbeat", ("identity", "string")),
+    Heartbeat: _record(
+        "Heartbeat", ("identity", "string"), ("config_epoch", "long"), ("config_sequence", "long")
+    ),
+    ConfigurationDelta: _record(
+        "ConfigurationDelta",
+        ("epoch", "long"),
+        ("sequence", "long"),
+        ("base_epoch", "long"),
+        ("base_sequence", "long"),
+        ("changed", _array(_record("Item", ("section", "string"), ("name", "bytes"), ("text", "bytes")))),
+        ("removed", _array(_record("ItemKey", ("section", "string"), ("name", "bytes")))),
+        ("digest", _DIGEST),
+    ),
 }
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
 _TYPES: tuple[type, ...] = tuple(_SCHEMAS)
@@ -288,7 +376,63 @@
     )
 
 
+def _body_to_avro(body: ConfigurationBody) -> dict[str, Any]:
+    return {**_plain(body), "source": zlib.compress(body.source, COMPRESSION_LEVEL)}
+
+
+def _body_from_avro(value: dict[str, Any]) -> ConfigurationBody:
+    unpacker = zlib.decompressobj()
+    try:
+        source = unpacker.decompress(value["source"], MAXIMUM_SOURCE)
+    except zlib.error as error:
+        raise FrameError(f"ConfigurationBody: {error}") from error
+    if not unpacker.eof:
+        raise FrameError("ConfigurationBody: its source is not whole")
+    return ConfigurationBody(value["epoch"], value["sequence"], source, value["confirmed"])
+
+
+def _delta_to_avro(delta: ConfigurationDelta) -> dict[str, Any]:
+    changed = [
+        {"section": item.key.section.value, "name": encode_name(item.key.name), "text": item.text}
+        for item in delta.changes.changed
+    ]
+    removed = [{"section": key.section.value, "name": encode_name(key.name)} for key in delta.changes.removed]
+    return {
+        "epoch": delta.epoch,
+        "sequence": delta.sequence,
+        "base_epoch": delta.base_epoch,
+        "base_sequence": delta.base_sequence,
+        "changed": changed,
+        "removed": removed,
+        "digest": delta.digest.to_bytes(DIGEST_BYTES, "big"),
+    }
+
+
+def _delta_from_avro(value: dict[str, Any]) -> ConfigurationDelta:
+    changed = tuple(Item(_item_key(item), item["text"]) for item in value["changed"])
+    removed = tuple(_item_key(item) for item in value["removed"])
+    return ConfigurationDelta(
+        epoch=value["epoch"],
+        sequence=value["sequence"],
+        base_epoch=value["base_epoch"],
+        base_sequence=value["base_sequence"],
+        changes=ItemChanges(changed, removed),
+        digest=int.from_bytes(value["digest"], "big"),
+    )
+
+
+def _item_key(value: dict[str, Any]) -> ItemKey:
+    try:
+        return ItemKey(Section(value["section"]), decode_name(value["name"]))
+    except ValueError as error:
+        raise FrameError(f"ConfigurationDelta: {error}") from error
+
+
 def _to_avro(message: Message) -> dict[str, Any]:
+    if isinstance(message, ConfigurationBody):
+        return _body_to_avro(message)
+    if isinstance(message, ConfigurationDelta):
+        return _delta_to_avro(message)
     if isinstance(message, WorkerUpdates):
         return {"records": [_worker_to_avro(r) for r in message.records], "complete": message.complete}
     if isinstance(message, DemandReport):
@@ -310,6 +454,10 @@
 
 
 def _from_avro(kind: type, value: dict[str, Any]) -> Message:
+    if kind is ConfigurationBody:
+        return _body_from_avro(value)
+    if kind is ConfigurationDelta:
+        return _delta_from_avro(value)
     if kind is WorkerUpdates:
         return WorkerUpdates(tuple(_worker_from_avro(r) for r in value["records"]), value["complete"])
     if kind is DemandReport:
@@ -356,17 +504,15 @@
     return _from_avro(kind, value)
 
 
-async def read_message(
-    reader: asyncio.StreamReader, observe: Callable[[str, int], None] | None = None
-) -> Message:
-    """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError.
-
-    `observe` is told the type's name and the size of each frame that could be read.
-    """
-    length, number = HEADER.unpack(await reader.readexactly(HEADER.size))
+def read_header(header: bytes) -> tuple[int, int]:
+    """The length and the message type of a frame; raises FrameError."""
+    length, number = HEADER.unpack(header)
     if length > MAXIMUM_FRAME:
         raise FrameError(f"a frame of {length} bytes")
-    message = decode_message(number, await reader.readexactly(length))
-    if observe is not None:
-        observe(type(message).__name__, HEADER.size + length)
-    return message
+    return length, number
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError."""
+    length, number = read_header(await reader.readexactly(HEADER.size))
+    return decode_message(number, await reader.readexactly(length))
--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -8,13 +8,39 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from rookwood.cluster.control_status import StatePosition
 from rookwood.cluster.invariants import INVARIANTS, Invariant, InvariantCounter
+from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
+from rookwood.coordination.monitoring import PauseDetector
 
 Clock = Callable[[], float]
 
-NOTHING = StatePosition(-1, -1)
 REMEMBERED_COMMITS = 4096
+LONGEST_CHECK_INTERVAL = 1.5  # seconds between two checks of a process that runs
+MOST_AWAITED = 256  # announced positions whose times are kept
+
+
+@dataclass(frozen=True, slots=True)
+class Awaited:
+    """A position that is not in force yet, and when it was first announced."""
+
+    position: ConfigurationPosition
+    announced_at: float
+
+
+class PeriodicCheck:
+    """When a periodic check may judge by the clock: not soon after this process itself stood still."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._pauses = PauseDetector(LONGEST_CHECK_INTERVAL, clock())
+        self._running_since = clock()
+
+    def has_run_for(self, span: float) -> bool:
+        """Whether the process has run without a pause for so many seconds; called at every check."""
+        now = self._clock()
+        if self._pauses.paused(now):
+            self._running_since = now
+        return now - self._running_since > span
 
 
 class ConfigurationProgress:
@@ -23,45 +49,58 @@
     def __init__(self, clock: Clock = time.monotonic, invariants: InvariantCounter = INVARIANTS) -> None:
         self._clock = clock
         self._invariants = invariants
-        self.in_force = NOTHING
-        self.announced = NOTHING
+        self.in_force = NO_CONFIGURATION
+        self.announced = NO_CONFIGURATION
         self._in_force_since = clock()
-        self._behind_since: float | None = None
+        self._awaited: deque[Awaited] = deque()
+        self._periodic = PeriodicCheck(clock)
 
-    def announce(self, position: StatePosition) -> None:
+    def announce(self, position: ConfigurationPosition) -> None:
         """A control machine tells that this position is committed."""
-        if position > self.announced:
-            self.announced = position
-            self._compare()
+        if position <= self.announced:
+            return
+        self.announced = position
+        if len(self._awaited) == MOST_AWAITED:
+            self._awaited.pop()  # the older ones tell the lag
+        self._awaited.append(Awaited(position, self._clock()))
+
+    def expect_nothing(self) -> None:
+        """No control machine that is linked has anything newer: the limits begin anew with the next one."""
+        self._awaited.clear()
+        self.announced = self.in_force
 
-    def put_in_force(self, position: StatePosition) -> None:
+    def put_in_force(self, position: ConfigurationPosition) -> None:
         """The configuration of this position is in force from now on."""
         detail = f"{position} after {self.in_force}"
         self._invariants.check(position >= self.in_force, Invariant.POSITION_MONOTONIC, detail)
         self.in_force = position
         self._in_force_since = self._clock()
-        if position >= self.announced:
-            self.announced = position
-            self._behind_since = None
+        self.announced = max(self.announced, position)
+        while self._awaited and self._awaited[0].position <= position:
+            self._awaited.popleft()
 
     def seconds_in_force(self) -> float:
         """How long the present configuration has been in force; 0 while there is none."""
-        return 0.0 if self.in_force == NOTHING else self._clock() - self._in_force_since
+        return 0.0 if self.in_force == NO_CONFIGURATION else self._clock() - self._in_force_since
 
-    def seconds_behind(self) -> float:
-        """For how long something newer has been announced without a break; 0 when level."""
-        return 0.0 if self._behind_since is None else self._clock() - self._behind_since
+    def check(self, limit: float) -> None:
+        """Count a position that is awaited for longer than the limit, in seconds, as a violation."""
+        if not self._periodic.has_run_for(limit):
+            return
+        behind = self.seconds_behind()
+        detail = f"{self.in_force} is in force, {behind:.1f} s after a newer one was announced"
+        self._invariants.check(behind <= limit, Invariant.IN_FORCE_IN_TIME, detail)
 
-    def _compare(self) -> None:
-        if self.announced > self.in_force and self._behind_since is None:
-            self._behind_since = self._clock()
+    def seconds_behind(self) -> float:
+        """How long ago the oldest position that is not in force yet was announced; 0 when level."""
+        return self._clock() - self._awaited[0].announced_at if self._awaited else 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Commit:
     """When a position was committed, as far as this machine knows."""
 
-    position: StatePosition
+    position: ConfigurationPosition
     at: float
 
 
@@ -69,7 +108,7 @@
 class DispatcherReport:
     """What one dispatcher last reported, and how long after its commit; None for the first over a link."""
 
-    position: StatePosition
+    position: ConfigurationPosition
     take_up: float | None
 
 
@@ -83,7 +122,7 @@
     """
 
     dispatcher: str
-    position: StatePosition
+    position: ConfigurationPosition
     behind: float
     take_up: float | None
 
@@ -91,17 +130,19 @@
 class DispatcherProgress:
     """Compares what dispatchers report with the commits known here."""
 
-    def __init__(self, clock: Clock = time.monotonic) -> None:
+    def __init__(self, clock: Clock = time.monotonic, invariants: InvariantCounter = INVARIANTS) -> None:
         self._clock = clock
+        self._invariants = invariants
         self._commits: deque[Commit] = deque(maxlen=REMEMBERED_COMMITS)
         self._reports: dict[str, DispatcherReport] = {}
+        self._periodic = PeriodicCheck(clock)
 
-    def committed(self, position: StatePosition) -> None:
+    def committed(self, position: ConfigurationPosition) -> None:
         """A position is committed; positions only rise."""
         if not self._commits or position > self._commits[-1].position:
             self._commits.append(Commit(position, self._clock()))
 
-    def reported(self, dispatcher: str, position: StatePosition) -> None:
+    def reported(self, dispatcher: str, position: ConfigurationPosition) -> None:
         """A dispatcher has this position in force; called for each of its heartbeats."""
         report = self._reports.get(dispatcher)
         if report is not None and report.position == position:
@@ -120,14 +161,22 @@
                 dispatcher, report.position, self._seconds_behind(report.position), report.take_up
             )
 
-    def _first_after(self, position: StatePosition) -> int:
+    def check(self, limit: float) -> None:
+        """Count dispatchers that lack a commit for longer than the limit, in seconds, as violations."""
+        if not self._periodic.has_run_for(limit):
+            return
+        for lag in self.lags():
+            detail = f"{lag.dispatcher} has {lag.position}, {lag.behind:.1f} s after a newer commit"
+            self._invariants.check(lag.behind <= limit, Invariant.DISPATCHERS_IN_TIME, detail)
+
+    def _first_after(self, position: ConfigurationPosition) -> int:
         return bisect.bisect_right(self._commits, position, key=lambda commit: commit.position)
 
-    def _seconds_behind(self, position: StatePosition) -> float:
+    def _seconds_behind(self, position: ConfigurationPosition) -> float:
         index = self._first_after(position)
         return self._clock() - self._commits[index].at if index < len(self._commits) else 0.0
 
-    def _take_up(self, position: StatePosition) -> float | None:
+    def _take_up(self, position: ConfigurationPosition) -> float | None:
         index = self._first_after(position) - 1
         if index < 0 or self._commits[index].position != position:
             return None
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -1,34 +1,15 @@
-"""A dispatcher's view of the cluster, merged from the feeds of all control machines that it hears."""
+"""A process's view of workers and control machines, merged from the feeds that it hears."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from rookwood.cluster.control_status import StatePosition
-from rookwood.cluster.messages import (
-    ConfigurationBody,
-    FetchConfiguration,
-    Message,
-    Status,
-    WorkerGone,
-    WorkerUpdates,
-)
+from rookwood.cluster.messages import Message, Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.primary_witness import PrimaryWitness
-from rookwood.cluster.progress import ConfigurationProgress
 from rookwood.cluster.workers import WorkerRecord, WorkerRegistry
 
-
-@dataclass(frozen=True, slots=True, order=True)
-class ConfigurationPosition:
-    """Orders configurations: epoch first, then sequence."""
-
-    epoch: int
-    sequence: int
-
-
 LINGER = 6.0  # seconds for which a lost source's workers are still believed in
-NO_CONFIGURATION = ConfigurationPosition(-1, -1)
 
 
 @dataclass(slots=True)
@@ -42,24 +23,15 @@
 
 
 class ClusterView:
-    """Merges feeds. Configuration never goes back; a worker goes when every informed source lacks it.
-
-    The first configuration must be confirmed by a majority since this process started: a control machine
-    that is cut off from the others may hold an old one. Later ones need only be newer.
-    """
+    """Merges feeds. A worker goes when every informed source lacks it."""
 
     def __init__(
         self,
-        on_configuration: Callable[[bytes], None],
         on_worker: Callable[[WorkerRecord], None],
         on_worker_gone: Callable[[str], None],
     ) -> None:
         self.registry = WorkerRegistry()
-        self.position = NO_CONFIGURATION
-        self.confirmed = False
-        self.progress = ConfigurationProgress()
         self._witness = PrimaryWitness()
-        self._on_configuration = on_configuration
         self._on_worker = on_worker
         self._on_worker_gone = on_worker_gone
         self._sources: dict[str, Source] = {}
@@ -79,17 +51,16 @@
             source.linked = False
             source.unlinked_at = now
 
-    def received(self, peer: str, message: Message, now: float) -> Message | None:
-        """Take in a message; returns the request to send back over that link, if any."""
+    def received(self, peer: str, message: Message, now: float) -> None:
+        """Take in a message; those that tell nothing of workers or control machines are passed over."""
         if isinstance(message, Status):
-            return self._take_status(peer, message)
-        if isinstance(message, ConfigurationBody):
-            self._take_configuration(message)
+            self._sources.setdefault(peer, Source(linked=True)).status = message
+            if message.claims_primary:
+                self._witness.claimed(message.epoch, message.identity)
         elif isinstance(message, WorkerUpdates):
             self._take_workers(peer, message, now)
         elif isinstance(message, WorkerGone):
             self._take_gone(peer, message)
-        return None
 
     def primary(self) -> str | None:
         """The IP of the primary by the newest epoch that a linked machine tells."""
@@ -131,29 +102,6 @@
             if not self._presence.get(record.id):
                 self._remove(record.id)
 
-    def _take_status(self, peer: str, status: Status) -> Message | None:
-        self._sources.setdefault(peer, Source(linked=True)).status = status
-        position = ConfigurationPosition(status.config_epoch, status.config_sequence)
-        if claims_primary(status):
-            self._witness.claimed(status.epoch, status.identity)
-        if status.config_sequence > 0:
-            self.progress.announce(StatePosition(position.epoch, position.sequence))
-        if status.config_sequence <= 0 or position <= self.position:
-            return None
-        if self.confirmed or claims_primary(status):
-            return FetchConfiguration(status.config_sequence, confirm=not self.confirmed)
-        return None
-
-    def _take_configuration(self, body: ConfigurationBody) -> None:
-        position = ConfigurationPosition(body.epoch, body.sequence)
-        if position <= self.position or not (self.confirmed or body.confirmed):
-            return
-        self.confirmed = True
-        self.position = position
-        if body.source:
-            self._on_configuration(body.source)
-        self.progress.put_in_force(StatePosition(position.epoch, position.sequence))
-
     def _compare(self, peer: str, source: Source, named: set[str], now: float) -> None:
         """Workers that a complete list lacks are gone; a source that just started may hear of them yet."""
         settled = source.status is not None and source.status.settled
@@ -194,8 +142,3 @@
         self._presence.pop(worker, None)
         if self.registry.forget(worker):
             self._on_worker_gone(worker)
-
-
-def claims_primary(status: Status) -> bool:
-    """Whether a control machine says that it is the primary; only a round of its own can confirm that."""
-    return status.fresh and status.primary == status.identity
--- a/rookwood/clusterconfig/json_text.py
+++ b/rookwood/clusterconfig/json_text.py
@@ -15,15 +15,20 @@
 
 def read_object(body: bytes) -> JsonObject:
     """Parse `body`, which must be UTF-8 text of a single JSON object with finite numbers only."""
-    try:
-        value = json.loads(body.decode("utf-8"), parse_constant=_reject_constant, parse_float=_finite_float)
-    except (ValueError, RecursionError) as error:
-        raise JsonTextError(f"not readable as JSON: {error}") from error
+    value = read_value(body)
     if not isinstance(value, dict):
         raise JsonTextError("not a JSON object")
     return value
 
 
+def read_value(text: bytes) -> Any:
+    """Parse `text`, which must be UTF-8 text of a single JSON value with finite numbers only."""
+    try:
+        return json.loads(text.decode("utf-8"), parse_constant=_reject_constant, parse_float=_finite_float)
+    except (ValueError, RecursionError) as error:
+        raise JsonTextError(f"not readable as JSON: {error}") from error
+
+
 def write_compact(document: JsonObject) -> bytes:
     """Serialise without whitespace, in the given key order."""
     return _write(document, sort_keys=False)
@@ -34,7 +39,12 @@
     return _write(document, sort_keys=True)
 
 
-def _write(document: JsonObject, sort_keys: bool) -> bytes:
+def write_value(value: object) -> bytes:
+    """Serialise any JSON value without whitespace and with sorted keys."""
+    return _write(value, sort_keys=True)
+
+
+def _write(document: object, sort_keys: bool) -> bytes:
     try:
         text = json.dumps(document, separators=(",", ":"), sort_keys=sort_keys, allow_nan=False)
     except (ValueError, TypeError, RecursionError) as error:
--- a/rookwood/clusterconfig/loading.py
+++ b/rookwood/clusterconfig/loading.py
@@ -42,14 +42,15 @@
     """Build a configuration from a parsed, validated document and its JSON text."""
     return Configuration(
         version=document["ver"],
-        routes=tuple(_build_route(item) for item in document["routes"]),
-        services={item["name"]: _build_service(item) for item in document["svcs"]},
-        limits=_build_limits(document.get("limits") or {}),
+        routes=tuple(build_route(item) for item in document["routes"]),
+        services={item["name"]: build_service(item) for item in document["svcs"]},
+        limits=build_limits(document.get("limits") or {}),
         source=source,
     )
 
 
-def _build_route(item: _JsonItem) -> Route:
+def build_route(item: _JsonItem) -> Route:
+    """Build a route from its validated JSON object."""
     timeout_ms = float(item["timeout-ms"])
     return Route(
         name=item["name"],
@@ -74,7 +75,8 @@
     return tuple(ServiceShare(share["svc"], float(share["wt"])) for share in split if share["wt"] > 0)
 
 
-def _build_service(item: _JsonItem) -> Service:
+def build_service(item: _JsonItem) -> Service:
+    """Build a service from its validated JSON object."""
     runtime = item.get("runtime")
     return Service(
         name=item["name"],
@@ -109,7 +111,8 @@
     )
 
 
-def _build_limits(item: _JsonItem) -> ClientLimits:
+def build_limits(item: _JsonItem) -> ClientLimits:
+    """Build the bounds on clients from their validated JSON object."""
     return ClientLimits(
         header_bytes=item.get("hdr-bytes", DEFAULT_HEADER_BYTES),
         body_bytes=item.get("body-bytes", DEFAULT_BODY_BYTES),
--- a/rookwood/clusterconfig/routing.py
+++ b/rookwood/clusterconfig/routing.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from rookwood.clusterconfig.document import Configuration, Route
 
 
 class RouteIndex:
-    """An immutable index over the routes of one configuration."""
+    """An index over routes, to and from which single ones are added and removed."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration | None = None) -> None:
         """Index the routes of `configuration`."""
         self._hosts: dict[str, _HostRoutes] = {}
-        for route in configuration.routes:
-            host_routes = self._hosts.setdefault(normalize_host(route.host), _HostRoutes())
-            host_routes.add(route)
+        for route in configuration.routes if configuration else ():
+            self.add(route)
+
+    def add(self, route: Route) -> None:
+        """Add a route; one at the same place is replaced."""
+        self._hosts.setdefault(normalize_host(route.host), _HostRoutes()).add(route)
+
+    def remove(self, route: Route) -> None:
+        """Remove a route, if it is the one at its place."""
+        host = normalize_host(route.host)
+        host_routes = self._hosts.get(host)
+        if host_routes is None:
+            return
+        host_routes.remove(route)
+        if not host_routes.routes:
+            del self._hosts[host]
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route for a `Host` header and a request target, or None if there is none."""
@@ -26,25 +41,39 @@
 class _HostRoutes:
     """The routes of one host, looked up by each distinct prefix length, longest first."""
 
-    __slots__ = ("_lengths", "_routes")
+    __slots__ = ("_counts", "_lengths", "routes")
 
     def __init__(self) -> None:
+        self._counts: Counter[int] = Counter()
         self._lengths: list[int] = []
-        self._routes: dict[str, Route] = {}
+        self.routes: dict[str, Route] = {}
 
     def add(self, route: Route) -> None:
-        self._routes[route.prefix] = route
-        if len(route.prefix) not in self._lengths:
-            self._lengths.append(len(route.prefix))
-            self._lengths.sort(reverse=True)
+        if route.prefix not in self.routes:
+            self._counts[len(route.prefix)] += 1
+            if self._counts[len(route.prefix)] == 1:
+                self._order_lengths()
+        self.routes[route.prefix] = route
+
+    def remove(self, route: Route) -> None:
+        if self.routes.get(route.prefix) is not route:
+            return
+        del self.routes[route.prefix]
+        self._counts[len(route.prefix)] -= 1
+        if not self._counts[len(route.prefix)]:
+            del self._counts[len(route.prefix)]
+            self._order_lengths()
 
     def longest_match(self, path: str) -> Route | None:
         for length in self._lengths:
-            route = self._routes.get(path[:length])
+            route = self.routes.get(path[:length])
             if route is not None:
                 return route
         return None
 
+    def _order_lengths(self) -> None:
+        self._lengths = sorted(self._counts, reverse=True)
+
 
 def normalize_host(host: str) -> str:
     """Return a `Host` header value in lower case and without its port."""
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -98,11 +98,11 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Take a new configuration; planners stay, so that orders under way stay known."""
+        engines = {name: service.engine for name, service in configuration.services.items() if service.engine}
+        if engines == {name: plan.engine for name, plan in self._plans.items()}:
+            return
         plans: dict[str, ServicePlan] = {}
-        for name, service in configuration.services.items():
-            engine = service.engine
-            if engine is None:
-                continue
+        for name, engine in engines.items():
             known = self._plans.get(name)
             plans[name] = self._keep_plan(known, engine) if known else self._new_plan(engine)
         self._plans = plans
--- a/rookwood/controlplane/metrics.py
+++ b/rookwood/controlplane/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sized
+from collections.abc import Iterator
 
 from prometheus_client.metrics_core import Metric
 
@@ -16,8 +16,9 @@
     link_families,
     traffic_families,
 )
-from rookwood.cluster.progress import DispatcherLag, DispatcherProgress
+from rookwood.cluster.progress import ConfigurationProgress, DispatcherLag, DispatcherProgress
 from rookwood.cluster.view import ClusterView
+from rookwood.controlplane.configuration_feed import ConfigurationFeed
 from rookwood.controlplane.control_api import role_name
 from rookwood.controlplane.payload import read_payload
 from rookwood.coordination.activity import GroupActivity, WriteTimes
@@ -34,30 +35,34 @@
     def __init__(
         self,
         group: ControlGroup,
+        progress: ConfigurationProgress,
         view: ClusterView,
         feed: FeedServer,
         links: LinkSet,
         dispatchers: DispatcherProgress,
-        answers: Sized,
+        configuration: ConfigurationFeed,
     ) -> None:
         self._group = group
+        self._progress = progress
         self._view = view
         self._feed = feed
         self._links = links
         self._dispatchers = dispatchers
-        self._answers = answers
+        self._configuration = configuration
 
     def families(self) -> Iterator[Metric]:
         """All figures."""
         version = read_payload(self._group.snapshot().payload).version
-        yield from configuration_families(version, self._view.progress)
+        yield from configuration_families(version, self._progress)
         yield from dispatcher_families(list(self._dispatchers.lags()))
         yield from link_families([*self._feed.connections, *self._links.connections()])
         yield from self._traffic_families()
         yield from self._group_families()
         yield from activity_families(self._group.activity)
         yield from write_families(self._group.activity.writes)
-        yield gauge("confirmations_open", "Fetches that await a confirming round.", len(self._answers))
+        yield gauge(
+            "confirmations_open", "Fetches that await a confirming round.", len(self._configuration.answers)
+        )
         yield gauge("workers_known", "Workers in the view.", sum(1 for _ in self._view.registry))
         yield from invariant_families(INVARIANTS)
 
--- a/rookwood/controlplane/payload.py
+++ b/rookwood/controlplane/payload.py
@@ -1,16 +1,13 @@
-"""The control document inside the replicated payload, and the configuration in it as a message."""
+"""The control document inside the replicated payload."""
 
 from __future__ import annotations
 
 import cachetools
 
-from rookwood.cluster.messages import ConfigurationBody, encode_frame
 from rookwood.clusterconfig.control_document import ControlDocument
-from rookwood.coordination.group import Snapshot
 
 EMPTY_DOCUMENT = ControlDocument(version=0, source=b"", taken=())
 REMEMBERED_PAYLOADS = 2  # the one in force, and the one that follows it
-REMEMBERED_FRAMES = 2  # one with confirmation and one without
 
 
 @cachetools.cached(cachetools.LRUCache(REMEMBERED_PAYLOADS))
@@ -21,10 +18,3 @@
     kept. It may be shared, being immutable.
     """
     return ControlDocument.decode(payload) if payload else EMPTY_DOCUMENT
-
-
-@cachetools.cached(cachetools.LRUCache(REMEMBERED_FRAMES))
-def configuration_frame(snapshot: Snapshot, *, confirmed: bool) -> bytes:
-    """The configuration of a snapshot as a frame, encoded once for all subscribers that ask for it."""
-    source = read_payload(snapshot.payload).source
-    return encode_frame(ConfigurationBody(snapshot.epoch, snapshot.sequence, source, confirmed))
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -10,37 +10,35 @@
 
 from aiohttp import web
 
-from rookwood.cluster.control_status import StatePosition
 from rookwood.cluster.feed import Connection, FeedServer, LinkSet
 from rookwood.cluster.messages import (
     DemandReport,
     FetchConfiguration,
+    Heartbeat,
     Hello,
     Message,
     Status,
     WorkerGone,
     WorkerUpdates,
     WorkNotices,
-    encode_frame,
 )
-from rookwood.cluster.progress import DispatcherProgress
+from rookwood.cluster.position import ConfigurationPosition
+from rookwood.cluster.progress import ConfigurationProgress, DispatcherProgress
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
-from rookwood.clusterconfig.loading import load_configuration
+from rookwood.controlplane.configuration_feed import ConfigurationFeed
 from rookwood.controlplane.control_api import ControlApi
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.metrics import ControlPlaneMetrics
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
-from rookwood.controlplane.payload import configuration_frame, read_payload
 from rookwood.controlplane.peer_feed import PeerFeed
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import (
     Backup,
-    Confirmed,
     ControlGroup,
     GroupSettings,
     Primary,
@@ -65,16 +63,16 @@
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._answers: set[asyncio.Task[None]] = set()
         self._started = 0.0
-        self._source = b""
         self._commit_timer: asyncio.TimerHandle | None = None
         self.group = ControlGroup(
             group_settings(settings), on_commit=self._committed, on_role=self._role_changed
         )
-        self._view = ClusterView(lambda source: None, self._worker_changed, self._worker_gone)
+        self._configuration = ConfigurationFeed(self.group)
+        self._view = ClusterView(self._worker_changed, self._worker_gone)
         self._feed = FeedServer(self)
         self.dispatchers = DispatcherProgress()
+        self._progress = ConfigurationProgress()
         self._notices = NoticeRelay(self._send_notices)
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
@@ -98,7 +96,13 @@
         peers = PeerFeed(self._view, self._publish, self._tenure)
         self._links = LinkSet(self._settings.feed_port, hello, peers, self._settings.ip)
         figures = ControlPlaneMetrics(
-            self.group, self._view, self._feed, self._links, self.dispatchers, self._answers
+            self.group,
+            self._progress,
+            self._view,
+            self._feed,
+            self._links,
+            self.dispatchers,
+            self._configuration,
         )
         self._metrics = MetricsServer(self._settings.ip, [figures.families])
         await self._metrics.start()
@@ -117,7 +121,7 @@
         await self.group.stop(transfer=True)
         if self._commit_timer is not None:
             self._commit_timer.cancel()
-        await cancel_tasks([*self._tasks, *self._answers])
+        await cancel_tasks([*self._tasks, *self._configuration.answers])
         if self._metrics is not None:
             await self._metrics.stop()
         if self._links is not None:
@@ -143,6 +147,7 @@
         self._file.refresh()
         now = asyncio.get_running_loop().time()
         self._table.expire(now)
+        self.dispatchers.check(self._settings.bounds.apply)
         if self._links is not None:
             seeds = {seed.ip for seed in self._file.settings.seeds}
             self._links.want(seeds | set(self.group.members()) | self._view.members())
@@ -175,10 +180,8 @@
         self._feed.broadcast(status)
 
     def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
-        frame = encode_frame(message)
-        for connection in self._feed.connections:
-            if to_core or not is_core(connection):
-                connection.send_frame(frame)
+        subscribers = self._feed.connections
+        self._feed.send_to([c for c in subscribers if to_core or not is_core(c)], message)
 
     def _committed(self, snapshot: Snapshot) -> None:
         """Have the newest commit taken in once whoever asked for it is answered.
@@ -186,21 +189,23 @@
         The group resolves the call of the operator right after this. A timer, also one without delay,
         runs after all that is ready by then, the operator's answer among it.
         """
-        self.dispatchers.committed(StatePosition(snapshot.epoch, snapshot.sequence))
+        self.dispatchers.committed(ConfigurationPosition(snapshot.epoch, snapshot.sequence))
         if self._commit_timer is None:
             self._commit_timer = asyncio.get_running_loop().call_later(0, self._take_commit)
 
     def _take_commit(self) -> None:
         """Configure the load scheduler by the newest commit, and tell all subscribers of it."""
         self._commit_timer = None
-        snapshot = self.group.snapshot()
-        self._view.progress.put_in_force(StatePosition(snapshot.epoch, snapshot.sequence))
-        document = read_payload(snapshot.payload)
-        if document.source and document.source != self._source:
-            self._source = document.source
-            self._scheduler.configure(load_configuration(document.source))
+        if self._configuration.take_commit():
+            self._scheduler.configure(self._configuration.configuration)
+        self._progress.put_in_force(self._configuration.position)
         self._send_status()
 
+    def _take_pending_commit(self) -> None:
+        if self._commit_timer is not None:
+            self._commit_timer.cancel()
+            self._take_commit()
+
     def _role_changed(self, role: Role) -> None:
         logger.info("role changed", extra={"role": repr(role)})
         now = asyncio.get_running_loop().time()
@@ -223,37 +228,24 @@
     def received(self, connection: Connection, message: Message) -> None:
         """A message of a subscriber."""
         if isinstance(message, FetchConfiguration):
-            self._answer(connection, message)
+            self._take_pending_commit()
+            self._configuration.answer(connection, message)
+        elif isinstance(message, Heartbeat):
+            if connection.hello is not None and not is_core(connection):
+                self.dispatchers.reported(connection.hello.identity, message.position)
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
         elif isinstance(message, WorkNotices):
             self._notices.take(message)
 
     def _send_notices(self, notices: WorkNotices) -> None:
-        frame = encode_frame(notices)
-        for connection in self._feed.connections:
-            if not is_core(connection):
-                connection.send_frame(frame)
+        self._feed.send_to([c for c in self._feed.connections if not is_core(c)], notices)
 
     def lost(self, connection: Connection) -> None:
         """A subscriber is gone."""
         if connection.hello is not None:
             self.dispatchers.lost(connection.hello.identity)
 
-    def _answer(self, connection: Connection, question: FetchConfiguration) -> None:
-        if not question.confirm:
-            connection.send_frame(configuration_frame(self.group.snapshot(), confirmed=False))
-            return
-        answering = asyncio.create_task(self._send_confirmed(connection))
-        self._answers.add(answering)
-        answering.add_done_callback(self._answers.discard)
-
-    async def _send_confirmed(self, connection: Connection) -> None:
-        """Send the configuration once a round that begins now confirmed it; else nothing."""
-        outcome = await self.group.confirm()
-        if isinstance(outcome, Confirmed):
-            connection.send_frame(configuration_frame(outcome.snapshot, confirmed=True))
-
 
 def is_core(connection: Connection) -> bool:
     """Whether the subscriber is a control machine."""
--- a/rookwood/coordination/admission.py
+++ b/rookwood/coordination/admission.py
@@ -4,6 +4,8 @@
 and what was lost counts for nothing. The primary admits it once it has a synced copy.
 """
 
+from dataclasses import replace
+
 from rookwood.coordination.context import Context
 from rookwood.coordination.document import Position
 from rookwood.coordination.messages import Inquiry, JoinRequest, MembershipNotice, Situation
@@ -41,9 +43,13 @@
 
 
 def answer_inquiry(context: Context, sender: str, incarnation: int, inquiry: Inquiry) -> None:
-    """Tell a machine that takes no part what this one knows."""
+    """Tell a machine that takes no part who the members are, without what they replicate.
+
+    The payload would be sent for nothing, many times a second while changes go on.
+    """
     record = context.journal.latest
-    document = record.document if record.document.position > inquiry.known else None
+    newer = record.document.position > inquiry.known
+    document = replace(record.document, payload=b"") if newer else None
     recovering = not context.is_member()
     context.send(sender, Situation(incarnation, recovering, record.promised, document))
 
--- a/rookwood/dataplane/metrics.py
+++ b/rookwood/dataplane/metrics.py
@@ -15,6 +15,7 @@
     link_families,
     traffic_families,
 )
+from rookwood.cluster.progress import ConfigurationProgress
 from rookwood.cluster.view import ClusterView
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.demand import DemandMeter
@@ -31,6 +32,7 @@
     def __init__(
         self,
         router: Router,
+        progress: ConfigurationProgress,
         view: ClusterView,
         links: LinkSet,
         proxy: Proxy,
@@ -38,6 +40,7 @@
         clients: ClientServer,
     ) -> None:
         self._router = router
+        self._progress = progress
         self._view = view
         self._links = links
         self._proxy = proxy
@@ -48,7 +51,7 @@
         """All figures."""
         configuration = self._router.configuration
         version = 0 if configuration is None else configuration.version
-        yield from configuration_families(version, self._view.progress)
+        yield from configuration_families(version, self._progress)
         yield from link_families(self._links.connections())
         yield from traffic_families({FEED_CHANNEL: FEED_TRAFFIC})
         yield from request_families(self._proxy.counts)
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from rookwood.cluster.configuration_follower import ANSWER_LIMIT, ConfigurationFollower
 from rookwood.cluster.feed import Connection, LinkSet
 from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice, WorkNotices
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
@@ -35,6 +36,7 @@
 FIRST_REQUEST_LIMIT = 0.4  # seconds for which a new connection's first request is waited for
 SHUTDOWN_LIMIT = 0.1  # seconds that the library gives to connections which are still open then
 DRAIN_POLL = 0.05
+TIMER_MARGIN = 0.005  # seconds by which timers go off later than the moment that they wait for
 ACCEPT_TURNS = 4  # turns of the event loop from a connection in the backlog to its first bytes
 
 
@@ -50,9 +52,11 @@
         self._demand = DemandMeter(self._weights_wanted)
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
-        self._view = ClusterView(
-            self._router.configure, self._router.worker_changed, self._router.worker_gone
+        self._view = ClusterView(self._router.worker_changed, self._router.worker_gone)
+        self._follower = ConfigurationFollower(
+            settings.ip, self._router.configure, self._router.change_configuration
         )
+        self._wakeup: asyncio.TimerHandle | None = None
         self._links: LinkSet | None = None
         self._known_primary: str | None = None
         self._proxy: Proxy | None = None
@@ -63,14 +67,32 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._keep_house)
         client = UpstreamClient(self._settings.descriptors)
-        self._proxy = Proxy(self._router, self._pool, self._demand, self._budget, client, self._tell_work)
+        self._proxy = Proxy(
+            self._router,
+            self._pool,
+            self._demand,
+            self._budget,
+            client,
+            self._tell_work,
+            self._is_level,
+        )
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
-        self._links = LinkSet(self._settings.feed_port, hello, self, self._settings.ip)
+        self._links = LinkSet(
+            self._settings.feed_port, hello, self, self._settings.ip, lambda: self._follower.position
+        )
         self._keep_house()
         clients = self._client_server(self._proxy)
         runner = await self._serve_clients(clients)
         runners = [runner, await self._serve_readiness()]
-        figures = DataPlaneMetrics(self._router, self._view, self._links, self._proxy, self._demand, clients)
+        figures = DataPlaneMetrics(
+            self._router,
+            self._follower.progress,
+            self._view,
+            self._links,
+            self._proxy,
+            self._demand,
+            clients,
+        )
         metrics = MetricsServer(self._settings.ip, [figures.families])
         await metrics.start()
         keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
@@ -80,6 +102,8 @@
         await cancel_tasks([keeper])
         await metrics.stop()
         self._links.close()
+        if self._wakeup is not None:
+            self._wakeup.cancel()
         for runner in runners:
             await runner.cleanup()
         await client.close()
@@ -145,6 +169,7 @@
         self._file.refresh()
         now = asyncio.get_running_loop().time()
         self._view.drop_silent(now)
+        self._follower.progress.check(self._settings.bounds.apply)
         self._budget.dispatchers = self._view.dispatchers()
         if self._links is None:
             return
@@ -171,9 +196,8 @@
     def _report(self, message: DemandReport | WorkNotices) -> None:
         """Send a message to the primary, if it is known and linked."""
         primary = self._view.primary()
-        connection = self._links.connection(primary) if self._links and primary else None
-        if connection is not None:
-            connection.send(message)
+        if primary is not None:
+            self._send_to(primary, message)
 
     def _greet_primary(self, now: float) -> None:
         """A new primary knows of no demand: requests may be waiting already."""
@@ -189,19 +213,48 @@
     def unlinked(self, peer: str) -> None:
         """A feed ended."""
         self._view.unlinked(peer, asyncio.get_running_loop().time())
+        self._follower.unlinked(peer)
+        self._ask_for_configuration()
 
     def received(self, peer: str, message: Message) -> None:
         """A feed brought a message."""
+        now = asyncio.get_running_loop().time()
         if isinstance(message, WorkNotices):
             for notice in message.notices:
-                self._router.note_told(notice, asyncio.get_running_loop().time())
+                self._router.note_told(notice, now)
             return
-        now = asyncio.get_running_loop().time()
-        answer = self._view.received(peer, message, now)
+        self._view.received(peer, message, now)
+        self._follower.received(peer, message, now)
         self._greet_primary(now)
+        self._ask_for_configuration()
+
+    def _ask_for_configuration(self) -> None:
+        """Send the request that is due, and come back when the next one may be."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._note_answer_under_way(now)
+        request = self._follower.next_request(now)
+        if request is not None:
+            self._send_to(request.peer, request.message)
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+        due = self._follower.next_wakeup(now)
+        self._wakeup = loop.call_at(due + TIMER_MARGIN, self._ask_for_configuration) if due else None
+
+    def _note_answer_under_way(self, now: float) -> None:
+        """A large answer over a thin link is no reason to ask another machine for the same."""
+        peer = self._follower.asked
+        connection = self._links.connection(peer) if self._links and peer else None
+        if peer is not None and connection is not None and connection.is_receiving(now, ANSWER_LIMIT):
+            self._follower.answering(peer, now)
+
+    def _is_level(self) -> bool:
+        return self._follower.is_level(asyncio.get_running_loop().time())
+
+    def _send_to(self, peer: str, message: Message) -> None:
         connection = self._links.connection(peer) if self._links else None
-        if answer is not None and connection is not None:
-            connection.send(answer)
+        if connection is not None:
+            connection.send(message)
 
 
 async def turn_loop() -> None:
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -48,6 +48,7 @@
 MAXIMUM_CONNECTION_FAILURES = 3
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 STARTUP_PATIENCE = 2.0  # seconds for which a request waits for the first configuration
+ROUTE_PATIENCE = 0.4  # seconds for which a request without a route waits for a newer configuration
 RETRY_SOON = 0.3
 RETRY_ELSEWHERE = 0.1  # seconds; this process ends, other dispatchers serve on
 FIRST_SERVER_ERROR = 500
@@ -82,6 +83,11 @@
 OUTCOME_KEY = web.ResponseKey("outcome", RequestOutcome)  # marks answers that are not whole
 
 
+@dataclass(frozen=True, slots=True)
+class Rerouted:
+    """A configuration that came into force while the request waited routes it otherwise; nothing was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
     """The stream reached its end."""
@@ -120,7 +126,9 @@
         budget: RetryBudget,
         client: UpstreamClient,
         on_work: Callable[[WorkNotice], None],
+        is_level: Callable[[], bool],
     ) -> None:
+        self._is_level = is_level
         self._router = router
         self._pool = pool
         self._demand = demand
@@ -199,17 +207,54 @@
         body = await read_body(request, configuration.limits.body_bytes or DEFAULT_BODY_LIMIT)
         if body is None:
             return Refusal(413, "body too large").response()
-        route = self._router.match(request.host, request.path)
-        if route is None:
-            return Refusal(404, "no route").response()
+        routed = await self._match(request, body, arrived)
+        if isinstance(routed, Refusal):
+            return routed.response()
+        self._count(routed)
+        answer = await self._forward(request, routed, progress)
+        while isinstance(answer, Rerouted):
+            rerouted = await self._match(request, body, arrived)
+            if isinstance(rerouted, Refusal):
+                return rerouted.response()
+            if (rerouted.service, rerouted.key) != (routed.service, routed.key):
+                self._count(rerouted)
+            routed = rerouted
+            answer = await self._forward(request, routed, progress)
+        return answer
+
+    def _count(self, request: RoutedRequest) -> None:
+        """Count a request for its service, and for the weights that it needs."""
+        self._budget.request(request.service, request.arrived)
+        if request.key is not None:
+            self._demand.request(request.key, request.arrived)
+
+    async def _match(self, request: web.BaseRequest, body: bytes, arrived: float) -> RoutedRequest | Refusal:
+        """Route a request by the configuration in force.
+
+        That there is no route is certain only where this process knows to have the newest configuration.
+        One that is behind waits for it a little.
+        """
+        until = self._now() + ROUTE_PATIENCE
+        while (route := self._router.match(request.host, request.path)) is None:
+            if self._is_level():
+                return Refusal(404, "no route")
+            if not await self._router.wait_change(until) and not self._is_level():
+                return Refusal(503, "no route, by a configuration that may be old", RETRY_SOON)
         if not request.headers.get(names.REQUEST_ID):
-            return Refusal(400, f"{names.REQUEST_ID} is missing").response()
+            return Refusal(400, f"{names.REQUEST_ID} is missing")
         service = choose_service(route, request.headers[names.REQUEST_ID])
-        routed = build_request(request, route, body, service, arrived)
-        self._budget.request(service, arrived)
-        if routed.key is not None:
-            self._demand.request(routed.key, arrived)
-        return await self._forward(request, routed, progress)
+        return build_request(request, route, body, service, arrived)
+
+    def _is_rerouted(
+        self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
+    ) -> bool:
+        """Whether a request that was never sent would be routed otherwise now.
+
+        Routes that a change leaves alone stay the same objects.
+        """
+        if progress.sends or progress.may_have_run or progress.response is not None:
+            return False
+        return self._router.match(client.host, client.path) is not request.route
 
     async def _await_configuration(self, request: web.BaseRequest, arrived: float) -> Configuration | None:
         """The configuration; a process that just started waits for it a little."""
@@ -222,9 +267,11 @@
 
     async def _forward(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
-    ) -> web.StreamResponse:
+    ) -> web.StreamResponse | Rerouted:
         while True:
-            worker = await self._find_worker(request, progress)
+            worker = await self._find_worker(client, request, progress)
+            if self._is_rerouted(client, request, progress):
+                return Rerouted()
             if progress.response is None and not self._ends_in_time(request):
                 worker = Refusal(503, "the dispatcher ends", RETRY_ELSEWHERE)
             if isinstance(worker, Refusal):
@@ -449,7 +496,9 @@
                 progress.passed_without_id = True
             await response.write(event.raw)
 
-    async def _find_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | Refusal:
+    async def _find_worker(
+        self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
+    ) -> WorkerRecord | Refusal:
         """A worker for the next attempt; waits for weights to be loaded, within limits."""
         now = self._now()
         worker = self._router.choose(request, progress.excluded, now)
@@ -458,11 +507,11 @@
         if now >= self._wait_limit(request) or not self._worth_waiting(request, progress):
             return Refusal(503, "no worker", RETRY_SOON)
         if request.key is None:
-            found = await self._await_worker(request, progress)
+            found = await self._await_worker(client, request, progress)
         else:
             self._demand.begin_wait(request.key, now)
             try:
-                found = await self._await_worker(request, progress)
+                found = await self._await_worker(client, request, progress)
             finally:
                 self._demand.end_wait(request.key, now)
         return found or Refusal(503, "no worker with the weights", RETRY_SOON)
@@ -471,8 +520,12 @@
         """Weights are loaded on demand; other workers appear only while a system starts."""
         return request.key is not None or not progress.excluded
 
-    async def _await_worker(self, request: RoutedRequest, progress: RequestProgress) -> WorkerRecord | None:
+    async def _await_worker(
+        self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
+    ) -> WorkerRecord | None:
         while await self._router.wait_change(self._wait_limit(request)):
+            if self._is_rerouted(client, request, progress):
+                return None
             worker = self._router.choose(request, progress.excluded, self._now())
             if worker is not None:
                 return worker
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections import defaultdict
 
 from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.clusterconfig.configuration_store import Applied, ApplyOutcome, ConfigurationStore
 from rookwood.clusterconfig.document import Configuration, Route
-from rookwood.clusterconfig.loading import load_configuration
-from rookwood.clusterconfig.routing import RouteIndex
+from rookwood.clusterconfig.items import ItemChanges
 from rookwood.dataplane.backlog import ReadingSpeed, WorkerBacklog
 from rookwood.dataplane.demand import ServiceKey
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
@@ -19,6 +20,8 @@
 from rookwood.modelplacement.selection import Candidate, choose_worker
 from rookwood.modelplacement.types import WeightsKey
 
+logger = logging.getLogger("rookwood")
+
 NO_KEY = WeightsKey("")
 
 
@@ -29,22 +32,34 @@
         self._identity = identity
         self._zone = zone
         self._pool = pool
-        self._source = b""
+        self._store = ConfigurationStore()
         self.configuration: Configuration | None = None
-        self._index: RouteIndex | None = None
         self._workers: dict[str, dict[str, WorkerRecord]] = defaultdict(dict)
         self._changed = asyncio.Event()
         self._random = random.Random()
         self.speed = ReadingSpeed()
         self.tables = TableKeeper()
 
-    def configure(self, source: bytes) -> None:
-        """Put a configuration in force."""
-        if source == self._source:
-            return
-        self._source = source
-        self.configuration = load_configuration(source)
-        self._index = RouteIndex(self.configuration)
+    def configure(self, source: bytes) -> ApplyOutcome:
+        """Put a whole configuration in force; nothing changes where it can't be read."""
+        outcome = self._store.try_replace(source)
+        if isinstance(outcome, Applied):
+            self._put_in_force()
+        else:
+            logger.error("configuration can't be read", extra={"outcome": repr(outcome)})
+        return outcome
+
+    def change_configuration(self, changes: ItemChanges, digest: int) -> ApplyOutcome:
+        """Put changes in force that lead to a configuration of this digest; nothing where they don't."""
+        outcome = self._store.apply(changes, digest)
+        if isinstance(outcome, Applied):
+            self._put_in_force()
+        else:
+            logger.error("changes don't fit the configuration", extra={"outcome": repr(outcome)})
+        return outcome
+
+    def _put_in_force(self) -> None:
+        self.configuration = self._store.configuration
         self.tables.configure(self.configuration)
         self.notify()
 
@@ -62,7 +77,7 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a request."""
-        return self._index.match(host, path) if self._index else None
+        return self._store.index.match(host, path)
 
     def step_tables(self, now: float) -> None:
         """Step the placement tables when it is time."""
--- a/tests/test_cluster_messages.py
+++ b/tests/test_cluster_messages.py
@@ -11,6 +11,7 @@
     HEADER,
     MAXIMUM_FRAME,
     ConfigurationBody,
+    ConfigurationDelta,
     DemandReport,
     FetchConfiguration,
     FrameError,
@@ -29,6 +30,7 @@
     read_message,
 )
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
+from rookwood.clusterconfig.items import Item, ItemChanges, ItemKey, Section
 
 WORKER = WorkerRecord(
     id="i-7f3a91c2",
@@ -50,6 +52,7 @@
     Status("10.0.0.4", 7, "10.0.0.5", True, False, 6, 91, 12, ("10.0.0.4", "10.0.0.5")),
     Status("10.0.0.4", 0, "", False, True, 0, 0, 0, ()),
     FetchConfiguration(91, True),
+    FetchConfiguration(91, False, 6, 88),
     ConfigurationBody(6, 91, b'{"ver":9,"name":"\xc3\xa9"}\x00', True),
     ConfigurationBody(6, 91, b"", False),
     WorkerUpdates((WORKER, PLAIN_WORKER), complete=True),
@@ -65,6 +68,19 @@
     DemandReport(identity="10.0.0.4", keys=(), wanted=(), complete=False),
     WorkNotices((WorkNotice("10.1.0.5", "i-7f3a91c2", 0.25, (2**55, 0)), WorkNotice("", "", 0.0, ()))),
     Heartbeat("10.0.0.4"),
+    Heartbeat("10.0.0.4", 6, 91),
+    ConfigurationDelta(
+        epoch=7,
+        sequence=2,
+        base_epoch=6,
+        base_sequence=91,
+        changes=ItemChanges(
+            changed=(Item(ItemKey(Section.ROUTE, "r-\xe9"), b'{"name":"r"}'),),
+            removed=(ItemKey(Section.SERVICE, "old"),),
+        ),
+        digest=2**64 - 1,
+    ),
+    ConfigurationDelta(7, 2, 6, 91, ItemChanges((), ()), 0),
 )
 TYPES_BEYOND_ALL = 255
 FUZZ_SEED = 20261202
