--- a/rookwood/controlplane/demand.py
+++ b/rookwood/controlplane/demand.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from rookwood.cluster.messages import DemandReport, KeyDemand, WantedWeights
@@ -19,17 +19,21 @@
 
     told: float = 0.0
     keys: dict[tuple[str, WeightsKey], KeyDemand] = field(default_factory=dict)
-    wanted: tuple[WantedWeights, ...] = ()
+    wanted: frozenset[WantedWeights] = frozenset()
 
 
 WantedByWorker = Mapping[str, Mapping[WeightsKey, float]]
 
 
 class DemandSum:
-    """Collects the reports of dispatchers and adds them up."""
+    """Collects the reports of dispatchers and adds them up.
+
+    What dispatchers want is counted as their reports change it, since plans ask for it far more often.
+    """
 
     def __init__(self) -> None:
         self._dispatchers: dict[str, DispatcherDemand] = {}
+        self._wants: Counter[WantedWeights] = Counter()
 
     def take(self, report: DemandReport, now: float) -> None:
         """Take in a report."""
@@ -37,36 +41,41 @@
         known.told = now
         if report.complete:
             known.keys.clear()
-            known.wanted = report.wanted
+            self._replace_wanted(known, frozenset(report.wanted))
         for key in report.keys:
             known.keys[key.service, WeightsKey(key.model, key.adapter)] = key
 
     def total(self, service: str, now: float) -> dict[WeightsKey, Demand]:
         """Demand for the weights of one service."""
+        self._drop_silent(now)
         sums: dict[WeightsKey, list[KeyDemand]] = defaultdict(list)
-        for identity, known in list(self._dispatchers.items()):
-            if now - known.told > REPORT_LIFETIME:
-                del self._dispatchers[identity]
-                continue
+        for known in self._dispatchers.values():
             for (name, key), demand in known.keys.items():
                 if name == service:
                     sums[key].append(demand)
         return {key: add_demands(demands) for key, demands in sums.items()}
 
     def wanted(self, service: str) -> WantedByWorker:
-        """What the dispatchers' tables want on each worker of a service."""
-        return add_wants(self._dispatchers.values(), service)
+        """Per worker of a service the weights wanted there, with the share of dispatchers that want them."""
+        shares: dict[str, dict[WeightsKey, float]] = defaultdict(dict)
+        for item, count in self._wants.items():
+            if item.service == service:
+                shares[item.worker][WeightsKey(item.model, item.adapter)] = count / len(self._dispatchers)
+        return shares
 
+    def _drop_silent(self, now: float) -> None:
+        for identity, known in list(self._dispatchers.items()):
+            if now - known.told > REPORT_LIFETIME:
+                self._replace_wanted(known, frozenset())
+                del self._dispatchers[identity]
 
-def add_wants(dispatchers: Iterable[DispatcherDemand], service: str) -> WantedByWorker:
-    """Per worker the weights that tables want there, with the share of dispatchers that want them."""
-    told = list(dispatchers)
-    shares: dict[str, dict[WeightsKey, float]] = defaultdict(lambda: defaultdict(float))
-    for known in told:
-        for item in known.wanted:
-            if item.service == service:
-                shares[item.worker][WeightsKey(item.model, item.adapter)] += 1.0 / len(told)
-    return shares
+    def _replace_wanted(self, known: DispatcherDemand, wanted: frozenset[WantedWeights]) -> None:
+        self._wants.update(wanted - known.wanted)
+        for item in known.wanted - wanted:
+            self._wants[item] -= 1
+            if not self._wants[item]:
+                del self._wants[item]
+        known.wanted = wanted
 
 
 def add_demands(demands: list[KeyDemand]) -> Demand:
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -280,6 +280,15 @@
         self.report(PEER, 2.0)
         self.assertNotIn(WORKER.id, self.demand.wanted("models"))
 
+    def test_what_a_silent_dispatcher_wanted_no_longer_counts(self) -> None:
+        wanted = (WantedWeights("models", WORKER.id, "small", "a1"),)
+        self.report(DISPATCHER, 0.0, wanted=wanted)
+        self.report(PEER, LONG_SILENCE)
+        self.demand.total("models", LONG_SILENCE)
+        self.assertEqual({}, dict(self.demand.wanted("models")))
+        self.report(DISPATCHER, LONG_SILENCE, wanted=wanted)
+        self.assertEqual(0.5, self.demand.wanted("models")[WORKER.id][KEY])
+
     def test_services_are_kept_apart(self) -> None:
         self.report(DISPATCHER, 0.0, KeyDemand("models", "small", "a1", 2.0, 1.0, 3, 0.5))
         self.assertEqual({}, self.demand.total("others", 0.0))
