--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -14,18 +14,9 @@
 from collections.abc import Callable, Hashable, Iterable
 from typing import Protocol
 
+from rookwood.cluster.frames import HEADER, FrameError, decode_message, encode_frame, frame_type, read_header
 from rookwood.cluster.invariants import INVARIANTS, Invariant
-from rookwood.cluster.messages import (
-    HEADER,
-    FrameError,
-    Heartbeat,
-    Hello,
-    Message,
-    decode_message,
-    encode_frame,
-    frame_type,
-    read_header,
-)
+from rookwood.cluster.messages import Heartbeat, Hello, Message
 from rookwood.cluster.outbox import Never, Outbox, subject_of
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.metrics.traffic import FEED_TRAFFIC, PEER_CORE, PEER_UNIDENTIFIED, peer_kind
--- a/rookwood/controlplane/configuration_feed.py
+++ b/rookwood/controlplane/configuration_feed.py
@@ -9,7 +9,8 @@
 import cachetools
 
 from rookwood.cluster.feed import Connection
-from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, encode_frame
+from rookwood.cluster.frames import encode_frame
+from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration
 from rookwood.cluster.outbox import Subject
 from rookwood.cluster.position import ConfigurationPosition
 from rookwood.clusterconfig.configuration_store import BUILD_ERRORS
--- a/rookwood/lab/systemstage/feed_relay.py
+++ b/rookwood/lab/systemstage/feed_relay.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 from rookwood.cluster.feed import CONNECT_LIMIT, LINK_ERRORS
-from rookwood.cluster.messages import HEADER, Message, decode_message, encode_frame
+from rookwood.cluster.frames import HEADER, decode_message, encode_frame
+from rookwood.cluster.messages import Message
 
 CHUNK = 4 * 1024
 WINDOW = 16 * 1024  # of frames that have passed the link and wait to be delivered
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -11,6 +11,7 @@
 
 from rookwood.cluster import feed
 from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedLink, FeedServer, LinkSet
+from rookwood.cluster.frames import encode_frame, read_message
 from rookwood.cluster.messages import (
     ConfigurationBody,
     FetchConfiguration,
@@ -20,8 +21,6 @@
     Status,
     WorkerGone,
     WorkerUpdates,
-    encode_frame,
-    read_message,
 )
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from tests.fake_worker import HOST, within
--- a/tests/test_cluster_messages.py
+++ b/tests/test_cluster_messages.py
@@ -7,14 +7,19 @@
 import unittest
 from typing import get_args
 
-from rookwood.cluster.messages import (
+from rookwood.cluster.frames import (
     HEADER,
     MAXIMUM_FRAME,
+    FrameError,
+    decode_message,
+    encode_frame,
+    read_message,
+)
+from rookwood.cluster.messages import (
     ConfigurationBody,
     ConfigurationDelta,
     DemandReport,
     FetchConfiguration,
-    FrameError,
     Heartbeat,
     Hello,
     KeyDemand,
@@ -25,9 +30,6 @@
     WorkerUpdates,
     WorkNotice,
     WorkNotices,
-    decode_message,
-    encode_frame,
-    read_message,
 )
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
 from rookwood.clusterconfig.items import Item, ItemChanges, ItemKey, Section
--- a/tests/test_configuration_deltas.py
+++ b/tests/test_configuration_deltas.py
@@ -8,13 +8,8 @@
 import unittest.mock
 from typing import Any
 
-from rookwood.cluster.messages import (
-    HEADER,
-    ConfigurationDelta,
-    decode_message,
-    encode_frame,
-    read_header,
-)
+from rookwood.cluster.frames import HEADER, decode_message, encode_frame, read_header
+from rookwood.cluster.messages import ConfigurationDelta
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.clusterconfig.configuration_store import (
     BUILD_ERRORS,
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -16,15 +16,8 @@
 from aiohttp import ClientError, ClientSession
 
 from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedServer
-from rookwood.cluster.messages import (
-    ConfigurationBody,
-    FetchConfiguration,
-    Hello,
-    Message,
-    Status,
-    encode_frame,
-    read_message,
-)
+from rookwood.cluster.frames import encode_frame, read_message
+from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Hello, Message, Status
 from rookwood.cluster.settings import SETTINGS_VARIABLE, parse_settings
 from rookwood.cluster.tasks import cancel_tasks
 from rookwood.controlplane.program import ControlPlane
--- a/tests/test_controlplane_confirmation.py
+++ b/tests/test_controlplane_confirmation.py
@@ -10,14 +10,8 @@
 from unittest import mock
 
 from rookwood.cluster.feed import Connection
-from rookwood.cluster.messages import (
-    HEADER,
-    ConfigurationBody,
-    FetchConfiguration,
-    Message,
-    decode_message,
-    encode_frame,
-)
+from rookwood.cluster.frames import HEADER, decode_message, encode_frame
+from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Message
 from rookwood.cluster.settings import parse_settings
 from rookwood.clusterconfig.control_document import ControlDocument
 from rookwood.controlplane import configuration_feed
--- a/tests/test_dataplane_counts.py
+++ b/tests/test_dataplane_counts.py
@@ -9,7 +9,8 @@
 from aiohttp import ClientSession, ClientTimeout
 
 from rookwood.cluster import feed
-from rookwood.cluster.messages import FetchConfiguration, Status, encode_frame
+from rookwood.cluster.frames import encode_frame
+from rookwood.cluster.messages import FetchConfiguration, Status
 from rookwood.dataplane.request_counts import EndedRequests, RefusalCause, RequestOutcome
 from rookwood.metrics.traffic import PEER_CORE, PEER_EDGE, Direction, MessageTraffic, Volume
 from tests.fake_worker import answering, held_back, streaming, streaming_until_broken, within
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,8 +12,9 @@
 from aiohttp import ClientSession
 from prometheus_client.metrics_core import Metric
 
+from rookwood.cluster.frames import HEADER, encode_frame, frame_type, read_header, read_message
 from rookwood.cluster.invariants import LOG_INTERVAL, Invariant, InvariantCounter
-from rookwood.cluster.messages import HEADER, Heartbeat, encode_frame, frame_type, read_header, read_message
+from rookwood.cluster.messages import Heartbeat
 from rookwood.cluster.metrics import configuration_families, invariant_families, traffic_families
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.cluster.primary_witness import PrimaryWitness
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -5,8 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from rookwood.cluster.frames import HEADER, decode_message, encode_frame, read_header
 from rookwood.cluster.messages import (
-    HEADER,
     ConfigurationBody,
     DemandReport,
     FetchConfiguration,
@@ -16,9 +16,6 @@
     WorkerGone,
     WorkerUpdates,
     WorkNotices,
-    decode_message,
-    encode_frame,
-    read_header,
 )
 from rookwood.cluster.outbox import Never, Outbox, subject_of
 from rookwood.cluster.workers import WorkerRecord, WorkerState
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,15 +8,8 @@
 import time
 import unittest
 
-from rookwood.cluster.messages import (
-    ConfigurationBody,
-    Heartbeat,
-    Hello,
-    Message,
-    Status,
-    encode_frame,
-    read_message,
-)
+from rookwood.cluster.frames import encode_frame, read_message
+from rookwood.cluster.messages import ConfigurationBody, Heartbeat, Hello, Message, Status
 from rookwood.lab.soak.changes import Acknowledgement, ChangeLog
 from rookwood.lab.soak.judge import Invariant, Probe, SoakJudge
 from rookwood.lab.soak.run import Plan, play
