--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -110,6 +110,7 @@
 
     position: ConfigurationPosition
     take_up: float | None
+    linked_at: float  # when it first reported over its link
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +149,8 @@
         if report is not None and report.position == position:
             return
         take_up = None if report is None else self._take_up(position)
-        self._reports[dispatcher] = DispatcherReport(position, take_up)
+        linked_at = self._clock() if report is None else report.linked_at
+        self._reports[dispatcher] = DispatcherReport(position, take_up, linked_at)
 
     def lost(self, dispatcher: str) -> None:
         """A dispatcher's link ended; it is counted again once it reports."""
@@ -162,12 +164,17 @@
             )
 
     def check(self, limit: float) -> None:
-        """Count dispatchers that lack a commit for longer than the limit, in seconds, as violations."""
+        """Count dispatchers that lack a commit for longer than the limit, in seconds, as violations.
+
+        One that has just linked has the whole limit from then on.
+        """
         if not self._periodic.has_run_for(limit):
             return
         for lag in self.lags():
+            linked_for = self._clock() - self._reports[lag.dispatcher].linked_at
             detail = f"{lag.dispatcher} has {lag.position}, {lag.behind:.1f} s after a newer commit"
-            self._invariants.check(lag.behind <= limit, Invariant.DISPATCHERS_IN_TIME, detail)
+            in_time = min(lag.behind, linked_for) <= limit
+            self._invariants.check(in_time, Invariant.DISPATCHERS_IN_TIME, detail)
 
     def _first_after(self, position: ConfigurationPosition) -> int:
         return bisect.bisect_right(self._commits, position, key=lambda commit: commit.position)
