Count changes that do not fit only where they follow the position in force

Cause: an answer to an earlier request may come when its base is older than the position in force, and not fit any more. That was counted as a violation of delta_fits, and the whole configuration was asked for. Change: such an answer is dropped; the next request tells the position in force. Changes since exactly this position that do not fit are a violation as before. The new test failed before (the whole was asked for, one violation), and passes.

--- a/rookwood/cluster/configuration_follower.py
+++ b/rookwood/cluster/configuration_follower.py
@@ -152,13 +152,19 @@
         self._advance(body.position, now)
 
     def take_delta(self, peer: str, delta: ConfigurationDelta, now: float) -> None:
-        """Changes came; those that do not fit are answered by asking for the whole."""
+        """Changes came; those since the position in force that do not fit make it ask for the whole.
+
+        Changes since an older position answer an earlier request. Those that do not fit any more are dropped:
+        the next request tells the position in force.
+        """
         self._answered(peer)
         if not delta.base <= self.position < delta.position or not self.confirmed:
             return
         if isinstance(self._take_changes(delta.changes, delta.digest), Applied):
             self._advance(delta.position, now)
             return
+        if delta.base < self.position:
+            return
         detail = f"{delta.base} to {delta.position} on {self.position}"
         self._invariants.violated(Invariant.DELTA_FITS, detail)
         self._needs_whole = True
--- a/tests/test_configuration_follower.py
+++ b/tests/test_configuration_follower.py
@@ -279,6 +279,14 @@
         self.receive(FIRST, ConfigurationBody(3, 8, b"whole", confirmed=False))
         self.assertEqual([b"start", b"whole"], self.configurations)
 
+    def test_a_late_answer_that_does_not_fit_any_more_is_no_violation(self) -> None:
+        self.start_at(7)
+        self.outcome = DigestMismatch()
+        self.receive(FIRST, replace(STATUS, config_sequence=9))
+        self.assertEqual(FetchConfiguration(9, False, 3, 7), self.receive(FIRST, self.delta(6, 8)))
+        self.assertEqual(ConfigurationPosition(3, 7), self.follower.position)
+        self.assertEqual(0, self.invariants.counts[Invariant.DELTA_FITS])
+
     def test_the_whole_is_asked_of_those_alone_that_have_news(self) -> None:
         for peer in (FIRST, SECOND):
             with self.subTest(news=peer):
