End a dispatcher without a late 502 and without losing an accepted connection

Accepting now ends some turns before the server is closed (dataplane/client_listener.py).

Tests: a short request 0.1 s before the closing time is refused (was sent before); a listener that is closed while connections come in each turn loses none (timed out without the change, for one of the two parities). The closing and exit margins of the test of all moments are 0.2 s smaller, as much as the new reserve takes, so that its bound for the last request served stays what it was.

--- a/rookwood/dataplane/closing.py
+++ b/rookwood/dataplane/closing.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 
 INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
+STALL_RESERVE = 0.2  # seconds for which this process may be held up, by its machine or by its own work
 
 
 class ClosingTime:
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -15,6 +15,7 @@
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
 from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.client_listener import ClientListener, turn_loop
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.closing import INGRESS_NOTICE
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
@@ -37,7 +38,6 @@
 SHUTDOWN_LIMIT = 0.1  # seconds that the library gives to connections which are still open then
 DRAIN_POLL = 0.05
 TIMER_MARGIN = 0.005  # seconds by which timers go off later than the moment that they wait for
-ACCEPT_TURNS = 4  # turns of the event loop from a connection in the backlog to its first bytes
 
 
 class DataPlane:
@@ -82,8 +82,9 @@
         )
         self._keep_house()
         clients = self._client_server(self._proxy)
-        runner = await self._serve_clients(clients)
-        runners = [runner, await self._serve_readiness()]
+        client_runner = web.ServerRunner(clients, handle_signals=False, shutdown_timeout=SHUTDOWN_LIMIT)
+        listener = await self._serve_clients(client_runner)
+        runners = [client_runner, await self._serve_readiness()]
         figures = DataPlaneMetrics(
             self._router,
             self._follower.progress,
@@ -98,7 +99,7 @@
         keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
         logger.info("data plane started")
         await run_until(self._stopping, [keeper])
-        await self._finish(self._proxy, clients, runner)
+        await self._finish(self._proxy, clients, listener)
         await cancel_tasks([keeper])
         await metrics.stop()
         self._links.close()
@@ -118,12 +119,12 @@
             max_field_size=HEADER_LIMIT,
         )
 
-    async def _serve_clients(self, server: ClientServer) -> web.ServerRunner:
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=SHUTDOWN_LIMIT)
+    async def _serve_clients(self, runner: web.ServerRunner) -> ClientListener:
         await runner.setup()
         address = self._settings.listen["edge"]
-        await web.TCPSite(runner, address.ip, address.port, backlog=1024).start()
-        return runner
+        listener = ClientListener(runner, address.ip, address.port)
+        await listener.start()
+        return listener
 
     async def _serve_readiness(self) -> web.ServerRunner:
         server = web.Server(self._answer_readiness, access_log=None)
@@ -140,7 +141,7 @@
         configured = self._router.configuration is not None and self._router.has_workers()
         return configured and not self._stopping.is_set()
 
-    async def _finish(self, proxy: Proxy, clients: ClientServer, runner: web.ServerRunner) -> None:
+    async def _finish(self, proxy: Proxy, clients: ClientServer, listener: ClientListener) -> None:
         """Serve until the platform noticed, then let what is under way end; answers are flushed."""
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -149,10 +150,7 @@
         logger.info("data plane drains", extra={"in_flight": proxy.in_flight})
         await asyncio.sleep(min(INGRESS_NOTICE, self._settings.bounds.grace - CLOSING_MARGIN))
         await self._await_clients(clients, killed_at - CLOSING_MARGIN - FIRST_REQUEST_LIMIT)
-        await turn_loop()  # takes in what waits to be accepted
-        for site in runner.sites:
-            await site.stop()
-        await turn_loop()
+        await listener.stop()
         await self._await_clients(clients, killed_at - EXIT_MARGIN)
         logger.info("data plane ends", extra={"connections": len(clients.connections)})
 
@@ -255,9 +253,3 @@
         connection = self._links.connection(peer) if self._links else None
         if connection is not None:
             connection.send(message)
-
-
-async def turn_loop() -> None:
-    """Let the event loop handle what has arrived on its sockets by now."""
-    for _ in range(ACCEPT_TURNS):
-        await asyncio.sleep(0)
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -28,7 +28,7 @@
     refusal_for,
 )
 from rookwood.dataplane.budget import RetryBudget
-from rookwood.dataplane.closing import ClosingTime
+from rookwood.dataplane.closing import STALL_RESERVE, ClosingTime
 from rookwood.dataplane.demand import DemandMeter
 from rookwood.dataplane.durations import DurationMeter
 from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
@@ -247,11 +247,11 @@
         """How long an attempt takes.
 
         Most attempts for a request that the platform sends here unknowing; hardly any exceeds it for one that
-        comes later, when clients have other dispatchers to go to.
+        comes later, when clients have other dispatchers to go to, even if this process is held up meanwhile.
         """
         if self._closing.unnoticed(request.arrived):
             return self._durations.likely(request, now)
-        return self._durations.upper(request, now)
+        return self._durations.upper(request, now) + STALL_RESERVE
 
     async def _attempt(
         self, client: web.BaseRequest, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
--- a/tests/test_dataplane_end.py
+++ b/tests/test_dataplane_end.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
@@ -16,6 +17,7 @@
 from rookwood.cluster.settings import NodeSettings
 from rookwood.clusterconfig.document import Route, RouteKind
 from rookwood.dataplane import closing, durations, program
+from rookwood.dataplane.client_listener import ClientListener, turn_loop
 from rookwood.dataplane.client_server import ClientConnection, ClientServer
 from rookwood.dataplane.closing import ClosingTime
 from rookwood.dataplane.durations import DurationEstimate, DurationMeter
@@ -37,7 +39,7 @@
 
 GRACE = 4.0
 NOTICE = 0.5
-MARGINS = {"CLOSING_MARGIN": 1.7, "EXIT_MARGIN": 1.4, "FIRST_REQUEST_LIMIT": 0.05, "DRAIN_POLL": 0.01}
+MARGINS = {"CLOSING_MARGIN": 1.5, "EXIT_MARGIN": 1.2, "FIRST_REQUEST_LIMIT": 0.05, "DRAIN_POLL": 0.01}
 STREAM_TIME = 0.4
 EVENTS = 4
 MOMENTS = 60
@@ -325,6 +327,19 @@
         self.assertEqual((503, True), (held.status, held.whole))
         self.assertEqual([], worker.requests_of("held"))
 
+    async def test_a_short_request_just_before_the_end_is_refused_as_a_stall_would_cut_it(self) -> None:
+        worker = await self.prepare(MUTATING, answering())
+        holding = await self.connect()
+        holding.write(request_bytes(MUTATING, "held")[:-1])
+        self.addAsyncCleanup(holding.rest)
+        closes_at = self.stop() + GRACE - program.CLOSING_MARGIN
+        late = await self.send_new(MUTATING, "late", closes_at - closing.STALL_RESERVE / 2)
+        assert late is not None
+        self.assertEqual((503, True), (late.status, late.whole))
+        self.assertIn(b"retry-after", late.headers)
+        self.assertEqual([], worker.requests_of("late"))
+        await within(self.running)
+
     async def test_idle_connections_are_closed_once_the_platform_noticed(self) -> None:
         await self.prepare(MUTATING, answering())
         idle = [await self.connect() for _ in range(5)]
@@ -498,7 +513,7 @@
         client = Client(*await asyncio.open_connection(HOST, self.runner.addresses[0][1]))
         while not self.server.connections:
             await asyncio.sleep(0)
-        await program.turn_loop()
+        await turn_loop()
         return client
 
     async def test_a_connection_without_a_request_is_closed(self) -> None:
@@ -513,8 +528,8 @@
         client = await self.connect()
         whole = request_bytes("/", "id")
         client.write(whole[:20])
-        await program.turn_loop()
-        await program.turn_loop()
+        await turn_loop()
+        await turn_loop()
         self.server.close_idle(0.0)
         client.write(whole[20:])
         self.assertIn(b"200", await within(client.reader.readline()))
@@ -527,10 +542,70 @@
         self.release.set()
         self.assertIn(b"200", await within(client.reader.readline()))
         self.assertIn(b"ok", await within(client.reader.readuntil(b"ok")))
-        await program.turn_loop()
+        await turn_loop()
         self.server.close_idle(0.0)
         self.assertEqual(b"", await within(client.rest()))
 
 
+class ClientListenerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        server = ClientServer(self.answer, access_log=None)
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.05)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        self.listener = ClientListener(runner, HOST, 0)
+        await self.listener.start()
+        self.clients: list[socket.socket] = []
+        self.connecting = True
+        self.failures: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: self.failures.append(context))
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.Response(text="ok")
+        response.force_close()
+        return response
+
+    def connect_each_turn(self) -> None:
+        """Open a connection with a whole request in this turn of the event loop, and in each that follows."""
+        if not self.connecting:
+            return
+        try:
+            client = socket.create_connection((HOST, self.listener.port))
+        except OSError:
+            return
+        client.sendall(request_bytes("/", str(len(self.clients))))
+        self.clients.append(client)
+        asyncio.get_running_loop().call_soon(self.connect_each_turn)
+
+    async def stop_after(self, connections: int) -> None:
+        """Close the listener among connections; errors of the event loop, such as lost ones, are failures."""
+        self.connect_each_turn()
+        while len(self.clients) < connections:
+            await asyncio.sleep(0)
+        await self.listener.stop()
+        self.connecting = False
+        answers = await within(asyncio.gather(*(self.read_all(client) for client in self.clients)))
+        self.assertEqual([], self.failures)
+        answered = [answer for answer in answers if answer]
+        self.assertGreaterEqual(len(answered), connections)
+        for answer in answered:
+            self.assertIn(b" 200 ", answer)
+
+    async def test_no_accepted_connection_is_lost_by_a_stop_in_the_turn_of_an_accept(self) -> None:
+        await self.stop_after(10)
+
+    async def test_no_accepted_connection_is_lost_by_a_stop_in_the_turn_after_an_accept(self) -> None:
+        """Each accept takes in the connections of two turns, so the other one is tested too."""
+        await self.stop_after(11)
+
+    @staticmethod
+    async def read_all(client: socket.socket) -> bytes:
+        """All that comes until the end; nothing from a connection that was never accepted."""
+        client.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=client)
+        return await Client(reader, writer).rest()
+
+
 if __name__ == "__main__":
     unittest.main()
