Say that there is no route only by an answer to an own heartbeat

Cause (left open by the incident): a status that a control machine sent before a dispatcher stood still, or that came over a slow link, was taken for news of the moment at which it was read. For up to a second the dispatcher then held an old configuration for the newest and answered 404 for a route that was acknowledged. Ruled out: detecting the pause in the dispatcher alone; what is left in the socket's buffer cannot be told from news, and a slow link shows no pause. Change: control machines answer a dispatcher's heartbeat with its time by the dispatcher's own clock; the level counts from that time. A newer position in such an answer is news like that of a status.

--- a/rookwood/cluster/configuration_follower.py
+++ b/rookwood/cluster/configuration_follower.py
@@ -18,6 +18,7 @@
     ConfigurationBody,
     ConfigurationDelta,
     FetchConfiguration,
+    HeartbeatAnswer,
     Message,
     Status,
 )
@@ -30,7 +31,7 @@
 # Four machines can be asked in turn within the shortest time in which a change must be in force.
 ANSWER_LIMIT = 0.5  # seconds
 PREFERENCE_PAUSE = 0.03  # seconds by which a machine is asked later for each one that is preferred to it
-LEVEL_AGE = 1.0  # seconds for which what a machine told is taken for its present state
+LEVEL_AGE = 1.0  # seconds since a heartbeat for which its answer is taken for the present state
 AVOIDANCE = 2.0  # seconds for which a machine that did not answer is the last to be asked
 
 TakeWhole = Callable[[bytes], ApplyOutcome]
@@ -47,13 +48,16 @@
 
 @dataclass(slots=True)
 class Announcement:
-    """The newest position that a control machine told, and when it first told one beyond ours."""
+    """The newest position that a control machine told, and when it first told one beyond ours.
+
+    `confirmed_at` is when the last heartbeat was sent that it answered while in touch with the primary.
+    """
 
     position: ConfigurationPosition
     primary: bool
     fresh: bool
-    told_at: float
     since: float
+    confirmed_at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +110,13 @@
         return max(announced, default=NO_CONFIGURATION)
 
     def is_level(self, now: float) -> bool:
-        """Whether a machine in touch with the primary just announced this position, and none a newer one."""
+        """Whether a machine in touch with the primary just confirmed this position, and none told a newer.
+
+        Only the answer to a heartbeat confirms. A status does not tell when it was sent: this process may
+        have stood still since, or the link may be slow.
+        """
         informed = any(
-            known.fresh and now - known.told_at < LEVEL_AGE for known in self._announcements.values()
+            known.fresh and now - known.confirmed_at < LEVEL_AGE for known in self._announcements.values()
         )
         return informed and self.newest <= self.position
 
@@ -116,6 +124,8 @@
         """Take in a message; those that tell nothing of configurations are passed over."""
         if isinstance(message, Status):
             self.announced(peer, message, now)
+        elif isinstance(message, HeartbeatAnswer):
+            self.confirmed_by(peer, message, now)
         elif isinstance(message, ConfigurationBody):
             self.take_whole(peer, message, now)
         elif isinstance(message, ConfigurationDelta):
@@ -127,11 +137,28 @@
         if status.config_sequence <= 0:
             self._announcements.pop(peer, None)
             return
+        announcement = Announcement(position, status.claims_primary, status.fresh, since=now)
         known = self._announcements.get(peer)
-        since = known.since if known is not None and known.position > self.position else now
-        self._announcements[peer] = Announcement(position, status.claims_primary, status.fresh, now, since)
+        if known is not None:
+            announcement.confirmed_at = known.confirmed_at
+            if known.position > self.position:
+                announcement.since = known.since
+        self._announcements[peer] = announcement
         self.progress.announce(position)
 
+    def confirmed_by(self, peer: str, answer: HeartbeatAnswer, now: float) -> None:
+        """A control machine answered a heartbeat; its status came before."""
+        known = self._announcements.get(peer)
+        if known is None:
+            return
+        if answer.position > known.position:
+            if known.position <= self.position:
+                known.since = now
+            known.position = answer.position
+            self.progress.announce(answer.position)
+        known.fresh = answer.fresh
+        known.confirmed_at = answer.heartbeat_sent_at
+
     def unlinked(self, peer: str) -> None:
         """The link to a control machine ended; what was asked there is not answered any more."""
         self._announcements.pop(peer, None)
--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -310,7 +310,8 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL)
             position = self._position()
-            connection.send(Heartbeat(self._hello.identity, position.epoch, position.sequence))
+            sent_at = asyncio.get_running_loop().time()
+            connection.send(Heartbeat(self._hello.identity, position.epoch, position.sequence, sent_at))
 
 
 class LinkSet:
--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -19,6 +19,7 @@
     DemandReport,
     FetchConfiguration,
     Heartbeat,
+    HeartbeatAnswer,
     Hello,
     KeyDemand,
     Message,
@@ -137,7 +138,11 @@
     ),
     WorkNotices: _record("WorkNotices", ("notices", _array(_WORK_NOTICE))),
     Heartbeat: _record(
-        "Heartbeat", ("identity", "string"), ("config_epoch", "long"), ("config_sequence", "long")
+        "Heartbeat",
+        ("identity", "string"),
+        ("config_epoch", "long"),
+        ("config_sequence", "long"),
+        ("sent_at", "double"),
     ),
     ConfigurationDelta: _record(
         "ConfigurationDelta",
@@ -149,6 +154,13 @@
         ("removed", _array(_record("ItemKey", ("section", "string"), ("name", "bytes")))),
         ("digest", _DIGEST),
     ),
+    HeartbeatAnswer: _record(
+        "HeartbeatAnswer",
+        ("heartbeat_sent_at", "double"),
+        ("config_epoch", "long"),
+        ("config_sequence", "long"),
+        ("fresh", "boolean"),
+    ),
 }
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
 _TYPES: tuple[type, ...] = tuple(_SCHEMAS)
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -181,11 +181,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Keeps a link known to be alive, and tells by which configuration its sender serves."""
+    """Keeps a link known to be alive, and tells by which configuration its sender serves.
+
+    `sent_at` is the time by the sender's own clock, in seconds; the answer repeats it.
+    """
 
     identity: str
     config_epoch: int = NO_CONFIGURATION.epoch
     config_sequence: int = NO_CONFIGURATION.sequence
+    sent_at: float = 0.0
 
     @property
     def position(self) -> ConfigurationPosition:
@@ -193,6 +197,25 @@
         return ConfigurationPosition(self.config_epoch, self.config_sequence)
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatAnswer:
+    """What a control machine knew after it read a heartbeat: its newest committed position.
+
+    `fresh`: it was in touch with the primary. `heartbeat_sent_at` is the heartbeat's `sent_at`: whatever this
+    answer tells held later than that, however long the answer was on its way.
+    """
+
+    heartbeat_sent_at: float
+    config_epoch: int
+    config_sequence: int
+    fresh: bool
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """The position of the newest committed configuration."""
+        return ConfigurationPosition(self.config_epoch, self.config_sequence)
+
+
 Message = (
     Hello
     | Status
@@ -204,4 +227,5 @@
     | DemandReport
     | WorkNotices
     | Heartbeat
+    | HeartbeatAnswer
 )
--- a/rookwood/cluster/outbox.py
+++ b/rookwood/cluster/outbox.py
@@ -17,6 +17,7 @@
     DemandReport,
     FetchConfiguration,
     Heartbeat,
+    HeartbeatAnswer,
     Hello,
     Message,
     Status,
@@ -31,6 +32,7 @@
 
     STATUS = enum.auto()
     HEARTBEAT = enum.auto()
+    HEARTBEAT_ANSWER = enum.auto()
     QUESTION = enum.auto()
     CONFIGURATION = enum.auto()
     DEMAND = enum.auto()
@@ -56,6 +58,8 @@
             return Subject.STATUS
         case Heartbeat():
             return Subject.HEARTBEAT
+        case HeartbeatAnswer():
+            return Subject.HEARTBEAT_ANSWER
         case FetchConfiguration():
             return Subject.QUESTION
         case ConfigurationBody() | ConfigurationDelta():
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 from collections.abc import Iterable
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     DemandReport,
     FetchConfiguration,
     Heartbeat,
+    HeartbeatAnswer,
     Hello,
     Message,
     Status,
@@ -59,6 +61,15 @@
 SETTLED_BEATS = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class KnownPrimary:
+    """The primary as far as this machine knows; `fresh` while this machine is in touch with it."""
+
+    address: str
+    epoch: int
+    fresh: bool
+
+
 class ControlPlane:
     """Wires the parts of a control machine together."""
 
@@ -156,21 +167,24 @@
             seeds = {seed.ip for seed in self._file.settings.seeds}
             self._links.want(seeds | set(self.group.members()) | self._view.members())
 
-    def _status(self) -> Status:
+    def _known_primary(self) -> KnownPrimary:
         role = self.group.role()
-        snapshot = self.group.snapshot()
-        primary, epoch, fresh = "", 0, False
         if isinstance(role, Primary):
-            primary, epoch, fresh = self._settings.ip, role.epoch, True
-        elif isinstance(role, Backup):
-            primary, epoch, fresh = role.primary, role.epoch, role.fresh
+            return KnownPrimary(self._settings.ip, role.epoch, fresh=True)
+        if isinstance(role, Backup):
+            return KnownPrimary(role.primary, role.epoch, role.fresh)
+        return KnownPrimary("", 0, fresh=False)
+
+    def _status(self) -> Status:
+        known = self._known_primary()
+        snapshot = self.group.snapshot()
         uptime = asyncio.get_running_loop().time() - self._started
         dispatchers = {c.hello.identity for c in self._feed.connections if c.hello and not is_core(c)}
         return Status(
             identity=self._settings.ip,
-            epoch=epoch,
-            primary=primary,
-            fresh=fresh,
+            epoch=known.epoch,
+            primary=known.address,
+            fresh=known.fresh,
             settled=uptime > SETTLED_BEATS * self._settings.beat,
             config_epoch=snapshot.epoch,
             config_sequence=snapshot.sequence,
@@ -178,6 +192,11 @@
             members=self.group.members(),
         )
 
+    def _heartbeat_answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
+        snapshot = self.group.snapshot()
+        fresh = self._known_primary().fresh
+        return HeartbeatAnswer(heartbeat.sent_at, snapshot.epoch, snapshot.sequence, fresh)
+
     def _send_status(self) -> None:
         status = self._status()
         self._view.received(self._settings.ip, status, asyncio.get_running_loop().time())
@@ -237,6 +256,7 @@
         elif isinstance(message, Heartbeat):
             if connection.hello is not None and not is_core(connection):
                 self.dispatchers.reported(connection.hello.identity, message.position)
+                connection.send(self._heartbeat_answer(message))
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
         elif isinstance(message, WorkNotices):
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -185,8 +185,13 @@
             self.open_link(recorder)
             loop = asyncio.get_running_loop()
             began = loop.time()
+            sent_at = began
             while loop.time() - began < 2 * KEPT_SILENCE:
-                self.assertEqual(Heartbeat(HELLO.identity), await within(self.handler.messages.get()))
+                heartbeat = await within(self.handler.messages.get())
+                assert isinstance(heartbeat, Heartbeat)
+                self.assertEqual(Heartbeat(HELLO.identity, sent_at=heartbeat.sent_at), heartbeat)
+                self.assertGreater(heartbeat.sent_at, sent_at)
+                sent_at = heartbeat.sent_at
                 self.server.broadcast(STATUS)
             self.assertTrue(self.handler.losses.empty())
             self.assertTrue(recorder.losses.empty())
--- a/tests/test_cluster_messages.py
+++ b/tests/test_cluster_messages.py
@@ -21,6 +21,7 @@
     DemandReport,
     FetchConfiguration,
     Heartbeat,
+    HeartbeatAnswer,
     Hello,
     KeyDemand,
     Message,
@@ -71,6 +72,8 @@
     WorkNotices((WorkNotice("10.1.0.5", "i-7f3a91c2", 0.25, (2**55, 0)), WorkNotice("", "", 0.0, ()))),
     Heartbeat("10.0.0.4"),
     Heartbeat("10.0.0.4", 6, 91),
+    Heartbeat("10.0.0.4", 6, 91, 1234.5678),
+    HeartbeatAnswer(1234.5678, 6, 91, True),
     ConfigurationDelta(
         epoch=7,
         sequence=2,
--- a/tests/test_configuration_follower.py
+++ b/tests/test_configuration_follower.py
@@ -11,6 +11,7 @@
     ConfigurationBody,
     ConfigurationDelta,
     FetchConfiguration,
+    HeartbeatAnswer,
     Message,
     Status,
 )
@@ -22,6 +23,8 @@
 FIRST, SECOND = "10.0.0.1", "10.0.0.2"
 STATUS = Status(FIRST, 3, FIRST, True, True, 3, 7, 4, (FIRST, SECOND))
 START = 100.0
+HEARTBEAT_AT = START - 0.1
+ANSWER = HeartbeatAnswer(HEARTBEAT_AT, 3, 7, fresh=True)
 NO_CHANGES = ItemChanges((), ())
 DIGEST = 17
 
@@ -204,13 +207,41 @@
     def test_nothing_is_to_be_done_while_level(self) -> None:
         self.start_at(7)
         self.receive(FIRST, STATUS)
+        self.receive(FIRST, ANSWER)
         self.assertIsNone(self.follower.next_wakeup(START))
         self.assertTrue(self.follower.is_level(START))
 
-    def test_what_was_announced_a_while_ago_makes_nobody_level(self) -> None:
+    def test_a_status_that_may_be_old_makes_nobody_level(self) -> None:
+        """It may have been sent before this process stood still."""
         self.start_at(7)
         self.receive(FIRST, STATUS)
-        self.assertFalse(self.follower.is_level(START + LEVEL_AGE))
+        self.assertFalse(self.follower.is_level(START))
+
+    def test_an_answer_to_a_heartbeat_that_was_sent_a_while_ago_makes_nobody_level(self) -> None:
+        self.start_at(7)
+        self.receive(FIRST, STATUS)
+        thawed_at = HEARTBEAT_AT + LEVEL_AGE
+        self.receive(FIRST, STATUS, thawed_at)
+        self.receive(FIRST, ANSWER, thawed_at)
+        self.assertFalse(self.follower.is_level(thawed_at))
+
+    def test_an_answer_with_a_newer_position_is_news(self) -> None:
+        self.start_at(7)
+        self.receive(FIRST, STATUS)
+        newer = replace(ANSWER, config_sequence=8)
+        self.assertEqual(FetchConfiguration(8, False, 3, 7), self.receive(FIRST, newer))
+        self.assertFalse(self.follower.is_level(START))
+        self.receive(FIRST, self.delta(7, 8))
+        self.assertTrue(self.follower.is_level(START))
+
+    def test_a_status_after_the_answer_keeps_what_the_answer_confirmed(self) -> None:
+        self.start_at(7)
+        self.receive(FIRST, STATUS)
+        self.receive(FIRST, ANSWER)
+        self.receive(FIRST, STATUS)
+        self.assertTrue(self.follower.is_level(START))
+        self.receive(FIRST, replace(STATUS, config_sequence=8))
+        self.assertFalse(self.follower.is_level(START))
 
     def test_an_answer_that_is_coming_is_not_overdue(self) -> None:
         self.start_at(7)
@@ -232,13 +263,21 @@
     def test_a_machine_out_of_touch_makes_nobody_level(self) -> None:
         self.start_at(7)
         self.receive(FIRST, replace(STATUS, fresh=False))
+        self.receive(FIRST, replace(ANSWER, fresh=False))
+        self.assertFalse(self.follower.is_level(START))
+        self.receive(FIRST, ANSWER)
+        self.assertTrue(self.follower.is_level(START))
+        self.receive(FIRST, replace(STATUS, fresh=False))
         self.assertFalse(self.follower.is_level(START))
 
     def test_without_a_link_nobody_is_level(self) -> None:
         self.start_at(7)
         self.receive(FIRST, STATUS)
+        self.receive(FIRST, ANSWER)
         self.follower.unlinked(FIRST)
         self.assertFalse(self.follower.is_level(START))
+        self.receive(FIRST, ANSWER)
+        self.assertFalse(self.follower.is_level(START))
 
 
 class DeltaTests(FollowerCase):
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -18,6 +18,8 @@
     ConfigurationBody,
     DemandReport,
     FetchConfiguration,
+    Heartbeat,
+    HeartbeatAnswer,
     Message,
     Status,
     WorkerUpdates,
@@ -45,6 +47,7 @@
         self.source = b""
         self.fresh = True
         self.confirms = True
+        self.answers_heartbeats = True
         self.asked: list[FetchConfiguration] = []
         self.messages: asyncio.Queue[Message] = asyncio.Queue()
         self.server = FeedServer(self)
@@ -63,6 +66,11 @@
         if isinstance(message, FetchConfiguration):
             self.asked.append(message)
             connection.send(ConfigurationBody(1, 1, self.source, confirmed=self.confirms))
+        elif isinstance(message, Heartbeat):
+            if self.answers_heartbeats:
+                connection.send(
+                    HeartbeatAnswer(message.sent_at, 1, self.status().config_sequence, self.fresh)
+                )
         elif isinstance(message, DemandReport):
             self.messages.put_nowait(message)
 
@@ -167,6 +175,21 @@
         await self.feed()
         self.assertEqual((200, b"answer"), await self.send(MUTATING))
 
+    async def test_it_says_that_there_is_no_route_once_a_heartbeat_was_answered(self) -> None:
+        """What a control machine tells unasked may have been on its way for any time."""
+        self.control.answers_heartbeats = False
+        await self.start_worker(FakeWorker(answering()))
+        await self.feed()
+        status, _ = await self.send("/nowhere/")
+        self.assertEqual(503, status)
+        self.control.answers_heartbeats = True
+
+        async def no_route() -> None:
+            while (await self.send("/nowhere/"))[0] != 404:
+                pass
+
+        await within(no_route())
+
     async def test_it_serves_nothing_of_a_control_machine_that_lost_its_primary(self) -> None:
         self.control.fresh = False
         await self.offer_unconfirmed()
