Split the proxy: repeats, time limits, copying of streams, requests to workers

No behaviour changed but that the reading time of a prompt is computed also where the worker has no room.

--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -20,23 +20,22 @@
     Refusal,
     RequestProgress,
     Rerouted,
-    StreamBroke,
     StreamEnded,
     complete_response,
     end_incomplete,
     read_body,
     refusal_for,
 )
+from rookwood.dataplane.attempt_limits import WAIT_SHARE, AttemptLimits
 from rookwood.dataplane.budget import RetryBudget
-from rookwood.dataplane.closing import STALL_RESERVE, ClosingTime
 from rookwood.dataplane.demand import DemandMeter
-from rookwood.dataplane.durations import DurationMeter
-from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
+from rookwood.dataplane.repeats import MINIMUM_ATTEMPT, RepeatRules
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
 from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
+from rookwood.dataplane.stream_relay import SILENT, copy_events
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
     Complete,
@@ -47,27 +46,17 @@
     UpstreamRequest,
     read_load,
 )
+from rookwood.dataplane.upstream_requests import MILLISECONDS, build_upstream_request, choose_urgency
 from rookwood.httpclient.outcomes import Broken, NotSent
 from rookwood.modelplacement.types import Outcome
 
 logger = logging.getLogger("rookwood")
 
 DEFAULT_BODY_LIMIT = 4 * 1024 * 1024
-MILLISECONDS = 1000.0
-MINIMUM_ATTEMPT = 0.02  # seconds that must be left for an attempt to be worth sending
-ANSWER_MARGIN = 0.005
-MAXIMUM_CONNECTION_FAILURES = 3
-WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 STARTUP_PATIENCE = 2.0  # seconds for which a request waits for the first configuration
 ROUTE_PATIENCE = 0.4  # seconds for which a request without a route waits for a newer configuration
 RETRY_ELSEWHERE = 0.1  # seconds; this process ends, other dispatchers serve on
 FIRST_SERVER_ERROR = 500
-SILENT = "silence"
-SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
-SHORT_URGENCY = 1
-RANK_OFFSET = 2
-LAST_RANK = 7
-ROOM_SHARE = 0.6
 QUIET_BACKLOG = 0.01  # seconds; a prompt sent with less before it tells the worker's reading speed
 
 
@@ -93,20 +82,20 @@
         self._on_work = on_work
         self.in_flight = 0
         self.counts = RequestCounts()
-        self._durations = DurationMeter()
-        self._closing = ClosingTime()
+        self._limits = AttemptLimits()
+        self._repeats = RepeatRules(router, budget)
 
     @property
     def draining(self) -> bool:
         """Whether the process is about to end."""
-        return self._closing.known
+        return self._limits.closing.known
 
     def drain(self, closes_at: float) -> None:
         """Let connections end after their next answer, and whatever is under way at `closes_at`.
 
         What can't be expected to end by then is refused from now on.
         """
-        self._closing.set(closes_at, self._now())
+        self._limits.closing.set(closes_at, self._now())
         self._router.notify()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -140,7 +129,7 @@
         scope = asyncio.timeout(None)
         try:
             async with scope:
-                with self._closing.register(scope):
+                with self._limits.closing.register(scope):
                     return await self._route(request, progress)
         except TimeoutError:
             if not scope.expired():
@@ -228,31 +217,16 @@
             worker = await self._find_worker(client, request, progress)
             if self._is_rerouted(client, request, progress):
                 return Rerouted()
-            if progress.response is None and not self._ends_in_time(request):
+            if progress.response is None and not self._limits.ends_in_time(request, self._now()):
                 worker = Refusal(503, "the dispatcher ends", RETRY_ELSEWHERE)
             if isinstance(worker, Refusal):
                 return self._give_up(client, request, progress, worker)
             outcome = await self._attempt(client, request, worker, progress)
             if isinstance(outcome, web.StreamResponse):
                 return outcome
-            if not self._may_repeat(request, progress, outcome):
+            if not self._repeats.may_repeat(request, progress, outcome, self._now()):
                 return self._give_up(client, request, progress, refusal_for(request, progress, outcome))
 
-    def _ends_in_time(self, request: RoutedRequest) -> bool:
-        """Whether an attempt that begins now can be expected to end before this process."""
-        now = self._now()
-        return self._closing.allows(self._expected_duration(request, now), now)
-
-    def _expected_duration(self, request: RoutedRequest, now: float) -> float:
-        """How long an attempt takes.
-
-        Most attempts for a request that the platform sends here unknowing; hardly any exceeds it for one that
-        comes later, when clients have other dispatchers to go to, even if this process is held up meanwhile.
-        """
-        if self._closing.unnoticed(request.arrived):
-            return self._durations.likely(request, now)
-        return self._durations.upper(request, now) + STALL_RESERVE
-
     async def _attempt(
         self, client: web.BaseRequest, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
     ) -> web.StreamResponse | NotSent | Rejected | Broken:
@@ -270,9 +244,8 @@
         self.counts.attempts += 1
         result = Outcome.FAILED
         try:
-            sending = self._client.send(
-                worker.address, self._upstream_request(request, worker, progress), request.deadline
-            )
+            upstream_request = self._upstream_request(request, worker, traffic, progress)
+            sending = self._client.send(worker.address, upstream_request, request.deadline)
             outcome = await self._await_head(request, progress, traffic, sending)
             self._learn(request, worker, outcome)
             result = placement_outcome(request, outcome, self._now())
@@ -281,10 +254,10 @@
                 if quiet and request.key is not None:
                     self._router.speed.observe(request.key.model, tokens, self._now() - began)
                 relayed = await self._relay(client, request, worker, outcome, progress)
-                self._durations.observe(request, answered - began, self._now() - answered, self._now())
+                self._limits.durations.observe(request, answered - began, self._now() - answered, self._now())
                 return relayed
             if isinstance(outcome, Complete):
-                self._durations.observe(request, answered - began, 0.0, answered)
+                self._limits.durations.observe(request, answered - began, 0.0, answered)
                 return self._finish_complete(request, outcome, progress)
             return outcome
         finally:
@@ -312,24 +285,12 @@
         self, request: RoutedRequest, progress: RequestProgress, traffic: WorkerTraffic
     ) -> SilenceWatch:
         def should_leave(since: float) -> bool:
-            return traffic.silent(self._now(), since) and self._may_move(request, progress)
+            return traffic.silent(self._now(), since) and self._repeats.may_move(
+                request, progress, self._now()
+            )
 
         return SilenceWatch(should_leave)
 
-    def _may_move(self, request: RoutedRequest, progress: RequestProgress) -> bool:
-        """Whether a request at a silent worker may go to another one; takes the repeat from the budget."""
-        now = self._now()
-        if not request.repeatable or progress.passed_without_id:
-            return False
-        if progress.sends >= request.route.tries:
-            return False
-        if request.deadline - now < MINIMUM_ATTEMPT:
-            return False
-        if self._router.choose(request, progress.excluded, now) is None:
-            return False
-        progress.repeat_granted = self._budget.take(request.service, now)
-        return progress.repeat_granted
-
     def _finish_complete(
         self, request: RoutedRequest, outcome: Complete, progress: RequestProgress
     ) -> web.StreamResponse | Broken:
@@ -342,30 +303,16 @@
         return complete_response(outcome)
 
     def _upstream_request(
-        self, request: RoutedRequest, worker: WorkerRecord, progress: RequestProgress
+        self,
+        request: RoutedRequest,
+        worker: WorkerRecord,
+        traffic: WorkerTraffic,
+        progress: RequestProgress,
     ) -> UpstreamRequest:
-        headers = request.headers.copy()
-        left = max(1.0, (request.deadline - self._now()) * MILLISECONDS)
-        headers[names.TIME_LEFT] = str(int(left))
-        headers[names.WANT_INSTANCE] = worker.id
-        headers[names.PRIORITY] = str(self._urgency(request, worker))
-        if progress.last_event is not None:
-            headers[names.LAST_EVENT_ID] = progress.last_event.decode("latin-1")
-        return UpstreamRequest(request.method, request.target, headers, request.body, request.id)
-
-    def _urgency(self, request: RoutedRequest, worker: WorkerRecord) -> int:
-        """The request's place in the worker's order of admission, 0 first.
-
-        The route's rank decides, but a prompt that is read in a moment goes first while there is room: it
-        delays the others by next to nothing and would otherwise wait for all of them.
-        """
-        rank = max(0, min(LAST_RANK, request.route.priority))
-        traffic = self._pool.get(worker.id)
         now = self._now()
-        room = traffic.load(now) < ROOM_SHARE * worker.slots
-        if room and self._router.prefill_seconds(traffic, request) < SHORT_READ:
-            return SHORT_URGENCY
-        return rank + RANK_OFFSET
+        prefill = self._router.prefill_seconds(traffic, request)
+        urgency = choose_urgency(request, worker, traffic, prefill, now)
+        return build_upstream_request(request, worker, urgency, progress.last_event, now)
 
     def _learn(self, request: RoutedRequest, worker: WorkerRecord, outcome: UpstreamOutcome) -> None:
         """Note what an outcome tells of the worker."""
@@ -400,7 +347,8 @@
             await progress.response.prepare(client)
         try:
             traffic = self._pool.get(worker.id)
-            ended = await self._copy_events(request, stream, progress, progress.response, traffic)
+            watch = self._watch(request, progress, traffic)
+            ended = await copy_events(stream, progress, progress.response, traffic, watch, request.deadline)
         except ConnectionResetError:  # the client has left; errors of the worker's side are values
             progress.response[OUTCOME_KEY] = RequestOutcome.ABANDONED
             end_incomplete(client)
@@ -414,44 +362,6 @@
             self._pool.get(worker.id).failed(self._now())
         return Broken(ended.why)
 
-    async def _copy_events(
-        self,
-        request: RoutedRequest,
-        stream: Streaming,
-        progress: RequestProgress,
-        response: web.StreamResponse,
-        traffic: WorkerTraffic,
-    ) -> StreamEnded | StreamBroke:
-        splitter = EventSplitter()
-        ended: StreamEnded | StreamBroke = StreamBroke(SILENT)
-        try:
-            async with asyncio.timeout_at(request.deadline), self._watch(request, progress, traffic) as watch:
-                while data := await stream.answer.read_some():
-                    if isinstance(data, Broken):
-                        return StreamBroke(data.why)
-                    watch.renew()
-                    traffic.heard = self._now()
-                    await self._pass_events(splitter.feed(data), progress, response)
-                ended = StreamBroke("partial event") if splitter.partial else StreamEnded()
-        except TimeoutError:
-            return StreamBroke("deadline")
-        except OversizedEventError:
-            return StreamBroke("oversized event")
-        return ended
-
-    @staticmethod
-    async def _pass_events(
-        events: list[Event], progress: RequestProgress, response: web.StreamResponse
-    ) -> None:
-        for event in events:
-            if is_repeated(event, progress.last_event):
-                continue
-            if event.id is not None:
-                progress.last_event = event.id
-            elif progress.last_event is None:
-                progress.passed_without_id = True
-            await response.write(event.raw)
-
     async def _find_worker(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
     ) -> WorkerRecord | Refusal:
@@ -460,7 +370,7 @@
         worker = self._router.choose(request, progress.excluded, now)
         if worker is not None and request.deadline - now > MINIMUM_ATTEMPT:
             return worker
-        if now >= self._wait_limit(request) or not self._worth_waiting(request, progress):
+        if now >= self._limits.wait_limit(request, now) or not self._worth_waiting(request, progress):
             return Refusal(503, "no worker", RETRY_SOON)
         if request.key is None:
             found = await self._await_worker(client, request, progress)
@@ -479,7 +389,7 @@
     async def _await_worker(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
     ) -> WorkerRecord | None:
-        while await self._router.wait_change(self._wait_limit(request)):
+        while await self._router.wait_change(self._limits.wait_limit(request, self._now())):
             if self._is_rerouted(client, request, progress):
                 return None
             worker = self._router.choose(request, progress.excluded, self._now())
@@ -487,41 +397,6 @@
                 return worker
         return None
 
-    def _wait_limit(self, request: RoutedRequest) -> float:
-        """Until when a request may wait for its weights; its attempt must end before this process does."""
-        until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + self._patience(request))
-        if self._closing.at is None:
-            return until
-        return min(until, self._closing.at - self._expected_duration(request, self._now()))
-
-    @staticmethod
-    def _patience(request: RoutedRequest) -> float:
-        """How long a request may wait for its weights, in seconds."""
-        return WAIT_SHARE * (request.deadline - request.arrived)
-
-    def _may_repeat(
-        self, request: RoutedRequest, progress: RequestProgress, outcome: NotSent | Rejected | Broken
-    ) -> bool:
-        """Whether another worker may be tried after this outcome."""
-        now = self._now()
-        if request.deadline - now < MINIMUM_ATTEMPT:
-            progress.may_have_run = progress.may_have_run or isinstance(outcome, Broken)
-            return False
-        if isinstance(outcome, NotSent):
-            progress.sends -= 1
-            progress.connection_failures += 1
-            return progress.connection_failures < MAXIMUM_CONNECTION_FAILURES
-        if isinstance(outcome, Broken):
-            progress.may_have_run = True
-            if not request.repeatable or progress.passed_without_id:
-                return False
-        if progress.repeat_granted:
-            progress.repeat_granted = False
-            return True
-        if progress.sends >= request.route.tries:
-            return False
-        return self._budget.take(request.service, now)
-
     def _give_up(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress, refusal: Refusal
     ) -> web.StreamResponse:
