--- a/rookwood/cli/control.py
+++ b/rookwood/cli/control.py
@@ -19,13 +19,13 @@
     request_transfer,
 )
 from rookwood.cli.control_recover import recover
-from rookwood.cluster.control_status import MachineHistory, MachineStatus
+from rookwood.cli.control_text import history_text, status_text
+from rookwood.cluster.control_status import MachineHistory
 from rookwood.cluster.settings import settings_path
 
 EXIT_DONE, EXIT_UNREACHABLE, EXIT_MISUSE, EXIT_BROKEN = 0, 1, 2, 3
 HTTP_OK = 200
 ALL_CHANGES = 100_000
-COLUMNS = ("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "digest")
 
 Addresses = Annotated[
     list[str],
@@ -46,7 +46,7 @@
         """Run the command and return the exit code."""
         view = look_at_group(self.addresses)
         violations = find_violations(view.machines.values())
-        print(_as_json(view, violations) if self.json else _as_text(view))
+        print(_as_json(view, violations) if self.json else status_text(list(view.machines.values())))
         return _finish(view, violations)
 
 
@@ -64,7 +64,7 @@
         for address in self.addresses:
             history = fetch_history(address, max(0, self.limit))
             if isinstance(history, MachineHistory):
-                print(json.dumps(history.to_json(), indent=1) if self.json else _history_text(history))
+                print(json.dumps(history.to_json(), indent=1) if self.json else history_text(history))
                 return EXIT_DONE
             _complain(f"{history.address}: {history.reason}")
         return EXIT_UNREACHABLE
@@ -186,52 +186,5 @@
     return json.dumps(document, indent=1)
 
 
-def _as_text(view: GroupView) -> str:
-    statuses = list(view.machines.values())
-    newest = max((status.committed for status in statuses), default=None)
-    rows = [COLUMNS]
-    for status in statuses:
-        behind = newest is not None and status.committed < newest
-        rows.append(
-            (
-                status.machine,
-                status.role.value + (f" ({status.reason})" if status.reason else ""),
-                str(status.epoch or "-"),
-                str(status.committed),
-                str(status.stored),
-                str(status.version),
-                _lag(status, newest.sequence if newest and behind else None, newest.epoch if newest else 0),
-                "yes" if status.holds_copy else "no",
-                status.digest,
-            )
-        )
-    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
-    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
-    return "\n".join(line.rstrip() for line in [*lines, *_summary(statuses)])
-
-
-def _summary(statuses: list[MachineStatus]) -> list[str]:
-    """Members, and how many machines have synced the newest committed document."""
-    if not statuses:
-        return []
-    newest = max(statuses, key=lambda status: status.committed)
-    holders = [status for status in statuses if status.holds_copy and status.stored >= newest.committed]
-    members = ", ".join(newest.members) or "none known"
-    return [f"members: {members}", f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}"]
-
-
-def _lag(status: MachineStatus, newest_sequence: int | None, newest_epoch: int) -> str:
-    if newest_sequence is None:
-        return "0"
-    if status.committed.epoch != newest_epoch:
-        return "older epoch"
-    return str(newest_sequence - status.committed.sequence)
-
-
-def _history_text(history: MachineHistory) -> str:
-    lines = [f"{history.machine} at {history.committed}"]
-    return "\n".join([*lines, *(f"{change.version}  {change.digest}" for change in history.changes)])
-
-
 def _complain(text: str) -> None:
     print(text, file=sys.stderr)
--- /dev/null
+++ b/rookwood/cli/control_text.py
@@ -0,0 +1,57 @@
+"""What control machines tell, as text for `rookwood control`."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from rookwood.cluster.control_status import MachineHistory, MachineStatus
+
+COLUMNS = ("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "digest")
+
+
+def status_text(statuses: Sequence[MachineStatus]) -> str:
+    """A table of the machines, and what follows from all of them together."""
+    newest = max((status.committed for status in statuses), default=None)
+    rows = [COLUMNS]
+    for status in statuses:
+        behind = newest is not None and status.committed < newest
+        rows.append(
+            (
+                status.machine,
+                status.role.value + (f" ({status.reason})" if status.reason else ""),
+                str(status.epoch or "-"),
+                str(status.committed),
+                str(status.stored),
+                str(status.version),
+                _lag(status, newest.sequence if newest and behind else None, newest.epoch if newest else 0),
+                "yes" if status.holds_copy else "no",
+                status.digest,
+            )
+        )
+    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
+    return "\n".join(line.rstrip() for line in [*lines, *_summary(statuses)])
+
+
+def _summary(statuses: Sequence[MachineStatus]) -> list[str]:
+    """Members, and how many machines have synced the newest committed document."""
+    if not statuses:
+        return []
+    newest = max(statuses, key=lambda status: status.committed)
+    holders = [status for status in statuses if status.holds_copy and status.stored >= newest.committed]
+    members = ", ".join(newest.members) or "none known"
+    return [f"members: {members}", f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}"]
+
+
+def _lag(status: MachineStatus, newest_sequence: int | None, newest_epoch: int) -> str:
+    if newest_sequence is None:
+        return "0"
+    if status.committed.epoch != newest_epoch:
+        return "older epoch"
+    return str(newest_sequence - status.committed.sequence)
+
+
+def history_text(history: MachineHistory) -> str:
+    """A machine's position, and a line for each change that it remembers."""
+    lines = [f"{history.machine} at {history.committed}"]
+    return "\n".join([*lines, *(f"{change.version}  {change.digest}" for change in history.changes)])
