rookwood control status: the dispatcher that is farthest behind, and for how long

Need: the figure dispatcher_behind_seconds told it by scraping every control machine only.

Change: each control machine tells in its status how many dispatchers report to it and which of them lacks the oldest commit; the command names the longest time that any machine tells, and whose word it is. Machines of the release before, which tell nothing of it, are read as before. Only linked dispatchers are known, as with the figure.

--- a/rookwood/cli/control.py
+++ b/rookwood/cli/control.py
@@ -18,6 +18,7 @@
     look_at_group,
     request_transfer,
 )
+from rookwood.cli.control_dispatchers import find_farthest_behind
 from rookwood.cli.control_recover import recover
 from rookwood.cli.control_text import history_text, status_text
 from rookwood.cluster.control_status import MachineHistory
@@ -37,7 +38,7 @@
 @cappa.command(name="status")
 @dataclass
 class StatusCommand:
-    """Who leads, under which epoch, and how far each member's copy is."""
+    """Who leads, under which epoch, how far each copy is, and which dispatcher is farthest behind."""
 
     addresses: Addresses
     json: Json = False
@@ -178,10 +179,12 @@
 
 
 def _as_json(view: GroupView, violations: list[Violation]) -> str:
+    farthest_behind = find_farthest_behind(view.machines.values())
     document: dict[str, Any] = {
         "machines": {address: status.to_json() for address, status in view.machines.items()},
         "unreachable": [asdict(missing) for missing in view.unreachable],
         "violations": [asdict(violation) for violation in violations],
+        "farthest_behind": asdict(farthest_behind) if farthest_behind is not None else None,
     }
     return json.dumps(document, indent=1)
 
--- a/rookwood/cli/control_text.py
+++ b/rookwood/cli/control_text.py
@@ -4,9 +4,15 @@
 
 from collections.abc import Sequence
 
-from rookwood.cluster.control_status import MachineHistory, MachineStatus
+from rookwood.cli.control_dispatchers import find_farthest_behind
+from rookwood.cluster.control_status import MachineHistory, MachineStatus, StatePosition
+from rookwood.cluster.position import NO_CONFIGURATION
 
-COLUMNS = ("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "digest")
+COLUMNS = (
+    *("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "dispatchers"),
+    "digest",
+)
+WITHOUT_CONFIGURATION = StatePosition(NO_CONFIGURATION.epoch, NO_CONFIGURATION.sequence)
 
 
 def status_text(statuses: Sequence[MachineStatus]) -> str:
@@ -25,6 +31,7 @@
                 str(status.version),
                 _lag(status, newest.sequence if newest and behind else None, newest.epoch if newest else 0),
                 "yes" if status.holds_copy else "no",
+                "-" if status.dispatchers is None else str(status.dispatchers.reporting),
                 status.digest,
             )
         )
@@ -34,13 +41,31 @@
 
 
 def _summary(statuses: Sequence[MachineStatus]) -> list[str]:
-    """Members, and how many machines have synced the newest committed document."""
+    """Members, how many machines have synced the newest committed document, and the last dispatcher."""
     if not statuses:
         return []
     newest = max(statuses, key=lambda status: status.committed)
     holders = [status for status in statuses if status.holds_copy and status.stored >= newest.committed]
     members = ", ".join(newest.members) or "none known"
-    return [f"members: {members}", f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}"]
+    return [
+        f"members: {members}",
+        f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}",
+        f"farthest behind: {_farthest_behind(statuses)}",
+    ]
+
+
+def _farthest_behind(statuses: Sequence[MachineStatus]) -> str:
+    told = find_farthest_behind(statuses)
+    if told is not None:
+        has = "no configuration" if told.position == WITHOUT_CONFIGURATION else str(told.position)
+        late = f"{told.seconds:.1f} s after a newer commit"
+        return f"dispatcher {told.dispatcher} has {has}, {late}, told by {told.told_by}"
+    overviews = [status.dispatchers for status in statuses if status.dispatchers is not None]
+    if not overviews:
+        return "not known, no machine tells it"
+    if not any(overview.reporting for overview in overviews):
+        return "no dispatcher reports"
+    return "none, all dispatchers that report are level"
 
 
 def _lag(status: MachineStatus, newest_sequence: int | None, newest_epoch: int) -> str:
--- a/rookwood/cluster/control_status.py
+++ b/rookwood/cluster/control_status.py
@@ -38,13 +38,34 @@
         return f"{self.epoch}/{self.sequence}"
 
 
+@dataclass(frozen=True)
+class DispatcherBehind:
+    """A dispatcher that lacks a committed configuration.
+
+    `position` is what it reported, `seconds` the age of the oldest commit after that.
+    """
+
+    dispatcher: str
+    position: StatePosition
+    seconds: float
+
+
+@dataclass(frozen=True)
+class DispatcherOverview:
+    """The dispatchers that report to a control machine: how many, and who is farthest behind if anyone is."""
+
+    reporting: int
+    farthest_behind: DispatcherBehind | None
+
+
 @dataclass(frozen=True)
 class MachineStatus:
-    """One control machine and its copy.
+    """One control machine, its copy, and the dispatchers that report to it.
 
     `committed` is the newest document known here to be committed, `digest` that of its payload and `version`
     that of its configuration. `stored` is what this machine has synced. `holds_copy` is false while the
-    machine is joining or recovering: its disk then counts for nothing.
+    machine is joining or recovering: its disk then counts for nothing. `dispatchers` is None where the
+    machine is of a release that does not tell it.
     """
 
     machine: str
@@ -60,6 +81,7 @@
     stored: StatePosition
     version: int
     digest: str
+    dispatchers: DispatcherOverview | None
 
     def to_json(self) -> dict[str, Any]:
         """The status as JSON values."""
@@ -84,6 +106,7 @@
                 stored=_position(fields["stored"]),
                 version=int(fields["version"]),
                 digest=str(fields["digest"]),
+                dispatchers=_overview(fields.get("dispatchers")),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise ControlStatusError(f"no status of a control machine: {error!r}") from error
@@ -130,3 +153,15 @@
 
 def _position(value: Mapping[str, Any]) -> StatePosition:
     return StatePosition(int(value["epoch"]), int(value["sequence"]))
+
+
+def _overview(value: Mapping[str, Any] | None) -> DispatcherOverview | None:
+    if value is None:
+        return None
+    return DispatcherOverview(int(value["reporting"]), _behind(value["farthest_behind"]))
+
+
+def _behind(value: Mapping[str, Any] | None) -> DispatcherBehind | None:
+    if value is None:
+        return None
+    return DispatcherBehind(str(value["dispatcher"]), _position(value["position"]), float(value["seconds"]))
--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -163,6 +163,11 @@
                 dispatcher, report.position, self._seconds_behind(report.position), report.take_up
             )
 
+    def farthest_behind(self) -> DispatcherLag | None:
+        """The dispatcher that lacks the oldest commit; None where all that have reported are level."""
+        farthest = min(self.lags(), key=lambda lag: (lag.position, lag.dispatcher), default=None)
+        return farthest if farthest is not None and farthest.behind > 0 else None
+
     def check(self, limit: float) -> None:
         """Count dispatchers that lack a commit for longer than the limit, in seconds, as violations.
 
--- a/rookwood/controlplane/control_api.py
+++ b/rookwood/controlplane/control_api.py
@@ -11,11 +11,14 @@
     STATUS_PATH,
     TRANSFER_PATH,
     ControlRole,
+    DispatcherBehind,
+    DispatcherOverview,
     HistoryEntry,
     MachineHistory,
     MachineStatus,
     StatePosition,
 )
+from rookwood.cluster.progress import DispatcherProgress
 from rookwood.controlplane.payload import read_payload
 from rookwood.coordination.group import (
     Backup,
@@ -31,15 +34,17 @@
 
 DIGEST_CHARACTERS = 16
 DEFAULT_HISTORY = 20
+SECONDS_DIGITS = 3
 LIMIT_PARAMETER = "limit"
 
 
 class ControlApi:
     """Handlers below /control. They tell what this machine knows, which may be less than the primary does."""
 
-    def __init__(self, ip: str, group: ControlGroup) -> None:
+    def __init__(self, ip: str, group: ControlGroup, dispatchers: DispatcherProgress) -> None:
         self._ip = ip
         self._group = group
+        self._dispatchers = dispatchers
 
     def add_routes(self, application: web.Application) -> None:
         """Register the handlers."""
@@ -92,6 +97,7 @@
             stored=StatePosition(stored.epoch, stored.sequence),
             version=read_payload(snapshot.payload).version,
             digest=hashlib.sha256(snapshot.payload).hexdigest()[:DIGEST_CHARACTERS],
+            dispatchers=dispatcher_overview(self._dispatchers),
         )
 
     def _primary_of(self, role: Role) -> str:
@@ -100,6 +106,17 @@
         return role.primary if isinstance(role, Backup) else ""
 
 
+def dispatcher_overview(dispatchers: DispatcherProgress) -> DispatcherOverview:
+    """How many dispatchers report, and who is farthest behind."""
+    reporting = sum(1 for _ in dispatchers.lags())
+    lag = dispatchers.farthest_behind()
+    if lag is None:
+        return DispatcherOverview(reporting, None)
+    position = StatePosition(lag.position.epoch, lag.position.sequence)
+    seconds = round(lag.behind, SECONDS_DIGITS)
+    return DispatcherOverview(reporting, DispatcherBehind(lag.dispatcher, position, seconds))
+
+
 def role_name(role: Role) -> ControlRole:
     """The role without its particulars."""
     if isinstance(role, Primary):
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -136,7 +136,7 @@
         application = web.Application(client_max_size=MAXIMUM_BODY)
         WorkerApi(self.group, self._table).add_routes(application)
         OperatorApi(self._settings, self.group).add_routes(application)
-        ControlApi(self._settings.ip, self.group).add_routes(application)
+        ControlApi(self._settings.ip, self.group, self.dispatchers).add_routes(application)
         self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.5)
         await self._runner.setup()
         address = self._settings.listen["ctl"]
--- a/tests/test_cli_control.py
+++ b/tests/test_cli_control.py
@@ -6,11 +6,13 @@
 import contextlib
 import io
 import json
+import re
 import tempfile
 import threading
+import time
 import unittest
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, replace
 from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -22,11 +24,16 @@
     STATUS_PATH,
     ControlRole,
     ControlStatusError,
+    DispatcherBehind,
+    DispatcherOverview,
     HistoryEntry,
     MachineHistory,
     MachineStatus,
     StatePosition,
 )
+from rookwood.cluster.feed import Connection, FeedLink
+from rookwood.cluster.messages import Hello, Message
+from rookwood.cluster.position import ConfigurationPosition
 from rookwood.clusterconfig.control_document import ControlDocument
 from rookwood.controlplane.group_recovery import (
     EPOCH_MARGIN,
@@ -42,6 +49,7 @@
 )
 from rookwood.coordination.document import Configuration, Document, Member, Position, Record
 from rookwood.coordination.storage import Empty, Found, Storage
+from rookwood.dataplane.program import TIER_EDGE
 from rookwood.lab.systemstage.configuration import RouteKind, RouteSpec, small_configuration
 from rookwood.lab.systemstage.machines import SystemProcess
 from rookwood.lab.systemstage.stage import SystemStage
@@ -65,6 +73,7 @@
     stored=StatePosition(4, 9),
     version=7,
     digest="ab" * 8,
+    dispatchers=DispatcherOverview(2, DispatcherBehind("10.0.0.8", StatePosition(4, 8), 2.5)),
 )
 HISTORY = MachineHistory("10.0.0.1", StatePosition(4, 9), (HistoryEntry(3, "aa"), HistoryEntry(7, "bb")))
 
@@ -120,6 +129,35 @@
         self._thread.join()
 
 
+class LateDispatcher:
+    """A dispatcher that is linked to control machines and stays at the position that it was given."""
+
+    def __init__(self, identity: str, position: ConfigurationPosition) -> None:
+        self.identity = identity
+        self._position = position
+        self._links: list[FeedLink] = []
+
+    def link(self, machine: SystemProcess) -> None:
+        """Open a link to a control machine, and keep it open."""
+        hello = Hello(self.identity, TIER_EDGE, "z1")
+        ip, port = machine.settings.ip, machine.settings.ports.feed
+        self._links.append(FeedLink(ip, port, hello, self, lambda: self._position))
+
+    def close(self) -> None:
+        """End all links."""
+        for link in self._links:
+            link.close()
+
+    def linked(self, peer: str, connection: Connection) -> None:
+        """Nothing depends on it."""
+
+    def received(self, peer: str, message: Message) -> None:
+        """No configuration is ever fetched."""
+
+    def unlinked(self, peer: str) -> None:
+        """The link opens again by itself."""
+
+
 class StandInTest(unittest.TestCase):
     def stand_in(self, status: MachineStatus, history: MachineHistory = HISTORY) -> str:
         """Start a stand-in and return its address."""
@@ -161,6 +199,42 @@
         self.assertEqual(BROKEN, said.code)
         self.assertIn("one change a version, version 3: 10.0.0.1, 10.0.0.2", said.errors)
 
+    def test_the_farthest_behind_of_all_machines_is_named_with_who_told(self) -> None:
+        farther = DispatcherBehind("10.0.0.9", StatePosition(4, 6), 7.25)
+        other = replace(
+            STATUS, machine="10.0.0.2", role=ControlRole.BACKUP, dispatchers=DispatcherOverview(1, farther)
+        )
+        addresses = [self.stand_in(STATUS), self.stand_in(other)]
+        said = run("status", *addresses)
+        self.assertEqual(DONE, said.code, "a dispatcher that is behind breaks no rule")
+        told = "farthest behind: dispatcher 10.0.0.9 has 4/6, 7.2 s after a newer commit, told by 10.0.0.2"
+        self.assertEqual(told, said.output.splitlines()[-1])
+        document = run("status", *addresses, "--json").json()
+        self.assertEqual({**asdict(farther), "told_by": "10.0.0.2"}, document["farthest_behind"])
+
+    def test_a_dispatcher_without_a_configuration_is_named(self) -> None:
+        without = DispatcherBehind("10.0.0.9", StatePosition(-1, -1), 3.0)
+        status = replace(STATUS, dispatchers=DispatcherOverview(1, without))
+        said = run("status", self.stand_in(status))
+        self.assertIn("dispatcher 10.0.0.9 has no configuration, 3.0 s after", said.output)
+
+    def test_dispatchers_that_are_level_absent_or_not_told_are_told_apart(self) -> None:
+        cases = {
+            "none, all dispatchers that report are level": DispatcherOverview(2, None),
+            "no dispatcher reports": DispatcherOverview(0, None),
+            "not known, no machine tells it": None,
+        }
+        for told, dispatchers in cases.items():
+            address = self.stand_in(replace(STATUS, dispatchers=dispatchers))
+            said = run("status", address)
+            self.assertEqual(f"farthest behind: {told}", said.output.splitlines()[-1])
+            self.assertIsNone(run("status", address, "--json").json()["farthest_behind"])
+
+    def test_machines_of_the_release_before_tell_nothing_of_dispatchers(self) -> None:
+        told = STATUS.to_json()
+        del told["dispatchers"]
+        self.assertEqual(replace(STATUS, dispatchers=None), MachineStatus.from_json(told))
+
     def test_nobody_there(self) -> None:
         stand_in = StandIn({})
         address = stand_in.address
@@ -179,6 +253,8 @@
         self.assertEqual(HISTORY, MachineHistory.from_json(HISTORY.to_json()))
         told = STATUS.to_json()
         others: list[object] = [None, [], {}, {**told, "role": "king"}, {**told, "epoch": "x"}]
+        faulty: tuple[object, ...] = ([], {}, {"reporting": 1, "farthest_behind": {}})
+        others += [{**told, "dispatchers": dispatchers} for dispatchers in faulty]
         for broken in others:
             with self.assertRaises(ControlStatusError):
                 MachineStatus.from_json(broken)
@@ -332,6 +408,52 @@
         verified = await self.ask("verify", first.control_address)
         self.assertEqual((DONE, "3 machines compared, 0 broken rules\n"), (verified.code, verified.output))
 
+    async def told_behind(self, machine: SystemProcess) -> Any:
+        """Who is farthest behind, as `status` tells it from one machine."""
+        return (await self.ask("status", machine.control_address, "--json")).json()["farthest_behind"]
+
+    async def is_named(self, machine: SystemProcess, dispatcher: str) -> bool:
+        """Whether `status` names this dispatcher as the one that is farthest behind."""
+        told = await self.told_behind(machine)
+        return told is not None and told["dispatcher"] == dispatcher
+
+    async def test_status_names_the_dispatcher_that_is_farthest_behind(self) -> None:
+        stage = await self.begin(data_planes=1)
+        (first, *_) = stage.control_planes
+        await stage.add_worker(FIRST.service("pages"))
+        await stage.wait_until_ready()
+        await eventually(partial(self.all_hold_the_newest, first), "all hold the newest")
+        (status, *_) = await self.statuses(first)
+        dispatcher = LateDispatcher(
+            "10.0.0.77", ConfigurationPosition(status.committed.epoch, status.committed.sequence)
+        )
+        self.addCleanup(dispatcher.close)
+        for machine in stage.control_planes:
+            dispatcher.link(machine)
+        await eventually(partial(self.all_report, first, 2), "both dispatchers report")
+        before = time.monotonic()
+        await stage.configure(THIRD, 8)
+        await eventually(partial(self.is_named, first, dispatcher.identity), "the late one is named")
+        told = await self.told_behind(first)
+        self.assertEqual(asdict(status.committed), told["position"])
+        self.assertIn(told["told_by"], {machine.settings.ip for machine in stage.control_planes})
+        self.assertTrue(0 < told["seconds"] < time.monotonic() - before, told)
+        said = await self.ask("status", first.control_address)
+        named = f"farthest behind: dispatcher 10.0.0.77 has {status.committed}, "
+        self.assertRegex(said.output, re.escape(named) + r"\d+\.\d s after a newer commit")
+        dispatcher.close()
+        level = "none, all dispatchers that report are level"
+        await eventually(partial(self.says, first, level), "the other one is level")
+
+    async def all_report(self, machine: SystemProcess, count: int) -> bool:
+        """Whether so many dispatchers report to each control machine, and all are level."""
+        told = [status.dispatchers for status in await self.statuses(machine)]
+        return told == [DispatcherOverview(count, None)] * 3
+
+    async def says(self, machine: SystemProcess, text: str) -> bool:
+        """Whether `status` says this."""
+        return text in (await self.ask("status", machine.control_address)).output
+
     async def test_transfer_hands_over_and_the_old_primary_follows(self) -> None:
         stage = await self.begin()
         before = await stage.find_primary()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -213,6 +213,20 @@
         self.progress.reported("e-1", THIRD)
         self.assertEqual(self.lag().behind, 0.0)
 
+    def test_the_farthest_behind_lacks_the_oldest_commit(self) -> None:
+        self.assertIsNone(self.progress.farthest_behind())
+        for position in (FIRST, SECOND, THIRD):
+            self.progress.committed(position)
+            self.clock.now += 1.0
+        self.progress.reported("e-1", THIRD)
+        self.assertIsNone(self.progress.farthest_behind(), "level")
+        self.progress.reported("e-2", SECOND)
+        self.progress.reported("e-4", FIRST)
+        self.progress.reported("e-3", FIRST)
+        self.assertEqual(self.progress.farthest_behind(), DispatcherLag("e-3", FIRST, 2.0, None))
+        self.progress.reported("e-5", NO_CONFIGURATION)
+        self.assertEqual(self.progress.farthest_behind(), DispatcherLag("e-5", NO_CONFIGURATION, 3.0, None))
+
     def test_commits_are_bounded(self) -> None:
         for sequence in range(REMEMBERED_COMMITS + 10):
             self.progress.committed(ConfigurationPosition(1, sequence))
