Command line: one module for each concern in place of one of 569 lines

Change: main.py lists the commands; site_commands.py, files.py, running.py, system_commands.py and experiments/ hold them; options.py has what several take, exit_codes.py the codes that five modules defined each for itself. The two commands that cappa parses are handed over in one place.

--- a/rookwood/cli/__init__.py
+++ b/rookwood/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line: `rookwood serve`, `check`, `show`, `demo`, `experiment`, `version`."""
+"""The command line; `main.py` lists the commands of `rookwood`."""
--- a/rookwood/cli/config.py
+++ b/rookwood/cli/config.py
@@ -9,12 +9,10 @@
 
 import cappa
 
+from rookwood.cli.exit_codes import DONE, FAULTY
 from rookwood.clusterconfig.faults import Fault, Invalid
 from rookwood.clusterconfig.validation import check_document, parse_document
 
-EXIT_VALID = 0
-EXIT_FAULTY = 2
-
 
 @cappa.command(name="check")
 @dataclass
@@ -42,14 +40,14 @@
         body = path.read_bytes()
     except OSError as error:
         print(f"{path}: {error.strerror or error}", file=sys.stderr)
-        return EXIT_FAULTY
+        return FAULTY
     document = parse_document(body)
     result = document if isinstance(document, Invalid) else check_document(document)
     if isinstance(result, Invalid):
         _print_faults(path, result.faults)
-        return EXIT_FAULTY
+        return FAULTY
     print(f"{path}: valid, version {result.version}, {len(result.routes)} routes")
-    return EXIT_VALID
+    return DONE
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/rookwood/cli/control.py
+++ b/rookwood/cli/control.py
@@ -21,10 +21,10 @@
 from rookwood.cli.control_dispatchers import find_farthest_behind
 from rookwood.cli.control_recover import recover
 from rookwood.cli.control_text import history_text, status_text
+from rookwood.cli.exit_codes import BROKEN, DONE, FAILED
 from rookwood.cluster.control_status import MachineHistory
 from rookwood.cluster.settings import settings_path
 
-EXIT_DONE, EXIT_UNREACHABLE, EXIT_MISUSE, EXIT_BROKEN = 0, 1, 2, 3
 HTTP_OK = 200
 ALL_CHANGES = 100_000
 
@@ -66,9 +66,9 @@
             history = fetch_history(address, max(0, self.limit))
             if isinstance(history, MachineHistory):
                 print(json.dumps(history.to_json(), indent=1) if self.json else history_text(history))
-                return EXIT_DONE
+                return DONE
             _complain(f"{history.address}: {history.reason}")
-        return EXIT_UNREACHABLE
+        return FAILED
 
 
 @cappa.command(name="transfer")
@@ -85,16 +85,16 @@
         primaries = view.primaries()
         if len(primaries) != 1:
             _complain(f"{len(primaries)} primaries are known")
-            return EXIT_UNREACHABLE
+            return FAILED
         reply = request_transfer(primaries[0])
         if isinstance(reply, Unreachable):
             _complain(f"{reply.address}: {reply.reason}; the leadership may have been handed over")
-            return EXIT_UNREACHABLE
+            return FAILED
         if reply.status != HTTP_OK:
             _complain(f"{primaries[0]}: not handed over: {json.dumps(reply.body)}")
-            return EXIT_UNREACHABLE
+            return FAILED
         print(json.dumps(reply.body) if self.json else f"{primaries[0]} has handed over")
-        return EXIT_DONE
+        return DONE
 
 
 @cappa.command(name="verify")
@@ -174,8 +174,8 @@
     for violation in violations:
         _complain(f"broken: {violation.rule}, {violation.detail}: {', '.join(violation.machines)}")
     if violations:
-        return EXIT_BROKEN
-    return EXIT_DONE if view.machines else EXIT_UNREACHABLE
+        return BROKEN
+    return DONE if view.machines else FAILED
 
 
 def _as_json(view: GroupView, violations: list[Violation]) -> str:
--- a/rookwood/cli/control_recover.py
+++ b/rookwood/cli/control_recover.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from rookwood.cli.control_client import Unreachable, fetch_status
+from rookwood.cli.exit_codes import DONE, FAILED, FAULTY
 from rookwood.cluster.settings import NodeSettings, SettingsError, load_settings
 from rookwood.controlplane.group_recovery import (
     MajorityHolds,
@@ -24,7 +25,6 @@
 from rookwood.coordination.document import Position
 from rookwood.coordination.storage import Empty, Found
 
-EXIT_DONE, EXIT_FAILED, EXIT_REFUSED = 0, 1, 2
 CONTROL_LISTENER = "ctl"
 
 
@@ -46,9 +46,9 @@
         return _refuse("nothing was changed: repeat with --accept-loss to do it")
     if not write_plan(plan, settings.data_directory, settings.disk_megabytes):
         print(f"{settings.data_directory}: the disk refused the write", file=sys.stderr)
-        return EXIT_FAILED
+        return FAILED
     print("done: start this machine, then the others with empty disks, all with bootstrap false")
-    return EXIT_DONE
+    return DONE
 
 
 def make_plan(
@@ -119,4 +119,4 @@
 
 def _refuse(reason: str) -> int:
     print(reason, file=sys.stderr)
-    return EXIT_REFUSED
+    return FAULTY
--- /dev/null
+++ b/rookwood/cli/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of `rookwood experiment`, by what they measure."""
--- a/rookwood/cli/site.py
+++ b/rookwood/cli/site.py
@@ -10,7 +10,8 @@
 
 import click
 
-FAILED, BROKEN = 1, 3
+from rookwood.cli.exit_codes import BROKEN, FAILED
+
 LIMIT = 2.0  # seconds for a call
 
 
