One search for a free port, which reserves what it returns

Need: six copies. Each bound port 0, closed the socket and hoped: another process, or any connection that goes out, could have the port before the test bound it. tests/test_operators_in_a_cut.py could even be given the port that its own cluster was about to bind.

All former copies call it; systemstage/network.py shares is_free.

--- a/rookwood/lab/many_changes.py
+++ b/rookwood/lab/many_changes.py
@@ -9,7 +9,6 @@
 import asyncio
 import json
 import resource
-import socket
 import statistics
 import tempfile
 import time
@@ -36,6 +35,7 @@
     Snapshot,
 )
 from rookwood.lab.faulty_disk import disk_bytes, tear_slot_in_turn
+from rookwood.lab.free_ports import find_free_port
 from rookwood.lab.results import keep
 
 MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
@@ -106,7 +106,7 @@
         self.acknowledged = 0
         self._directory = directory
         self._figures = figures
-        self._port = find_free_port()
+        self._port = find_free_port(*MEMBERS)
         self._told = asyncio.Event()
 
     async def start(self, *ips: str, bootstrap: bool = False) -> None:
@@ -337,26 +337,6 @@
     return pages * resource.getpagesize() / (1 << 20)
 
 
-def find_free_port() -> int:
-    """A port that is free at the address of each member."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((MEMBERS[0], 0))
-            port: int = probe.getsockname()[1]
-        if all(is_free(ip, port) for ip in MEMBERS):
-            return port
-
-
-def is_free(ip: str, port: int) -> bool:
-    """Whether nobody listens there."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((ip, port))
-        except OSError:
-            return False
-    return True
-
-
 def play(plan: Plan, directory: Path) -> Figures:
     """Play a plan with its files in a folder."""
     return asyncio.run(Run(plan, directory).play())
--- a/rookwood/lab/systemstage/network.py
+++ b/rookwood/lab/systemstage/network.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import random
-import socket
 from dataclasses import dataclass
 
+from rookwood.lab.free_ports import is_free
 from rookwood.lab.systemstage.machines import Ports
 from rookwood.lab.systemstage.waiting import StageError
 
@@ -33,13 +33,3 @@
         if all(is_free(network.ip(1), port) for port in network.ports.all()):
             return network
     raise StageError("no free ports")
-
-
-def is_free(ip: str, port: int) -> bool:
-    """Whether a socket can be bound there."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((ip, port))
-        except OSError:
-            return False
-    return True
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -23,6 +23,7 @@
     WorkerUpdates,
 )
 from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.lab.free_ports import find_free_port
 from tests.fake_worker import HOST, within
 
 HELLO = Hello("10.0.0.7", "edge", "z1")
@@ -85,7 +86,7 @@
     async def asyncSetUp(self) -> None:
         self.handler = ServerRecorder()
         self.server = FeedServer(self.handler)
-        self.port = await free_port()
+        self.port = find_free_port(HOST)
         await self.server.start(HOST, self.port)
         self.addAsyncCleanup(self.server.stop)
 
@@ -109,15 +110,6 @@
         return reader, writer
 
 
-async def free_port() -> int:
-    """A port of the loopback address on which nobody listens."""
-    server = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
-    port: int = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
-
-
 class FeedServerTests(FeedCase):
     async def test_a_subscriber_is_greeted_first(self) -> None:
         recorder = LinkRecorder()
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import shutil
-import socket
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -23,6 +22,7 @@
     Uncertain,
 )
 from rookwood.lab.faulty_disk import FaultyStorage
+from rookwood.lab.free_ports import find_free_port
 
 FIRST_MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 NEWCOMER = "127.0.0.4"
@@ -30,25 +30,6 @@
 COMMITS_OF_AN_ADMISSION = 2
 
 
-def free_port() -> int:
-    """Return a port that is free on every loopback address of these tests."""
-    while True:
-        with socket.socket() as first:
-            first.bind((FIRST_MEMBERS[0], 0))
-            port: int = first.getsockname()[1]
-        if all(_is_free(ip, port) for ip in (*FIRST_MEMBERS, NEWCOMER)):
-            return port
-
-
-def _is_free(ip: str, port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((ip, port))
-        except OSError:
-            return False
-    return True
-
-
 class Cluster:
     """The groups of one test, with a signal for whatever they tell."""
 
@@ -58,7 +39,7 @@
         self.disks: dict[str, FaultyStorage] = {}
         self.full_at_start: frozenset[str] = frozenset()
         self._directory = Path(directory)
-        self._port = free_port()
+        self._port = find_free_port(*FIRST_MEMBERS, NEWCOMER)
         self._told = asyncio.Event()
 
     async def start(self, ip: str, bootstrap: bool) -> ControlGroup:
--- a/tests/test_coordination_transport.py
+++ b/tests/test_coordination_transport.py
@@ -9,18 +9,12 @@
 from rookwood.coordination.codec import encode_message
 from rookwood.coordination.messages import JoinRequest, Message
 from rookwood.coordination.transport import Transport
+from rookwood.lab.free_ports import find_free_port
 
 FIRST, SECOND = "127.0.0.1", "127.0.0.2"
 LIMIT = 10.0
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((FIRST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def preamble(ip: str, incarnation: int) -> bytes:
     """What one life of a member sends first."""
     address = ip.encode()
@@ -57,7 +51,7 @@
 
 class TransportTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.port = free_port()
+        self.port = find_free_port(FIRST, SECOND)
 
     async def open(self, ip: str, incarnation: int) -> tuple[Transport, Inbox]:
         inbox = Inbox()
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import unittest
 from collections.abc import Iterable
 from unittest import mock
@@ -26,6 +25,7 @@
 from rookwood.cluster.workers import WorkerRecord
 from rookwood.dataplane import program
 from rookwood.dataplane.program import DataPlane
+from rookwood.lab.free_ports import find_free_port
 from tests.fake_worker import HOST, WAIT_LIMIT, FakeWorker, Silence, answering, held_back, within
 from tests.test_dataplane_proxy import CONFIGURATION, MODEL_SERVICE, MODELS, MUTATING, SAFE, SERVICE, SITE
 
@@ -70,14 +70,6 @@
         """Nothing to do."""
 
 
-def free_port(ip: str) -> int:
-    """A port on which nobody listens."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class DataPlaneCase(unittest.IsolatedAsyncioTestCase):
     """A dispatcher that runs, and the control machine that feeds it."""
 
@@ -97,12 +89,12 @@
 
     def make_settings(self) -> NodeSettings:
         """Settings with free ports."""
-        first_port = free_port(CONTROL_IP) - 1
+        first_port = find_free_port(CONTROL_IP) - 1
         document = {
             "hostname": "e1",
             "ip": HOST,
             "az": "z1",
-            "listen": {"edge": f"{HOST}:{free_port(HOST)}", "readyz": f"{HOST}:{free_port(HOST)}"},
+            "listen": {"edge": f"{HOST}:{find_free_port(HOST)}", "readyz": f"{HOST}:{find_free_port(HOST)}"},
             "port-range": [first_port, first_port + 9],
             "seeds": [f"{CONTROL_IP}:8080"],
             "limits": {"nofile": 512},
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -14,6 +14,7 @@
 
 from rookwood import interface as api
 from rookwood.hints import SIZE, Codec, OddHintError, mark_of
+from rookwood.lab.free_ports import find_free_port
 from rookwood.net.clock import Clock
 from rookwood.net.decisions import Decisions
 from rookwood.net.destinations import Address, DestinationSet, Endpoint, State
@@ -21,6 +22,7 @@
 from tests.test_wire import PROFILE, hello, serve
 from tests.world import settings
 
+HOST = "127.0.0.1"
 NAMES = [f"s-{n}" for n in range(60)]
 
 
@@ -85,15 +87,13 @@
     return DestinationSet(1, True, tuple(Endpoint(n, "h:1", State.UP, "", "", 0, 1.0, None) for n in names))
 
 
-def free_port() -> Address:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
-        one.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", one.getsockname()[1])
+def free_address() -> Address:
+    return Address(HOST, find_free_port(HOST, kind=socket.SOCK_DGRAM))
 
 
 def test_hints_between_two_dispatchers_and_odd_datagrams() -> None:
     async def story() -> None:
-        places = [free_port(), free_port()]
+        places = [free_address(), free_address()]
         doors = [Heard(), Heard()]
         peers = [Peers(door, place, places) for door, place in zip(doors, places, strict=True)]
         for one in peers:
@@ -124,7 +124,7 @@
     async def story() -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
             taken.bind(("127.0.0.1", 0))
-            place, other = Address("127.0.0.1", taken.getsockname()[1]), free_port()
+            place, other = Address("127.0.0.1", taken.getsockname()[1]), free_address()
             doors = [Heard(), Heard()]
             late = Peers(doors[0], place, [place, other], pause=timedelta(milliseconds=1))
             early = Peers(doors[1], other, [place, other])
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 import unittest
 from collections.abc import Iterator
 from unittest import mock
@@ -30,6 +29,7 @@
 from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Refused, VoteRequest
 from rookwood.dataplane.metrics import request_families
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
+from rookwood.lab.free_ports import find_free_port
 from rookwood.metrics.exposition import FamilySource, loop_families, process_families, render
 from rookwood.metrics.families import gauge
 from rookwood.metrics.loop_lag import WINDOW, LoopLag
@@ -350,9 +350,7 @@
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            self.port: int = probe.getsockname()[1]
+        self.port = find_free_port(HOST)
         self.session = await self.enterAsyncContext(ClientSession())
 
     async def start(self, *sources: FamilySource) -> None:
--- a/tests/test_operators_in_a_cut.py
+++ b/tests/test_operators_in_a_cut.py
@@ -12,8 +12,8 @@
 from rookwood.cluster.settings import parse_settings
 from rookwood.controlplane.operator_api import OperatorApi
 from rookwood.coordination.messages import Message
-from rookwood.lab.many_changes import is_free
-from tests.test_coordination_group import FIRST_MEMBERS, Cluster, free_port
+from rookwood.lab.free_ports import find_free_port
+from tests.test_coordination_group import FIRST_MEMBERS, Cluster
 
 FIRST: dict[str, Any] = {
     "ver": 3,
@@ -36,9 +36,7 @@
         self.addCleanup(directory.cleanup)
         self.cluster = Cluster(directory.name)
         self.addAsyncCleanup(self.cluster.stop_all)
-        self.port = free_port()
-        while not all(is_free(ip, self.port) for ip in FIRST_MEMBERS):
-            self.port = free_port()
+        self.port = find_free_port(*FIRST_MEMBERS)
         self.client = ClientSession(timeout=ClientTimeout(total=5.0))
         self.addAsyncCleanup(self.client.close)
         self.sides: dict[str, int] = dict.fromkeys(FIRST_MEMBERS, 0)
--- a/tests/test_running.py
+++ b/tests/test_running.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from rookwood.lab.free_ports import find_free_port
 from rookwood.net import dispatcher, handover, phase
 from rookwood.net.config import load
 from rookwood.net.dispatcher import Dispatcher
@@ -269,9 +270,8 @@
         peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         peer.bind(("127.0.0.1", 0))
         peer.settimeout(LIMIT)
-        with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as free:
-            free.bind(("127.0.0.1", 0))
-            places = [f"127.0.0.1:{one.getsockname()[1]}" for one in (free, peer)]
+        free_port = find_free_port("127.0.0.1", kind=socket.SOCK_DGRAM)
+        places = [f"127.0.0.1:{port}" for port in (free_port, peer.getsockname()[1])]
         settings = SETTINGS | {"balancers": 2, "bounds": SETTINGS["bounds"] | {"peers": True}}
         changes = {"settings": settings, "peer_listen": places[0], "peers": places}
         async with upgrade(tmp_path, endpoint, **changes) as (old, new, discovery):
