One writer of raw chunks, one raw server, one reset for the workers of lab and tests

Need: chunks were put together by hand in eleven places of lab and tests; the worker that breaks HTTP and the scripted one of the tests had the same server and the same reset of a connection.

Change: lab/raw_http.py (encode_chunk, encode_chunks, LAST_CHUNK, reset_connection) and lab/raw_server.py (RawServer); MisbehavingWorker and FakeWorker are such servers. The bytes on the wire are the same.

--- a/rookwood/lab/boxes.py
+++ b/rookwood/lab/boxes.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from rookwood.lab.net import Server
+from rookwood.lab.raw_http import LAST_CHUNK, encode_chunk, encode_chunks
 
 GRACE = 1.05  # seconds: nothing new later than this after a drain was told
 
@@ -139,7 +140,7 @@
             json.dumps({"id": request_id, "from": self.uid, "state": "done", "result": request_id}).encode()
             + b"\n"
         )
-        writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
+        writer.write(encode_chunks(line))
         return True
 
     def _next(self) -> None:
@@ -183,9 +184,9 @@
         watcher: asyncio.Queue[bytes] = asyncio.Queue()
         start = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")[0]
         line = self._line(True, list(self._entries.values()))
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(line), line))
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + encode_chunk(line))
         if "follow" not in start:
-            writer.write(b"0\r\n\r\n")
+            writer.write(LAST_CHUNK)
             return
         self._watchers.add(watcher)
         try:
@@ -193,7 +194,7 @@
                 line = b"\n"
                 with contextlib.suppress(TimeoutError):
                     line = await asyncio.wait_for(watcher.get(), 1.0)
-                writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+                writer.write(encode_chunk(line))
                 await writer.drain()
         finally:
             self._watchers.discard(watcher)
--- a/rookwood/lab/exchange_clients.py
+++ b/rookwood/lab/exchange_clients.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 
 from rookwood.lab.exchange_judge import ClientAnswer, ExchangeRecords, RequestKind, SentRequest
+from rookwood.lab.raw_http import encode_chunks
 
 SITE = "pages.example"
 HEAD_END = b"\r\n\r\n"
@@ -144,7 +145,7 @@
     body = request.body
     if habits.chunked:
         lines.append("Transfer-Encoding: chunked")
-        body = (f"{len(body):x}\r\n".encode() + body + b"\r\n" if body else b"") + b"0\r\n\r\n"
+        body = encode_chunks(body)
     else:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join([*lines, "", ""]).encode() + body
--- a/rookwood/lab/misbehaving_worker.py
+++ b/rookwood/lab/misbehaving_worker.py
@@ -5,8 +5,6 @@
 import asyncio
 import random
 import re
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -20,10 +18,9 @@
     request_body,
     stream_body,
 )
+from rookwood.lab.raw_http import encode_chunks, reset_connection
+from rookwood.lab.raw_server import RawServer
 
-HOST = "127.0.0.1"
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
-HEAD_LIMIT = 64 * 1024
 IDLE_PAUSE = 0.004  # seconds until bytes come on a connection that is idle by then
 READ_AGAIN_PAUSE = 0.01  # seconds before a worker that answered early reads on
 REMEMBERED_IDS = 50
@@ -147,52 +144,24 @@
     run: WorkerRun
 
 
-class ConnectionEnded(Exception):  # noqa: N818 - not an error: the plan says so
+class ConnectionEnded(ConnectionError):  # noqa: N818 - not an error: the plan says so
     """The worker ended the connection."""
 
 
-class MisbehavingWorker:
+class MisbehavingWorker(RawServer):
     """Listens on loopback; each request is answered as `plan` says."""
 
     def __init__(self, name: str, records: ExchangeRecords, plan: Callable[[], Misbehaviour]) -> None:
+        super().__init__()
         self.name = name
         self._records = records
         self._plan = plan
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
         self._earlier_ids: deque[str] = deque(["none"], REMEMBERED_IDS)
         self._runs = 0
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0, limit=HEAD_LIMIT)
-
-    async def stop(self) -> None:
-        """Stop listening and drop all connections."""
-        if self._server is not None:
-            self._server.close()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        assert self._server is not None
-        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            await _Connection(self, reader, writer).serve()
-        except (ConnectionEnded, ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.transport.abort()
-            self._tasks.discard(task)
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer requests until the connection ends."""
+        await _Connection(self, reader, writer).serve()
 
     def next_plan(self) -> Misbehaviour:
         """How to answer the next request."""
@@ -312,9 +281,7 @@
     async def _end(self, ending: Ending) -> None:
         await self._writer.drain()
         if ending is Ending.RESET:
-            connection = self._writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-            self._writer.transport.abort()
+            reset_connection(self._writer)
         else:
             self._writer.close()
         raise ConnectionEnded
@@ -432,8 +399,7 @@
 def in_chunks(body: bytes) -> bytes:
     """A body as two chunks and the last, empty one."""
     middle = len(body) // 2
-    parts = [part for part in (body[:middle], body[middle:]) if part]
-    return b"".join(f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts) + b"0\r\n\r\n"
+    return encode_chunks(body[:middle], body[middle:])
 
 
 def draw_misbehaviour(source: random.Random) -> Misbehaviour:
--- a/rookwood/lab/systemstage/feed_relay.py
+++ b/rookwood/lab/systemstage/feed_relay.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import socket
-import struct
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
@@ -18,12 +17,12 @@
 from rookwood.cluster.feed import CONNECT_LIMIT, LINK_ERRORS
 from rookwood.cluster.frames import HEADER, decode_message, encode_frame
 from rookwood.cluster.messages import Message
+from rookwood.lab.raw_http import reset_connection
 
 CHUNK = 4 * 1024
 WINDOW = 16 * 1024  # of frames that have passed the link and wait to be delivered
 RECEIVE_BUFFER = 8 * 1024
 SEGMENT_SIZE = 1_460  # small beside the receive buffer, as on a real network
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Direction(StrEnum):
@@ -138,9 +137,7 @@
     def reset(self) -> None:
         """Ends all open links with a reset on both sides."""
         for writer in self._writers:
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-            writer.transport.abort()
+            reset_connection(writer)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.create_task(self._serve(reader, writer))
--- a/rookwood/lab/worker_answers.py
+++ b/rookwood/lab/worker_answers.py
@@ -35,7 +35,8 @@
     count_statuses,
     find_violations,
 )
-from rookwood.lab.misbehaving_worker import HOST, MisbehavingWorker, Misbehaviour, draw_misbehaviour
+from rookwood.lab.misbehaving_worker import MisbehavingWorker, Misbehaviour, draw_misbehaviour
+from rookwood.lab.raw_server import HOST
 from rookwood.lab.results import keep
 
 SERVICE = "pages"
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -7,19 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 from rookwood.cluster.workers import HeldModel, WorkerRecord, WorkerState
+from rookwood.lab.raw_http import encode_chunk, reset_connection
+from rookwood.lab.raw_server import HOST as HOST
+from rookwood.lab.raw_server import RawServer
 
-HOST = "127.0.0.1"
 WAIT_LIMIT = 4.0  # seconds after which a test that waits for something fails
 STREAM_TYPE = "text/event-stream"
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
-CONNECTION_ERRORS = (asyncio.IncompleteReadError, ConnectionError)
 
 
 @dataclass(frozen=True)
@@ -58,7 +56,7 @@
 
     def write_chunk(self, data: bytes) -> None:
         """Send one chunk of a chunked body; an empty one ends it."""
-        self.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        self.write(encode_chunk(data))
 
     async def caller_closed(self) -> None:
         """Wait until the caller has closed the connection."""
@@ -77,8 +75,7 @@
     async def reset(self) -> None:
         """Reset the connection, after what was written has been handed to the network."""
         await self._writer.drain()
-        self._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-        self._writer.transport.abort()
+        reset_connection(self._writer)
         raise ConnectionResetError
 
 
@@ -91,36 +88,16 @@
     return await asyncio.wait_for(awaitable, WAIT_LIMIT)
 
 
-class FakeWorker:
+class FakeWorker(RawServer):
     """Answers requests by a script; the last behaviour of the script serves all further requests."""
 
     def __init__(self, *script: Behaviour, id: str = "i-1") -> None:
+        super().__init__()
         self.id = id
         self.requests: list[ReceivedRequest] = []
         self.connections = 0
         self.request_came = asyncio.Event()
         self._script = list(script)
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
-
-    async def stop(self) -> None:
-        """Stop listening and drop all connections."""
-        if self._server is not None:
-            self._server.close()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    @property
-    def address(self) -> str:
-        """Where it listens, as HOST:PORT."""
-        assert self._server is not None
-        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
     def record(
         self,
@@ -146,19 +123,11 @@
         """The requests that came for one try of a client."""
         return [request for request in self.requests if request.id == request_id]
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Handle each request that comes by the next behaviour."""
         self.connections += 1
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            while True:
-                await self._serve(reader, writer)
-        except (*CONNECTION_ERRORS, asyncio.CancelledError):
-            pass  # the caller left, or the worker stops
-        finally:
-            writer.transport.abort()
-            self._tasks.discard(task)
+        while True:
+            await self._serve(reader, writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request = await read_request(reader)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from rookwood.lab.raw_http import LAST_CHUNK, encode_chunk
 from rookwood.net.config import load
 from rookwood.net.dispatcher import Core, Dispatcher, Front
 
@@ -58,7 +59,7 @@
 
 def line(request_id: str, state: str, **more: Any) -> bytes:
     text = json.dumps({"id": request_id, "from": "s-1", "state": state, **more}).encode() + b"\n"
-    return b"%x\r\n%s\r\n" % (len(text), text)
+    return encode_chunk(text)
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -180,7 +181,7 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while "follow" not in (await self.listen(reader)):
                 text = await self.lines.get() or b""
-                writer.write(HEAD + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+                writer.write(HEAD + encode_chunk(text) + LAST_CHUNK)
             writer.write(HEAD)
             left = asyncio.ensure_future(reader.read())
             while not left.done():
@@ -189,7 +190,7 @@
                 if not told.done() or told.result() is None:
                     told.cancel()
                     break
-                writer.write(b"%x\r\n%s\r\n" % (len(told.result() or b""), told.result()))
+                writer.write(encode_chunk(told.result() or b""))
             left.cancel()
         writer.close()
 
--- a/tests/test_httpclient_answers.py
+++ b/tests/test_httpclient_answers.py
@@ -18,6 +18,7 @@
     UpstreamRequest,
 )
 from rookwood.httpclient.outcomes import Broken
+from rookwood.lab.raw_http import encode_chunks
 from tests.fake_worker import (
     STREAM_TYPE,
     WAIT_LIMIT,
@@ -76,15 +77,10 @@
     elif framing is Framing.CHUNKED:
         lines.append("Transfer-Encoding: chunked")
         middle = len(body) // 2
-        framed = chunk(body[:middle]) + chunk(body[middle:]) + chunk(b"")
+        framed = encode_chunks(body[:middle], body[middle:])
     return WireAnswer("\r\n".join([*lines, "", ""]).encode(), framed, framing, body)
 
 
-def chunk(data: bytes) -> bytes:
-    """One chunk; an empty one is the last."""
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
 def ending_after(data: bytes, ending: Ending) -> Behaviour:
     """Send these bytes, then end the connection."""
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from rookwood.lab.raw_http import encode_chunk, encode_chunks
 from rookwood.net import destinations, endpoints, inbound
 from rookwood.net.clock import Clock
 from rookwood.net.decisions import Attempt, Decisions, End, Job
@@ -432,7 +433,7 @@
             asked.append(loop.time())
             if len(asked) > 1:
                 text = json.dumps({"rev": 2, "all": True, "targets": []}).encode() + b"\n"
-                writer.write(st.HEAD + b"%x\r\n%s\r\n" % (len(text), text))
+                writer.write(st.HEAD + encode_chunk(text))
             with contextlib.suppress(ConnectionError):
                 await reader.read()
             writer.close()
@@ -454,7 +455,7 @@
             await st.read_message(reader)
             revisions.append(len(revisions) + 1)
             text = json.dumps({"rev": revisions[-1], "all": True, "targets": []}).encode() + b"\n"
-            writer.write(st.HEAD + b"%x\r\n%s\r\n" % (len(text), text))
+            writer.write(st.HEAD + encode_chunk(text))
             with contextlib.suppress(ConnectionError):
                 await reader.read()
             writer.close()
@@ -655,13 +656,13 @@
 
 async def without_a_last_newline(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
     text = json.dumps({"id": request_id, "state": "done", "result": "page"}).encode()
-    writer.write(st.HEAD + st.line(request_id, "started") + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+    writer.write(st.HEAD + st.line(request_id, "started") + encode_chunks(text))
     return True
 
 
 async def cut_amid_the_last_line(endpoint: Endpoint, writer: asyncio.StreamWriter, request_id: str) -> bool:
     text = json.dumps({"id": request_id, "state": "done", "result": "page"}).encode()[:-2]
-    writer.write(st.HEAD + b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
+    writer.write(st.HEAD + encode_chunks(text))
     return True
 
 
