One start and stop of a stage

Need: SystemStage and ExchangeStage each wrote out how an asynchronous context starts and stops them.

Change: lab/stages.py has it; both tell only what start and stop do.

--- a/rookwood/lab/systemstage/stage.py
+++ b/rookwood/lab/systemstage/stage.py
@@ -18,14 +18,13 @@
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
-from types import TracebackType
-from typing import Self
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from rookwood.lab.emulatedworker.settings import WorkerSettings
 from rookwood.lab.emulatedworker.weights import WeightStore
 from rookwood.lab.emulatedworker.worker import ModelWorker
+from rookwood.lab.stages import Stage
 from rookwood.lab.systemstage.client import Client
 from rookwood.lab.systemstage.configuration import Configuration, ServiceSpec
 from rookwood.lab.systemstage.feed_relay import FeedRelays
@@ -45,7 +44,7 @@
 DEFAULT_TIMING = Timing()
 
 
-class SystemStage:
+class SystemStage(Stage):
     """A system with its workers, an operator and a client; an asynchronous context manager.
 
     At the end, whatever the processes wrote last is printed: test runners show it with failing tests.
@@ -96,17 +95,13 @@
         """Where workers and the operator call."""
         return [machine.control_address for machine in self.control_planes]
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
+        """Start all processes; workers are added later."""
         await asyncio.gather(*(relays.start() for relays in self.feed_relays))
         await asyncio.gather(*(machine.start() for machine in self.processes))
-        return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    async def stop(self) -> None:
+        """End all processes and workers, and print what the processes wrote last."""
         await self.client.close()
         await self.operator.close()
         await asyncio.gather(*(worker.stop() for worker in self.workers))
--- a/rookwood/lab/worker_answers.py
+++ b/rookwood/lab/worker_answers.py
@@ -12,8 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, dataclass
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 from aiohttp import web
 from rich.console import Console
@@ -38,6 +37,7 @@
 from rookwood.lab.misbehaving_worker import MisbehavingWorker, Misbehaviour, draw_misbehaviour
 from rookwood.lab.raw_server import HOST
 from rookwood.lab.results import keep
+from rookwood.lab.stages import Stage
 
 SERVICE = "pages"
 DESCRIPTORS = 1024
@@ -78,7 +78,7 @@
     }
 
 
-class ExchangeStage:
+class ExchangeStage(Stage):
     """The data plane's path of a request, in this process, between workers and clients on loopback."""
 
     def __init__(self, workers: int, plan: Callable[[], Misbehaviour]) -> None:
@@ -88,7 +88,7 @@
         self._pool = WorkerPool()
         self._router = Router("e1", "z1", self._pool)
 
-    async def __aenter__(self) -> Self:
+    async def start(self) -> None:
         """Start workers and dispatcher."""
         self._router.configure(json.dumps(configuration_document()).encode())
         for worker in self._workers:
@@ -110,14 +110,9 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, HOST, 0).start()
         self.address = f"{HOST}:{self._runner.addresses[0][1]}"
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+
+    async def stop(self) -> None:
+        """Stop dispatcher and workers."""
         await self._runner.cleanup()
         await self._client.close()
         for worker in self._workers:
--- a/tests/test_system_judge.py
+++ b/tests/test_system_judge.py
@@ -175,7 +175,7 @@
 
     async def test_loads_beyond_the_rate(self) -> None:
         stage = SystemStage(control_planes=1, data_planes=1)
-        self.addAsyncCleanup(stage.__aexit__, None, None, None)
+        self.addAsyncCleanup(stage.stop)
         stage.store = WeightStore([float(number) / 100 for number in range(14)])
         self.assertEqual(stage.broken_rules(2.0), [])
         stage.store.loads.append(1.0)
