--- a/rookwood/cli/control.py
+++ b/rookwood/cli/control.py
@@ -18,14 +18,15 @@
     look_at_group,
     request_transfer,
 )
+from rookwood.cli.control_dispatchers import find_farthest_behind
 from rookwood.cli.control_recover import recover
-from rookwood.cluster.control_status import MachineHistory, MachineStatus
+from rookwood.cli.control_text import history_text, status_text
+from rookwood.cli.exit_codes import BROKEN, DONE, FAILED
+from rookwood.cluster.control_status import MachineHistory
 from rookwood.cluster.settings import settings_path
 
-EXIT_DONE, EXIT_UNREACHABLE, EXIT_MISUSE, EXIT_BROKEN = 0, 1, 2, 3
 HTTP_OK = 200
 ALL_CHANGES = 100_000
-COLUMNS = ("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "digest")
 
 Addresses = Annotated[
     list[str],
@@ -37,7 +38,7 @@
 @cappa.command(name="status")
 @dataclass
 class StatusCommand:
-    """Who leads, under which epoch, and how far each member's copy is."""
+    """Who leads, under which epoch, how far each copy is, and which dispatcher is farthest behind."""
 
     addresses: Addresses
     json: Json = False
@@ -46,7 +47,7 @@
         """Run the command and return the exit code."""
         view = look_at_group(self.addresses)
         violations = find_violations(view.machines.values())
-        print(_as_json(view, violations) if self.json else _as_text(view))
+        print(_as_json(view, violations) if self.json else status_text(list(view.machines.values())))
         return _finish(view, violations)
 
 
@@ -64,10 +65,10 @@
         for address in self.addresses:
             history = fetch_history(address, max(0, self.limit))
             if isinstance(history, MachineHistory):
-                print(json.dumps(history.to_json(), indent=1) if self.json else _history_text(history))
-                return EXIT_DONE
+                print(json.dumps(history.to_json(), indent=1) if self.json else history_text(history))
+                return DONE
             _complain(f"{history.address}: {history.reason}")
-        return EXIT_UNREACHABLE
+        return FAILED
 
 
 @cappa.command(name="transfer")
@@ -84,16 +85,16 @@
         primaries = view.primaries()
         if len(primaries) != 1:
             _complain(f"{len(primaries)} primaries are known")
-            return EXIT_UNREACHABLE
+            return FAILED
         reply = request_transfer(primaries[0])
         if isinstance(reply, Unreachable):
             _complain(f"{reply.address}: {reply.reason}; the leadership may have been handed over")
-            return EXIT_UNREACHABLE
+            return FAILED
         if reply.status != HTTP_OK:
             _complain(f"{primaries[0]}: not handed over: {json.dumps(reply.body)}")
-            return EXIT_UNREACHABLE
+            return FAILED
         print(json.dumps(reply.body) if self.json else f"{primaries[0]} has handed over")
-        return EXIT_DONE
+        return DONE
 
 
 @cappa.command(name="verify")
@@ -173,65 +174,20 @@
     for violation in violations:
         _complain(f"broken: {violation.rule}, {violation.detail}: {', '.join(violation.machines)}")
     if violations:
-        return EXIT_BROKEN
-    return EXIT_DONE if view.machines else EXIT_UNREACHABLE
+        return BROKEN
+    return DONE if view.machines else FAILED
 
 
 def _as_json(view: GroupView, violations: list[Violation]) -> str:
+    farthest_behind = find_farthest_behind(view.machines.values())
     document: dict[str, Any] = {
         "machines": {address: status.to_json() for address, status in view.machines.items()},
         "unreachable": [asdict(missing) for missing in view.unreachable],
         "violations": [asdict(violation) for violation in violations],
+        "farthest_behind": asdict(farthest_behind) if farthest_behind is not None else None,
     }
     return json.dumps(document, indent=1)
 
 
-def _as_text(view: GroupView) -> str:
-    statuses = list(view.machines.values())
-    newest = max((status.committed for status in statuses), default=None)
-    rows = [COLUMNS]
-    for status in statuses:
-        behind = newest is not None and status.committed < newest
-        rows.append(
-            (
-                status.machine,
-                status.role.value + (f" ({status.reason})" if status.reason else ""),
-                str(status.epoch or "-"),
-                str(status.committed),
-                str(status.stored),
-                str(status.version),
-                _lag(status, newest.sequence if newest and behind else None, newest.epoch if newest else 0),
-                "yes" if status.holds_copy else "no",
-                status.digest,
-            )
-        )
-    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
-    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
-    return "\n".join(line.rstrip() for line in [*lines, *_summary(statuses)])
-
-
-def _summary(statuses: list[MachineStatus]) -> list[str]:
-    """Members, and how many machines have synced the newest committed document."""
-    if not statuses:
-        return []
-    newest = max(statuses, key=lambda status: status.committed)
-    holders = [status for status in statuses if status.holds_copy and status.stored >= newest.committed]
-    members = ", ".join(newest.members) or "none known"
-    return [f"members: {members}", f"copies of {newest.committed}: {len(holders)} of {len(newest.members)}"]
-
-
-def _lag(status: MachineStatus, newest_sequence: int | None, newest_epoch: int) -> str:
-    if newest_sequence is None:
-        return "0"
-    if status.committed.epoch != newest_epoch:
-        return "older epoch"
-    return str(newest_sequence - status.committed.sequence)
-
-
-def _history_text(history: MachineHistory) -> str:
-    lines = [f"{history.machine} at {history.committed}"]
-    return "\n".join([*lines, *(f"{change.version}  {change.digest}" for change in history.changes)])
-
-
 def _complain(text: str) -> None:
     print(text, file=sys.stderr)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 import subprocess
 import sys
 import unittest
@@ -32,6 +31,7 @@
 from rookwood.coordination.messages import PreVoteReply, PreVoteRequest, Refused, VoteRequest
 from rookwood.dataplane.metrics import request_families
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
+from rookwood.lab.free_ports import find_free_port
 from rookwood.metrics.exposition import FamilySource, loop_families, process_families, render
 from rookwood.metrics.families import gauge
 from rookwood.metrics.loop_lag import WINDOW, LoopLag
@@ -215,6 +215,20 @@
         self.progress.reported("e-1", THIRD)
         self.assertEqual(self.lag().behind, 0.0)
 
+    def test_the_farthest_behind_lacks_the_oldest_commit(self) -> None:
+        self.assertIsNone(self.progress.farthest_behind())
+        for position in (FIRST, SECOND, THIRD):
+            self.progress.committed(position)
+            self.clock.now += 1.0
+        self.progress.reported("e-1", THIRD)
+        self.assertIsNone(self.progress.farthest_behind(), "level")
+        self.progress.reported("e-2", SECOND)
+        self.progress.reported("e-4", FIRST)
+        self.progress.reported("e-3", FIRST)
+        self.assertEqual(self.progress.farthest_behind(), DispatcherLag("e-3", FIRST, 2.0, None))
+        self.progress.reported("e-5", NO_CONFIGURATION)
+        self.assertEqual(self.progress.farthest_behind(), DispatcherLag("e-5", NO_CONFIGURATION, 3.0, None))
+
     def test_commits_are_bounded(self) -> None:
         for sequence in range(REMEMBERED_COMMITS + 10):
             self.progress.committed(ConfigurationPosition(1, sequence))
@@ -348,9 +362,7 @@
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            self.port: int = probe.getsockname()[1]
+        self.port = find_free_port(HOST)
         self.session = await self.enterAsyncContext(ClientSession())
 
     async def start(self, *sources: FamilySource) -> None:
