Bound the changes that wait for the primary, and refuse the others at once

Cause: Leadership._proposals had no bound but the 3 s after which callers give up. With a write under way and 600 changes of 256 KB proposed, all 600 waited and held 158 MB.

Change: proposals.py, a queue of 64 changes (30 to 60 ms each under load: about the 3 s of a call) and 16 MB (64 whole configurations of 1,480 routes; a machine has 296 MB). One of any size may wait alone. Beyond it the call is answered Overloaded at once: no member is asked, nothing is written. The operator's interface answers 503 with Retry-After, and says that the call changed nothing. The exhaustive explorer counts Overloaded among the refusals that may never be in force.

--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -28,6 +28,7 @@
     Confirmed,
     ControlGroup,
     Declined,
+    Overloaded,
     Primary,
 )
 
@@ -38,6 +39,7 @@
 NO_BASE = -1
 VERSION_TEXT = re.compile(r"[0-9]{1,19}")  # versions are below 2**63
 RETRY_AFTER = "0.3"
+OVERLOAD_RETRY_AFTER = "1"  # seconds; about a third of the changes that may wait are made by then
 MAXIMUM_BODY = 16 * 1024 * 1024
 
 
@@ -105,13 +107,16 @@
                 return decision.document.encode()
             return Declined(decision)
 
-        outcome = await self._group.propose(apply)
+        outcome = await self._group.propose(apply, size=len(body))
         if isinstance(outcome, Committed):
             version = read_payload(outcome.snapshot.payload).version
             logger.info("configuration taken", extra={"version": version})
             return web.json_response({"ver": version})
         if isinstance(outcome, Declined):
             return answer_declined(outcome.answer)
+        if isinstance(outcome, Overloaded):
+            reason = "too many changes wait; this call changed nothing"
+            return unavailable(reason, OVERLOAD_RETRY_AFTER)
         return unavailable("the change may not have been taken")
 
     async def _refer(self, request: web.Request) -> web.Response | None:
@@ -144,9 +149,9 @@
     return int(text) if VERSION_TEXT.fullmatch(text) else NO_BASE
 
 
-def unavailable(reason: str) -> web.Response:
-    """No clear answer: the caller tries again elsewhere."""
-    return web.json_response({"err": reason}, status=503, headers={"Retry-After": RETRY_AFTER})
+def unavailable(reason: str, retry_after: str = RETRY_AFTER) -> web.Response:
+    """Nothing to tell but the reason: the caller tries again, or elsewhere."""
+    return web.json_response({"err": reason}, status=503, headers={"Retry-After": retry_after})
 
 
 def answer_declined(answer: object) -> web.Response:
--- a/rookwood/coordination/exploration_ledger.py
+++ b/rookwood/coordination/exploration_ledger.py
@@ -6,7 +6,7 @@
 
 from rookwood.coordination.document import Record
 from rookwood.coordination.effects import Resolve
-from rookwood.coordination.outcomes import Committed, Confirmed, NotPrimary, Snapshot
+from rookwood.coordination.outcomes import Committed, Confirmed, NotPrimary, Overloaded, Snapshot
 
 
 class BrokenError(Exception):
@@ -55,7 +55,7 @@
     match answer.outcome:
         case Committed():
             return replace(ledger, acknowledged=ledger.acknowledged | {label})
-        case NotPrimary() if answer.ticket > 0:
+        case NotPrimary() | Overloaded() if answer.ticket > 0:
             refused = ledger.refused | {label}
             if ledger.committed:
                 _check_refused(refused, ledger.committed[-1].payload)
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -22,6 +22,7 @@
     ConfirmOutcome,
     Declined,
     NotPrimary,
+    Overloaded,
     Primary,
     ProposeOutcome,
     Role,
@@ -29,6 +30,7 @@
     Unattached,
     Uncertain,
 )
+from rookwood.coordination.proposals import Change
 from rookwood.coordination.replication import Replica
 from rookwood.coordination.storage import Empty, Found, Inaccessible, LoadOutcome, Storage
 from rookwood.coordination.timing import Timing
@@ -43,6 +45,7 @@
     "GroupSettings",
     "NoSuccessor",
     "NotPrimary",
+    "Overloaded",
     "Primary",
     "Role",
     "Snapshot",
@@ -215,11 +218,14 @@
         return Transferred(epoch) if epoch > role.epoch else Uncertain("no successor was established in time")
 
     async def propose(
-        self, change: Callable[[bytes], bytes | Declined], limit: float = 3.0
-    ) -> Committed | Declined | NotPrimary | Uncertain:
-        """Change the document; `change` is pure and gets the newest committed payload."""
+        self, change: Change, limit: float = 3.0, size: int = 0
+    ) -> Committed | Declined | NotPrimary | Overloaded | Uncertain:
+        """Change the document; `change` is pure and gets the newest committed payload.
+
+        `size` is the bytes that the change keeps in memory while it waits for its turn.
+        """
         outcome = await self._call(
-            lambda replica, ticket: replica.propose(ticket, change, self._now()), limit
+            lambda replica, ticket: replica.propose(ticket, change, self._now(), size), limit
         )
         return Uncertain("unexpected outcome") if isinstance(outcome, Confirmed) else outcome
 
@@ -372,5 +378,5 @@
             future.set_result(effect.outcome)
 
 
-def _as_uncertain(outcome: Committed | Declined | Uncertain) -> Uncertain:
+def _as_uncertain(outcome: Committed | Declined | Overloaded | Uncertain) -> Uncertain:
     return outcome if isinstance(outcome, Uncertain) else Uncertain("unexpected outcome")
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -1,6 +1,5 @@
 """The primary's work in one epoch: writes, commits, heartbeat rounds, confirmations, members."""
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,9 +8,16 @@
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
 from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck
-from rookwood.coordination.outcomes import Committed, Confirmed, Declined, NotPrimary, Uncertain
+from rookwood.coordination.outcomes import (
+    Committed,
+    Confirmed,
+    Declined,
+    NotPrimary,
+    Overloaded,
+    Uncertain,
+)
+from rookwood.coordination.proposals import Proposal, ProposalQueue
 
-Change = Callable[[bytes], bytes | Declined]
 MAX_ROUNDS_REMEMBERED = 32
 HEALTHY_BEATS = 2
 
@@ -39,14 +45,6 @@
     asked_at: float
 
 
-@dataclass(frozen=True)
-class Proposal:
-    """A change that waits for its turn."""
-
-    ticket: int
-    change: Change
-
-
 @dataclass(frozen=True)
 class Waiter:
     """A call that waits for a heartbeat round; `declined` is its answer, else a confirmation."""
@@ -67,7 +65,7 @@
         self.leave_by: float | None = None
         self._replications: dict[str, Replication] = {}
         self._learners: dict[str, Learner] = {}
-        self._proposals: deque[Proposal] = deque()
+        self._proposals = ProposalQueue()
         self._waiters: list[Waiter] = []
         self._in_flight: int | None = None
         self._writing = False
@@ -97,9 +95,12 @@
 
     # Calls
 
-    def propose(self, ticket: int, change: Change) -> None:
-        """Queue a change."""
-        self._proposals.append(Proposal(ticket, change))
+    def propose(self, proposal: Proposal) -> None:
+        """Queue a change, or refuse it at once if too much waits already."""
+        if not self._proposals.has_room(proposal.size):
+            self._context.effects.append(Resolve(proposal.ticket, Overloaded()))
+            return
+        self._proposals.append(proposal)
         self._advance()
 
     def confirm(self, ticket: int, declined: Declined | None = None) -> None:
@@ -112,21 +113,20 @@
 
     def abandon(self, ticket: int) -> None:
         """Forget a call whose limit is over; a write under way goes on."""
-        self._proposals = deque(proposal for proposal in self._proposals if proposal.ticket != ticket)
+        self._proposals.remove(ticket)
         self._waiters = [waiter for waiter in self._waiters if waiter.ticket != ticket]
         if self._in_flight == ticket:
             self._in_flight = None
 
     def close(self) -> None:
         """Resolve what is pending: this epoch is over."""
-        idle = [proposal.ticket for proposal in self._proposals]
+        idle = [proposal.ticket for proposal in self._proposals.take_all()]
         idle += [waiter.ticket for waiter in self._waiters]
         for ticket in idle:
             self._context.effects.append(Resolve(ticket, NotPrimary(None)))
         if self._in_flight is not None:
             outcome = Uncertain("the primary stepped down")
             self._context.effects.append(Resolve(self._in_flight, outcome))
-        self._proposals.clear()
         self._waiters.clear()
         self._in_flight = None
 
@@ -290,7 +290,7 @@
 
     def _advance(self) -> None:
         while self.established and not self._writing and self._proposals:
-            self._start_proposal(self._proposals.popleft())
+            self._start_proposal(self._proposals.take())
         if self.established and not self._writing and not self.leaving:
             self._advance_membership()
 
--- a/rookwood/coordination/outcomes.py
+++ b/rookwood/coordination/outcomes.py
@@ -60,6 +60,11 @@
     primary: str | None
 
 
+@dataclass(frozen=True)
+class Overloaded:
+    """Too many changes wait for the primary; this one was refused, and is never in force."""
+
+
 @dataclass(frozen=True)
 class Uncertain:
     """The change may or may not be in force, or leadership could not be confirmed."""
@@ -74,5 +79,5 @@
     snapshot: Snapshot
 
 
-ProposeOutcome = Committed | Declined | NotPrimary | Uncertain
+ProposeOutcome = Committed | Declined | NotPrimary | Overloaded | Uncertain
 ConfirmOutcome = Confirmed | NotPrimary | Uncertain
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -17,7 +17,7 @@
     Step,
     WriteStep,
 )
-from rookwood.coordination.leadership import Change, Leadership
+from rookwood.coordination.leadership import Leadership
 from rookwood.coordination.messages import (
     Heartbeat,
     HeartbeatAck,
@@ -37,6 +37,7 @@
     WriteFailed,
 )
 from rookwood.coordination.outcomes import NotPrimary, Primary, Role, Snapshot, Unattached
+from rookwood.coordination.proposals import Change, Proposal
 from rookwood.coordination.timing import Timing
 from rookwood.coordination.voting import Voter
 
@@ -165,12 +166,12 @@
             self._campaign.wait(0.0)
         return self._finish()
 
-    def propose(self, ticket: int, change: Change, now: float) -> list[Effect]:
-        """Start a call that changes the document."""
+    def propose(self, ticket: int, change: Change, now: float, size: int = 0) -> list[Effect]:
+        """Start a call that changes the document; `size` is what it keeps in memory while it waits."""
         self._context.now = now
         leadership = self._acting_for(ticket)
         if leadership is not None:
-            leadership.propose(ticket, change)
+            leadership.propose(Proposal(ticket, change, size))
         return self._finish()
 
     def confirm(self, ticket: int, now: float) -> list[Effect]:
--- a/rookwood/lab/replica_harness.py
+++ b/rookwood/lab/replica_harness.py
@@ -73,9 +73,13 @@
         incarnation = self.incarnations.get(sender, 0)
         self.apply(ip, self.replicas[ip].receive(sender, incarnation, message, self.now))
 
-    def propose(self, ip: str, ticket: int, label: bytes) -> None:
-        """Propose a change that appends a label."""
-        self.apply(ip, self.replicas[ip].propose(ticket, lambda payload: payload + label, self.now))
+    def propose(self, ip: str, ticket: int, label: bytes, size: int = 0) -> None:
+        """Propose a change that appends a label, and that holds `size` bytes while it waits."""
+        self.apply(ip, self.replicas[ip].propose(ticket, lambda payload: payload + label, self.now, size))
+
+    def abandon(self, ip: str, ticket: int) -> None:
+        """Give a call up."""
+        self.apply(ip, self.replicas[ip].abandon(ticket, self.now))
 
     def decline(self, ip: str, ticket: int) -> None:
         """Propose a change that declines."""
--- a/tests/test_controlplane_operator.py
+++ b/tests/test_controlplane_operator.py
@@ -22,6 +22,7 @@
     Confirmed,
     ControlGroup,
     Declined,
+    Overloaded,
     Primary,
     Role,
     Snapshot,
@@ -57,6 +58,8 @@
     def __init__(self) -> None:
         self.current: Role = Primary(1, 0.0)
         self.certain = True
+        self.has_room = True
+        self.sizes: list[int] = []
         self.payload = b""
         self._sequence = 0
 
@@ -64,8 +67,13 @@
         """The role set."""
         return self.current
 
-    async def propose(self, change: Callable[[bytes], bytes | Declined]) -> Committed | Declined | Uncertain:
+    async def propose(
+        self, change: Callable[[bytes], bytes | Declined], size: int = 0
+    ) -> Committed | Declined | Overloaded | Uncertain:
         """Apply a change at once."""
+        self.sizes.append(size)
+        if not self.has_room:
+            return Overloaded()
         if not self.certain:
             return Uncertain("no quorum")
         result = change(self.payload)
@@ -233,6 +241,19 @@
         self.assert_no_clear_answer(await self.call("GET"))
         self.assert_no_clear_answer(await self.call("PUT", {**CONFIGURATION, "ver": 9}, 3))
 
+    async def test_a_change_that_finds_too_many_waiting_is_refused_as_not_taken(self) -> None:
+        await self.put_first()
+        self.group.has_room = False
+        answer = await self.call("PUT", {**CONFIGURATION, "ver": 9}, 3)
+        self.assertEqual(503, answer.status)
+        self.assertEqual("1", answer.headers["Retry-After"])
+        self.assertIn("changed nothing", json.loads(answer.body)["err"])
+        self.assertEqual(3, json.loads((await self.call("GET")).body)["ver"])
+
+    async def test_a_change_tells_how_much_it_holds_while_it_waits(self) -> None:
+        await self.put_first()
+        self.assertEqual([len(json.dumps(CONFIGURATION).encode())], self.group.sizes)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -16,12 +16,14 @@
     Declined,
     GroupSettings,
     NotPrimary,
+    Overloaded,
     Primary,
     Role,
     Snapshot,
     Unattached,
     Uncertain,
 )
+from rookwood.coordination.proposals import MAX_WAITING_CHANGES
 from rookwood.lab.faulty_disk import FaultyStorage
 
 FIRST_MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
@@ -192,6 +194,18 @@
         self.assertTrue(all(isinstance(outcome, Committed) for outcome in outcomes))
         self.assertEqual(group.snapshot().payload, b"x" * 20)
 
+    async def test_changes_beyond_those_that_may_wait_are_refused_and_never_made(self) -> None:
+        await self.cluster.start_all()
+        group = self.cluster.groups[await self.cluster.until_led()]
+        beyond = 10
+        changes = MAX_WAITING_CHANGES + 1 + beyond  # one is in flight
+        proposed = [group.propose(appending(b"%d," % number), limit=LIMIT) for number in range(changes)]
+        outcomes = await asyncio.gather(*proposed)
+        self.assertEqual([Overloaded()] * beyond, outcomes[-beyond:])
+        self.assertTrue(all(isinstance(outcome, Committed) for outcome in outcomes[:-beyond]))
+        made = b"".join(b"%d," % number for number in range(changes - beyond))
+        self.assertEqual(group.snapshot().payload, made)
+
     async def test_backup_answers_that_it_is_not_the_primary(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
