Keep one write under way to each member, the newest document after it

Cause: the primary sent the whole document to each member for each change, also to one that had not answered the last; heartbeats waited behind all of them, and a member that answers 0.5 s late was sent 40 documents of 86 KB through 40 changes.

Change: member_progress.py (taken out of leadership.py) knows whether a write is under way: until it is stored or failed, or a heartbeat sent after it is answered, as the link keeps their order. Only then the newest document follows, the same one after 0.5 s as before; a member that starts anew is sent it at once. Commit rules, quorums and messages are the same.

--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -7,7 +7,8 @@
 from rookwood.coordination.document import Configuration, Document, Member, Position
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
-from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck
+from rookwood.coordination.member_progress import MemberProgress
+from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck, WriteFailed
 from rookwood.coordination.outcomes import (
     Committed,
     Confirmed,
@@ -22,21 +23,6 @@
 HEALTHY_BEATS = 2
 
 
-@dataclass
-class Replication:
-    """How far one other machine has followed the primary."""
-
-    incarnation: int | None = None
-    token: int | None = None
-    stored: Position = Position()
-    round: int = 0
-    round_started_at: float = float("-inf")
-    sent: Position = Position()
-    sent_at: float = float("-inf")
-    disk_failed: bool = False
-    lagging: bool = False
-
-
 @dataclass
 class Learner:
     """A machine that asks to be admitted."""
@@ -63,7 +49,7 @@
         self.started_at = context.now
         self.established_at: float | None = None
         self.leave_by: float | None = None
-        self._replications: dict[str, Replication] = {}
+        self._progress: dict[str, MemberProgress] = {}
         self._learners: dict[str, Learner] = {}
         self._proposals = ProposalQueue()
         self._waiters: list[Waiter] = []
@@ -152,35 +138,33 @@
         """Count a member's acknowledgement of a round."""
         if ack.epoch != self.epoch:
             return
-        replication = self._replication(sender, incarnation, ack.token)
-        started_at = self._rounds.get(ack.round)
-        if started_at is not None and ack.round > replication.round:
-            replication.round = ack.round
-            replication.round_started_at = started_at
-        self._note_stored(replication, ack.stored)
-        if ack.stored < self._document.position:
-            self._send_write(sender, replication)
+        progress = self._progress_of(sender, incarnation, ack.token)
+        progress.note_round(ack.round, self._rounds.get(ack.round))
+        self._note_stored(progress, ack.stored)
+        self._send_newest(sender, progress)
         self._check_rounds()
 
     def on_write_ack(self, sender: str, incarnation: int, ack: WriteAck) -> None:
         """Count a member's copy, or a learner's."""
-        if ack.epoch == self.epoch:
-            self._note_stored(self._replication(sender, incarnation, ack.token), ack.stored)
+        if ack.epoch != self.epoch:
+            return
+        progress = self._progress_of(sender, incarnation, ack.token)
+        self._note_stored(progress, ack.stored)
+        if sender in self._receivers():
+            self._send_newest(sender, progress)
 
-    def on_write_failed(self, sender: str, incarnation: int, epoch: int) -> None:
+    def on_write_failed(self, sender: str, incarnation: int, failure: WriteFailed) -> None:
         """Note that a member's disk takes no writes at present."""
-        replication = self._replications.get(sender)
-        if epoch == self.epoch and replication is not None and replication.incarnation == incarnation:
-            replication.disk_failed = True
+        progress = self._progress.get(sender)
+        if failure.epoch == self.epoch and progress is not None and progress.incarnation == incarnation:
+            progress.note_failed(failure.position)
 
     def on_join_request(self, sender: str, incarnation: int, token: int) -> None:
         """Send the document to a machine that asks to be admitted with the storage of this token."""
         if not self.established or self._document.configuration.admits(Member(sender, token)):
             return
         self._learners[sender] = Learner(token, self._context.now)
-        replication = self._replication(sender, incarnation, token)
-        if replication.stored < self._document.position:
-            self._send_write(sender, replication)
+        self._send_newest(sender, self._progress_of(sender, incarnation, token))
 
     # Time
 
@@ -211,7 +195,7 @@
         limit = self._context.now - self._context.timing.lease
         candidates = [
             (not state.disk_failed, state.stored, ip)
-            for ip, state in self._replications.items()
+            for ip, state in self._progress.items()
             if state.round_started_at >= limit and ip != self._context.ip and self._is_member(ip, state.token)
         ]
         return max(candidates)[-1] if candidates else None
@@ -226,16 +210,17 @@
         self._context.offer(self._document)
         journal.update(journal.latest.with_document(self._document), OwnWriteStep(position))
         for ip in self._receivers():
-            self._send_write(ip, self._replications.setdefault(ip, Replication()))
+            self._send_newest(ip, self._progress.setdefault(ip, MemberProgress()))
 
-    def _send_write(self, ip: str, replication: Replication) -> None:
+    def _send_newest(self, ip: str, progress: MemberProgress) -> None:
+        """Send the newest document to a machine that lacks it, unless a write to it is under way."""
         now = self._context.now
         position = self._document.position
-        if replication.sent == position and now - replication.sent_at < self._context.timing.write_resend:
+        if progress.stored >= position:
             return
-        replication.sent = position
-        replication.sent_at = now
-        self._context.send(ip, Write(self._document))
+        if progress.may_send(position, now, self._context.timing.write_resend):
+            progress.note_sent(position, now, self._round)
+            self._context.send(ip, Write(self._document))
 
     def _check_commit(self) -> None:
         if not self._writing:
@@ -262,12 +247,12 @@
             state.lagging = True
         return False
 
-    def _healthy_members(self) -> list[Replication]:
+    def _healthy_members(self) -> list[MemberProgress]:
         """Return the other members that answer, and whose disks keep up."""
         limit = self._context.now - HEALTHY_BEATS * self._context.timing.heartbeat
         return [
             state
-            for ip, state in self._replications.items()
+            for ip, state in self._progress.items()
             if self._is_member(ip, state.token)
             and not state.disk_failed
             and not state.lagging
@@ -317,7 +302,7 @@
 
     def _check_rounds(self) -> None:
         best = self._confirmed_round
-        for number in sorted({state.round for state in self._replications.values()} | {self._round}):
+        for number in sorted({state.round for state in self._progress.values()} | {self._round}):
             if self._document.configuration.has_votes(self._voices_in_round(number)):
                 best = max(best, number)
         self._confirmed_round = best
@@ -353,8 +338,8 @@
         ready = [
             Member(ip, learner.token)
             for ip, learner in self._learners.items()
-            if self._replications[ip].token == learner.token
-            and self._replications[ip].stored >= self._document.position
+            if self._progress[ip].token == learner.token
+            and self._progress[ip].stored >= self._document.position
             and not configuration.admits(Member(ip, learner.token))
         ]
         return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
@@ -399,20 +384,20 @@
         everyone = (*self._document.configuration.everyone(), *self._learners)
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
 
-    def _replication(self, ip: str, incarnation: int, token: int | None) -> Replication:
+    def _progress_of(self, ip: str, incarnation: int, token: int | None) -> MemberProgress:
         """Return how far a storage has followed; that of another life or token has not."""
-        replication = self._replications.setdefault(ip, Replication())
-        if replication.incarnation is None:
-            replication.incarnation = incarnation
-            replication.token = token
-        elif (replication.incarnation, replication.token) != (incarnation, token):
-            replication = Replication(incarnation, token)
-            self._replications[ip] = replication
-        return replication
-
-    def _voices(self, fits: Callable[[Replication], bool]) -> dict[str, int | None]:
-        """Return the machines whose replication fits, and this one, with the tokens that they told."""
-        voices = {ip: state.token for ip, state in self._replications.items() if fits(state)}
+        progress = self._progress.setdefault(ip, MemberProgress())
+        if progress.incarnation is None:
+            progress.incarnation = incarnation
+            progress.token = token
+        elif (progress.incarnation, progress.token) != (incarnation, token):
+            progress = MemberProgress(incarnation, token)
+            self._progress[ip] = progress
+        return progress
+
+    def _voices(self, fits: Callable[[MemberProgress], bool]) -> dict[str, int | None]:
+        """Return the machines whose progress fits, and this one, with the tokens that they told."""
+        voices = {ip: state.token for ip, state in self._progress.items() if fits(state)}
         return voices | self._context.own_voice()
 
     def _voices_in_round(self, number: int) -> dict[str, int | None]:
@@ -422,11 +407,8 @@
         configuration = self._document.configuration
         return configuration.has_address(ip) if token is None else configuration.admits(Member(ip, token))
 
-    def _note_stored(self, replication: Replication, stored: Position) -> None:
-        if stored.epoch == self.epoch and stored > replication.stored:
-            replication.stored = stored
-            replication.disk_failed = False
-            if self._context.now - replication.sent_at < self._context.timing.copy_patience:
-                replication.lagging = False
+    def _note_stored(self, progress: MemberProgress, stored: Position) -> None:
+        if stored.epoch == self.epoch and stored > progress.stored:
+            progress.note_stored(stored, self._context.now, self._context.timing.copy_patience)
             self._check_commit()
             self._advance()
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -240,7 +240,7 @@
                     self._leadership.on_write_ack(sender, incarnation, message)
             case WriteFailed():
                 if self._leadership is not None:
-                    self._leadership.on_write_failed(sender, incarnation, message.epoch)
+                    self._leadership.on_write_failed(sender, incarnation, message)
             case Refused():
                 self._on_refused(message)
             case PreVoteRequest():
