Send documents between control machines over a connection of their own

Cause: one connection carried everything, so a heartbeat waited behind each document of up to 8 MB before it, and up to 8 MB of them; on a slow link the lease ended by that.

Change: lanes.py, two connections for each pair and direction. A peer of the version before refuses the second connection and opens none, and gets documents over the first one as before. A commit may now be heard before its document: a backup remembers it and applies the document when it comes.

--- a/rookwood/coordination/following.py
+++ b/rookwood/coordination/following.py
@@ -1,6 +1,7 @@
 """What a member knows of the primary that it follows, and how it takes and acknowledges documents."""
 
 from rookwood.coordination.context import Context
+from rookwood.coordination.document import Position
 from rookwood.coordination.journal import WriteStep
 from rookwood.coordination.messages import (
     Heartbeat,
@@ -22,6 +23,7 @@
         self._epoch = 0
         self._heard_at = float("-inf")
         self._expected_until = float("-inf")
+        self._committed = Position()
 
     # What is known of the primary
 
@@ -76,16 +78,21 @@
 
     def acknowledge_round(self, sender: str, heartbeat: Heartbeat) -> None:
         """Apply what is committed, and answer with the newest document that is synced."""
+        self._committed = max(self._committed, heartbeat.committed)
         self._context.apply_commit(heartbeat.committed)
         durable = self._context.journal.durable
         position = durable.document.position
         self._context.send(sender, HeartbeatAck(heartbeat.epoch, heartbeat.round, position, durable.token))
 
     def store(self, sender: str, write: Write) -> None:
-        """Put a document on the disk, and acknowledge it once it is synced."""
+        """Put a document on the disk, and acknowledge it once it is synced.
+
+        A heartbeat may have told of its commit before: it does not wait behind documents.
+        """
         journal = self._context.journal
         position = write.document.position
         self._context.offer(write.document)
+        self._context.apply_commit(self._committed)
         if not journal.healthy:
             self._context.send(sender, WriteFailed(position.epoch, position))
             return
--- a/tests/test_coordination_transport.py
+++ b/tests/test_coordination_transport.py
@@ -6,12 +6,15 @@
 from unittest.mock import patch
 
 from rookwood.coordination import transport as transport_module
-from rookwood.coordination.codec import encode_message
-from rookwood.coordination.messages import JoinRequest, Message
+from rookwood.coordination.codec import decode_message
+from rookwood.coordination.document import Configuration, Document, Position
+from rookwood.coordination.lanes import Lane, Preamble, encode_frame, read_frame, read_preamble
+from rookwood.coordination.messages import JoinRequest, Message, Write
 from rookwood.coordination.transport import Transport
 
 FIRST, SECOND = "127.0.0.1", "127.0.0.2"
 LIMIT = 10.0
+LARGE = 8_000_000  # bytes, more than the kernel takes from a sender whose peer does not read
 
 
 def free_port() -> int:
@@ -21,17 +24,14 @@
         return port
 
 
-def preamble(ip: str, incarnation: int) -> bytes:
+def preamble(ip: str, incarnation: int, lane: Lane = Lane.CONTROL) -> bytes:
     """What one life of a member sends first."""
-    address = ip.encode()
-    life = incarnation.to_bytes(transport_module.INCARNATION_BYTES)
-    return transport_module.PREAMBLE + life + bytes((len(address),)) + address
+    return Preamble(lane, ip, incarnation).encode()
 
 
-def frame(message: Message) -> bytes:
-    """A message as it goes over the wire."""
-    body = encode_message(message)
-    return len(body).to_bytes(transport_module.LENGTH_BYTES) + body
+def write_of(sequence: int, size: int = LARGE) -> Write:
+    """A document on its way."""
+    return Write(Document(Position(1, sequence), Configuration(), bytes(size)))
 
 
 class Inbox:
@@ -100,13 +100,13 @@
         _, inbox = await self.open("127.0.0.1", 1)
         earlier = self.connect_by_hand()
         later = self.connect_by_hand()
-        earlier.sendall(preamble("127.0.0.2", 22) + frame(JoinRequest(1)))
+        earlier.sendall(preamble("127.0.0.2", 22) + encode_frame(JoinRequest(1)))
         self.assertEqual(await inbox.next(), ("127.0.0.2", 22, JoinRequest(1)))
         # Both arrive before the event loop looks again, the later life first.
-        later.sendall(preamble("127.0.0.2", 23) + frame(JoinRequest(2)))
-        earlier.sendall(frame(JoinRequest(3)))
+        later.sendall(preamble("127.0.0.2", 23) + encode_frame(JoinRequest(2)))
+        earlier.sendall(encode_frame(JoinRequest(3)))
         self.assertEqual(await inbox.next(), ("127.0.0.2", 23, JoinRequest(2)))
-        later.sendall(frame(JoinRequest(4)))
+        later.sendall(encode_frame(JoinRequest(4)))
         self.assertEqual(await inbox.next(), ("127.0.0.2", 23, JoinRequest(4)))
 
     async def test_end_of_a_peer_is_told(self) -> None:
@@ -154,3 +154,153 @@
         second, _ = await self.open(SECOND, 22)
         second.send(FIRST, JoinRequest(7))
         self.assertEqual(await inbox.next(), (SECOND, 22, JoinRequest(7)))
+
+
+class Peer:
+    """A member by hand: takes connections, and reads from them only what the test asks for."""
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._ip = ip
+        self.port = port
+        self._server: asyncio.Server | None = None
+        self._opened: dict[Lane, asyncio.Queue[asyncio.StreamReader]] = {
+            lane: asyncio.Queue() for lane in Lane
+        }
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._take, self._ip, self.port)
+
+    async def stop(self) -> None:
+        """End all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def connect(self, ip: str, lane: Lane, incarnation: int = 22) -> asyncio.StreamWriter:
+        """Open a connection to a member."""
+        _, writer = await asyncio.open_connection(ip, self.port)
+        self._writers.append(writer)
+        writer.write(preamble(self._ip, incarnation, lane))
+        return writer
+
+    async def connection(self, lane: Lane) -> asyncio.StreamReader:
+        """Return the next connection that a member opened on a lane."""
+        async with asyncio.timeout(LIMIT):
+            return await self._opened[lane].get()
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        self._opened[(await read_preamble(reader)).lane].put_nowait(reader)
+
+
+async def next_message(reader: asyncio.StreamReader) -> Message:
+    """Read one message."""
+    async with asyncio.timeout(LIMIT):
+        return decode_message(await read_frame(reader))
+
+
+class DocumentLaneTest(unittest.IsolatedAsyncioTestCase):
+    """Documents go over a connection of their own, to peers that have one."""
+
+    async def asyncSetUp(self) -> None:
+        port = free_port()
+        self.inbox = Inbox()
+        self.first = Transport(FIRST, 11, FIRST, port, self.inbox.take, self.inbox.note_disconnect)
+        await self.first.start()
+        self.addAsyncCleanup(self.first.stop)
+        self.peer = Peer(SECOND, port)
+        await self.peer.start()
+        self.addAsyncCleanup(self.peer.stop)
+
+    async def open_both_lanes(self) -> tuple[asyncio.StreamReader, asyncio.StreamReader]:
+        """Let the member and its peer open all connections; returns what the member sends on."""
+        documents = await self.peer.connect(FIRST, Lane.DOCUMENTS)
+        documents.write(encode_frame(JoinRequest(1)))
+        await self.inbox.next()
+        self.first.send(SECOND, JoinRequest(1))
+        control = await self.peer.connection(Lane.CONTROL)
+        await next_message(control)
+        return control, await self.peer.connection(Lane.DOCUMENTS)
+
+    async def test_small_message_does_not_wait_behind_a_document(self) -> None:
+        control, documents = await self.open_both_lanes()
+        self.first.send(SECOND, write_of(1))
+        self.first.send(SECOND, JoinRequest(2))
+        self.assertEqual(await next_message(control), JoinRequest(2))
+        self.assertEqual(await next_message(documents), write_of(1))
+
+    async def test_newest_document_takes_the_place_of_one_that_waits(self) -> None:
+        _, documents = await self.open_both_lanes()
+        for sequence in range(1, 9):
+            self.first.send(SECOND, write_of(sequence))
+        self.assertLess(self.first.queued_bytes(), 2 * LARGE)
+        self.assertEqual(await next_message(documents), write_of(1))
+        self.assertEqual(await next_message(documents), write_of(8))
+        self.first.send(SECOND, write_of(9, size=0))
+        self.assertEqual(await next_message(documents), write_of(9, size=0))
+
+    async def test_document_on_its_way_is_not_sent_twice(self) -> None:
+        _, documents = await self.open_both_lanes()
+        self.first.send(SECOND, write_of(1))
+        self.first.send(SECOND, write_of(1))
+        self.first.send(SECOND, write_of(2, size=0))
+        self.assertEqual(await next_message(documents), write_of(1))
+        self.assertEqual(await next_message(documents), write_of(2, size=0))
+
+    async def test_peer_of_the_version_before_is_sent_documents_among_the_rest(self) -> None:
+        self.first.send(SECOND, write_of(1))
+        control = await self.peer.connection(Lane.CONTROL)
+        self.assertEqual(await next_message(control), write_of(1))
+
+    async def test_peer_that_went_back_a_version_is_sent_documents_among_the_rest(self) -> None:
+        control, _ = await self.open_both_lanes()
+        earlier = await self.peer.connect(FIRST, Lane.CONTROL, incarnation=23)
+        earlier.write(encode_frame(JoinRequest(3)))
+        await self.inbox.next()
+        self.first.send(SECOND, write_of(1))
+        self.assertEqual(await next_message(control), write_of(1))
+
+    async def test_documents_of_an_earlier_life_count_for_nothing(self) -> None:
+        earlier = await self.peer.connect(FIRST, Lane.DOCUMENTS, incarnation=22)
+        earlier.write(encode_frame(JoinRequest(1)))
+        await self.inbox.next()
+        later = await self.peer.connect(FIRST, Lane.CONTROL, incarnation=23)
+        later.write(encode_frame(JoinRequest(2)))
+        self.assertEqual(await self.inbox.next(), (SECOND, 23, JoinRequest(2)))
+        earlier.write(encode_frame(JoinRequest(3)))
+        later.write(encode_frame(JoinRequest(4)))
+        self.assertEqual(await self.inbox.next(), (SECOND, 23, JoinRequest(4)))
+
+    async def test_end_of_the_connection_for_documents_is_no_end_of_the_peer(self) -> None:
+        control = await self.peer.connect(FIRST, Lane.CONTROL)
+        documents = await self.peer.connect(FIRST, Lane.DOCUMENTS)
+        for writer in (control, documents):
+            writer.write(encode_frame(JoinRequest(1)))
+            await self.inbox.next()
+        documents.close()
+        control.write(encode_frame(JoinRequest(2)))
+        await self.inbox.next()
+        self.assertTrue(self.inbox.disconnects.empty())
+        control.close()
+        async with asyncio.timeout(LIMIT):
+            self.assertEqual(await self.inbox.disconnects.get(), SECOND)
+
+    async def test_two_members_use_the_connection_for_documents(self) -> None:
+        await self.peer.stop()
+        inbox = Inbox()
+        second = Transport(SECOND, 22, SECOND, self.peer.port, inbox.take, inbox.note_disconnect)
+        await second.start()
+        self.addAsyncCleanup(second.stop)
+        async with asyncio.timeout(LIMIT):
+            while not (self.first.takes_documents(SECOND) and second.takes_documents(FIRST)):
+                self.first.send(SECOND, JoinRequest(1))
+                second.send(FIRST, JoinRequest(2))
+                await self.inbox.next()
+                await inbox.next()
+        self.first.send(SECOND, write_of(1))
+        while (received := await inbox.next()) == (FIRST, 11, JoinRequest(1)):
+            continue
+        self.assertEqual(received, (FIRST, 11, write_of(1)))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -189,6 +189,18 @@
         self.assertEqual(self.harness.commits[B][-1], b"x")
         self.assertEqual(self.harness.commits[C][-1], b"x")
 
+    def test_backup_applies_a_document_whose_commit_was_told_before_it_came(self) -> None:
+        self.harness.propose(A, 1, b"x")
+        write = self.harness.take(Write, B)[0]
+        self.harness.settle()
+        self.harness.now += Timing().copy_patience
+        self.harness.tick(A)
+        self.harness.settle()
+        self.assertEqual(self.harness.commits[A][-1], b"x")
+        self.assertNotEqual(self.harness.commits[B][-1], b"x")
+        self.harness.receive(B, A, write)
+        self.assertEqual(self.harness.commits[B][-1], b"x")
+
     def test_write_of_an_older_epoch_is_refused(self) -> None:
         self.harness.lead(B)
         self.harness.receive(C, A, Write(document_at(1, 9)))
