One limit of a configuration's size: 4 MB as stored, 413 above it

Cause: the operator's interface took bodies of 16 MB, a member's frame 8 MB. A change to 9 MB was written by the primary, taken by nobody, and ended with the primary stepping down and no clear answer.

Change: MAX_PAYLOAD_BYTES, 4 MB, about twenty times the configuration of 1,480 routes; frames are twice that, as a document of the version before may be. The primary declines what would be larger as it is encoded, digests included, after a round as other refusals, and writes nothing. The operator's interface answers 413 with the limit and the size; the limit of a body is the same one. A larger document in force can be made smaller, and members and epochs change with it as before.

--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -22,6 +22,7 @@
     decide,
 )
 from rookwood.controlplane.payload import read_payload
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     Committed,
@@ -29,6 +30,7 @@
     ControlGroup,
     Declined,
     Overloaded,
+    PayloadTooLarge,
     Primary,
 )
 
@@ -40,7 +42,6 @@
 VERSION_TEXT = re.compile(r"[0-9]{1,19}")  # versions are below 2**63
 RETRY_AFTER = "0.3"
 OVERLOAD_RETRY_AFTER = "1"  # seconds; about a third of the changes that may wait are made by then
-MAXIMUM_BODY = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +96,10 @@
         return await self._change(request, ChangeMethod.PATCH)
 
     async def _change(self, request: web.Request, method: ChangeMethod) -> web.Response:
-        body = await request.read()
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return too_large("the body is too large")
         refusal = await self._refer(request)
         if refusal is not None:
             return refusal
@@ -154,6 +158,14 @@
     return web.json_response({"err": reason}, status=503, headers={"Retry-After": retry_after})
 
 
+def too_large(reason: str, size: int | None = None) -> web.Response:
+    """The answer for a change that is above the one limit of a configuration's size."""
+    content: dict[str, str | int] = {"err": reason, "limit": MAX_PAYLOAD_BYTES}
+    if size is not None:
+        content["bytes"] = size
+    return web.json_response(content, status=413)
+
+
 def answer_declined(answer: object) -> web.Response:
     """The answer for a change that was not made."""
     if isinstance(answer, AlreadyTaken):
@@ -166,4 +178,6 @@
         faults = [{"key": fault.key, "message": fault.message} for fault in answer.faults]
         body = json.dumps({"err": "invalid configuration", "faults": faults})
         return web.Response(status=400, body=body.encode(), content_type="application/json")
+    if isinstance(answer, PayloadTooLarge):
+        return too_large("the configuration would be too large", answer.size)
     raise AssertionError(f"unexpected decision {answer!r}")
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -32,11 +32,12 @@
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.metrics import ControlPlaneMetrics
 from rookwood.controlplane.notice_relay import NoticeRelay
-from rookwood.controlplane.operator_api import MAXIMUM_BODY, OperatorApi
+from rookwood.controlplane.operator_api import OperatorApi
 from rookwood.controlplane.peer_feed import PeerFeed
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     ControlGroup,
@@ -133,7 +134,7 @@
                     await self._runner.cleanup()
 
     async def _serve_http(self) -> None:
-        application = web.Application(client_max_size=MAXIMUM_BODY)
+        application = web.Application(client_max_size=MAX_PAYLOAD_BYTES)
         WorkerApi(self.group, self._table).add_routes(application)
         OperatorApi(self._settings, self.group).add_routes(application)
         ControlApi(self._settings.ip, self.group).add_routes(application)
--- a/rookwood/coordination/document.py
+++ b/rookwood/coordination/document.py
@@ -6,6 +6,13 @@
 
 from rookwood.coordination.quorum import copy_quorum, vote_quorum
 
+MAX_PAYLOAD_BYTES = 4 << 20
+"""Limit of what is replicated, as it is encoded: the one limit of a configuration's size.
+
+It is about twenty times the configuration of 1,480 routes, and fits the files of a disk of 64 MB. At twice
+this size one change of a single route takes longer than the primary's lease to decide on.
+"""
+
 Voices = Mapping[str, int | None]
 """Machines that count, each with the token that it told; None where its message held none (version 1)."""
 
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -23,6 +23,7 @@
     Declined,
     NotPrimary,
     Overloaded,
+    PayloadTooLarge,
     Primary,
     ProposeOutcome,
     Role,
@@ -46,6 +47,7 @@
     "NoSuccessor",
     "NotPrimary",
     "Overloaded",
+    "PayloadTooLarge",
     "Primary",
     "Role",
     "Snapshot",
@@ -222,6 +224,7 @@
     ) -> Committed | Declined | NotPrimary | Overloaded | Uncertain:
         """Change the document; `change` is pure and gets the newest committed payload.
 
+        A payload above `MAX_PAYLOAD_BYTES` is declined as `PayloadTooLarge`.
         `size` is the bytes that the change keeps in memory while it waits for its turn.
         """
         outcome = await self._call(
--- a/rookwood/coordination/lanes.py
+++ b/rookwood/coordination/lanes.py
@@ -10,12 +10,13 @@
 from enum import Enum
 
 from rookwood.coordination.codec import DecodeError, encode_message
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.messages import Message, Promise, Write
 
 LENGTH_BYTES = 4
 INCARNATION_BYTES = 8
 PREAMBLE_BYTES = 4
-MAX_FRAME_BYTES = 8 << 20
+MAX_FRAME_BYTES = 2 * MAX_PAYLOAD_BYTES  # the version before took documents of up to 8 MB
 
 
 class Lane(Enum):
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 
 from rookwood.coordination.context import Context
-from rookwood.coordination.document import Configuration, Document, Member, Position
+from rookwood.coordination.document import (
+    MAX_PAYLOAD_BYTES,
+    Configuration,
+    Document,
+    Member,
+    Position,
+)
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
 from rookwood.coordination.member_progress import MemberProgress
@@ -15,6 +21,7 @@
     Declined,
     NotPrimary,
     Overloaded,
+    PayloadTooLarge,
     Uncertain,
 )
 from rookwood.coordination.proposals import Proposal, ProposalQueue
@@ -281,6 +288,8 @@
 
     def _start_proposal(self, proposal: Proposal) -> None:
         result = proposal.change(self._document.payload)
+        if isinstance(result, bytes) and len(result) > MAX_PAYLOAD_BYTES:
+            result = Declined(PayloadTooLarge(len(result)))
         if isinstance(result, Declined):
             self.confirm(proposal.ticket, result)
             return
--- a/rookwood/coordination/outcomes.py
+++ b/rookwood/coordination/outcomes.py
@@ -53,6 +53,13 @@
     answer: object
 
 
+@dataclass(frozen=True)
+class PayloadTooLarge:
+    """The answer of a change that was declined because it would lead to a payload above the limit."""
+
+    size: int
+
+
 @dataclass(frozen=True)
 class NotPrimary:
     """This process is not the primary, and did nothing."""
--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -9,6 +9,7 @@
 from rookwood.coordination.codec import DecodeError, decode_message
 from rookwood.coordination.lanes import (
     LENGTH_BYTES,
+    MAX_FRAME_BYTES,
     Lane,
     Preamble,
     carries_document,
@@ -19,7 +20,7 @@
 from rookwood.coordination.messages import Message
 from rookwood.metrics.traffic import PEER_CORE, MessageTraffic
 
-MAX_BUFFER_BYTES = 8 << 20
+MAX_BUFFER_BYTES = MAX_FRAME_BYTES
 MAX_QUEUE_FRAMES = 64
 CONNECT_LIMIT = 0.5
 RECONNECT_PAUSE = 0.2
--- a/tests/test_controlplane_operator.py
+++ b/tests/test_controlplane_operator.py
@@ -16,6 +16,7 @@
 from rookwood.clusterconfig import control_document
 from rookwood.controlplane import operator_api
 from rookwood.controlplane.operator_api import OperatorApi
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     Committed,
@@ -23,6 +24,7 @@
     ControlGroup,
     Declined,
     Overloaded,
+    PayloadTooLarge,
     Primary,
     Role,
     Snapshot,
@@ -59,6 +61,7 @@
         self.current: Role = Primary(1, 0.0)
         self.certain = True
         self.has_room = True
+        self.limit = MAX_PAYLOAD_BYTES
         self.sizes: list[int] = []
         self.payload = b""
         self._sequence = 0
@@ -79,6 +82,8 @@
         result = change(self.payload)
         if isinstance(result, Declined):
             return result
+        if len(result) > self.limit:
+            return Declined(PayloadTooLarge(len(result)))
         self.payload = result
         self._sequence += 1
         return Committed(self._snapshot())
@@ -112,7 +117,7 @@
         self.enterContext(mock.patch.object(operator_api, "ATTACH_PATIENCE", 0.02))
         self.enterContext(mock.patch.object(operator_api, "ATTACH_POLL", 0.01))
         self.group = FakeGroup()
-        application = web.Application(client_max_size=operator_api.MAXIMUM_BODY)
+        application = web.Application(client_max_size=MAX_PAYLOAD_BYTES)
         OperatorApi(settings(), cast(ControlGroup, self.group)).add_routes(application)
         runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.05)
         await runner.setup()
@@ -250,6 +255,26 @@
         self.assertIn("changed nothing", json.loads(answer.body)["err"])
         self.assertEqual(3, json.loads((await self.call("GET")).body)["ver"])
 
+    async def test_a_body_above_the_limit_is_refused(self) -> None:
+        await self.put_first()
+        answer = await self.call("PUT", {**CONFIGURATION, "ver": 9, "x": "y" * MAX_PAYLOAD_BYTES}, 3)
+        self.assertEqual(413, answer.status)
+        self.assertEqual(MAX_PAYLOAD_BYTES, json.loads(answer.body)["limit"])
+        self.assertEqual(3, json.loads((await self.call("GET")).body)["ver"])
+
+    async def test_a_change_to_a_configuration_above_the_limit_is_refused(self) -> None:
+        await self.put_first()
+        digest_does_not_fit = len(self.group.payload) + 1
+        self.group.limit = digest_does_not_fit
+        before = self.group.payload
+        answer = await self.call("PATCH", {"ver": 5, "remove": {"routes": []}}, 3)
+        self.assertEqual(413, answer.status)
+        self.assertIn("too large", json.loads(answer.body)["err"])
+        self.assertGreater(json.loads(answer.body)["bytes"], digest_does_not_fit)
+        self.assertEqual(before, self.group.payload)
+        self.assertEqual(200, (await self.call("PUT", CONFIGURATION, 0)).status)
+        self.assertEqual(200, (await self.call("PATCH", {"ver": 6, "remove": {"routes": ["r-1"]}}, 3)).status)
+
     async def test_a_change_tells_how_much_it_holds_while_it_waits(self) -> None:
         await self.put_first()
         self.assertEqual([len(json.dumps(CONFIGURATION).encode())], self.group.sizes)
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     Committed,
@@ -17,6 +18,7 @@
     GroupSettings,
     NotPrimary,
     Overloaded,
+    PayloadTooLarge,
     Primary,
     Role,
     Snapshot,
@@ -206,6 +208,16 @@
         made = b"".join(b"%d," % number for number in range(changes - beyond))
         self.assertEqual(group.snapshot().payload, made)
 
+    async def test_largest_payload_reaches_all_and_a_larger_one_changes_nothing(self) -> None:
+        await self.cluster.start_all()
+        group = self.cluster.groups[await self.cluster.until_led()]
+        largest = bytes(MAX_PAYLOAD_BYTES)
+        self.assertIsInstance(await group.propose(lambda payload: largest), Committed)
+        outcome = await group.propose(appending(b"x"))
+        self.assertEqual(outcome, Declined(PayloadTooLarge(MAX_PAYLOAD_BYTES + 1)))
+        await self.cluster.until(lambda: all(self.cluster.payload(ip) == largest for ip in FIRST_MEMBERS))
+        self.assertIsInstance(await group.propose(lambda payload: b"small"), Committed)
+
     async def test_backup_answers_that_it_is_not_the_primary(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
