Take the decisions about members out of leadership.py

No decision changed; the text moved, and the step that is due is a value that the leadership writes. Tests: replication (rules, waiting changes, writes under way, second losses, explorer); ruff, mypy.

--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -1,4 +1,4 @@
-"""The primary's work in one epoch: writes, commits, heartbeat rounds, confirmations, members."""
+"""The primary's work in one epoch: writes, commits, heartbeat rounds and confirmations."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +14,7 @@
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
 from rookwood.coordination.member_progress import MemberProgress
+from rookwood.coordination.membership import Membership
 from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck, WriteFailed
 from rookwood.coordination.outcomes import (
     Committed,
@@ -30,14 +31,6 @@
 HEALTHY_BEATS = 2
 
 
-@dataclass
-class Learner:
-    """A machine that asks to be admitted."""
-
-    token: int
-    asked_at: float
-
-
 @dataclass(frozen=True)
 class Waiter:
     """A call that waits for a heartbeat round; `declined` is its answer, else a confirmation."""
@@ -57,7 +50,7 @@
         self.established_at: float | None = None
         self.leave_by: float | None = None
         self._progress: dict[str, MemberProgress] = {}
-        self._learners: dict[str, Learner] = {}
+        self._membership = Membership(context)
         self._proposals = ProposalQueue()
         self._waiters: list[Waiter] = []
         self._in_flight: int | None = None
@@ -170,7 +163,7 @@
         """Send the document to a machine that asks to be admitted with the storage of this token."""
         if not self.established or self._document.configuration.admits(Member(sender, token)):
             return
-        self._learners[sender] = Learner(token, self._context.now)
+        self._membership.ask(Member(sender, token))
         self._send_newest(sender, self._progress_of(sender, incarnation, token))
 
     # Time
@@ -179,7 +172,7 @@
         """Send what is due."""
         if self._context.now >= self._heartbeat_at:
             self._start_round()
-        self._drop_silent_learners()
+        self._membership.drop_silent(self._document.configuration)
         self._check_commit()
         self._advance()
 
@@ -331,66 +324,12 @@
     # Members
 
     def _advance_membership(self) -> None:
-        configuration = self._document.configuration
-        if configuration.outgoing:
-            self._write(Configuration(configuration.members), self._document.payload)
-            return
-        for learner in self._ready_learners():
-            members = self._members_with(learner)
-            if members is not None:
-                self._write(Configuration(members, configuration.members), self._document.payload)
-                return
-
-    def _ready_learners(self) -> list[Member]:
-        """Return the learners whose copy is current and synced, emptied members first."""
-        configuration = self._document.configuration
-        ready = [
-            Member(ip, learner.token)
-            for ip, learner in self._learners.items()
-            if self._progress[ip].token == learner.token
-            and self._progress[ip].stored >= self._document.position
-            and not configuration.admits(Member(ip, learner.token))
-        ]
-        return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
-
-    def _members_with(self, learner: Member) -> tuple[Member, ...] | None:
-        """Return the members once this learner is one of them, None if there is no place for it."""
-        members = self._document.configuration.members
-        if self._document.configuration.has_address(learner.ip):
-            return tuple(learner if member.ip == learner.ip else member for member in members)
-        if len(members) < 2 * self._context.tolerate + 1:
-            return (*members, learner)
-        lost = self._lost_member(members)
-        if lost is None:
-            return None
-        return (*(member for member in members if member != lost), learner)
-
-    def _lost_member(self, members: tuple[Member, ...]) -> Member | None:
-        span = self._context.timing.replace_after
-        if self._context.now - self.started_at < span:
-            return None
-        lost = [
-            (self._context.heard_at(member.ip), member)
-            for member in members
-            if member.ip != self._context.ip and self._is_lost(member, span)
-        ]
-        return min(lost, key=lambda entry: entry[0])[1] if lost else None
-
-    def _is_lost(self, member: Member, span: float) -> bool:
-        """Tell whether a member was silent for the span, or begins anew with another storage."""
-        learner = self._learners.get(member.ip)
-        begins_anew = learner is not None and learner.token != member.token
-        return begins_anew or not self._context.heard_within(member.ip, span)
-
-    def _drop_silent_learners(self) -> None:
-        limit = self._context.now - self._context.timing.learner_silence
-        configuration = self._document.configuration
-        for ip, learner in list(self._learners.items()):
-            if learner.asked_at < limit or configuration.admits(Member(ip, learner.token)):
-                del self._learners[ip]
+        configuration = self._membership.next_configuration(self._document, self._progress)
+        if configuration is not None:
+            self._write(configuration, self._document.payload)
 
     def _receivers(self) -> tuple[str, ...]:
-        everyone = (*self._document.configuration.everyone(), *self._learners)
+        everyone = (*self._document.configuration.everyone(), *self._membership.learners())
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
 
     def _progress_of(self, ip: str, incarnation: int, token: int | None) -> MemberProgress:
