Let writes end before a stopping member closes its storage

Cause: a write that had been scheduled and not begun when a member stopped reached the storage's thread after the close, opened the files again and wrote them. test_foreign_file_on_a_first_start_is_no_first_record failed by it once in five full runs: the folder was being emptied meanwhile.

Change: stop waits for the writes under way, as it did for those that had begun, before it closes. Tests: nothing_is_written_after_the_storage_was_closed (failed before: close, then save); groups, disks, commit; ruff, mypy.

--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -159,6 +159,7 @@
             if not future.done():
                 future.set_result(Uncertain("stopped"))
         self._stop_reading.set()
+        await asyncio.gather(*self._writes)  # one that has not begun would open the storage again
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(self._executor, self._storage.close)
         self._executor.shutdown(wait=False)
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -7,6 +7,7 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from unittest.mock import patch
 
 from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
@@ -350,6 +351,18 @@
         self.assertEqual(group.reachable(), frozenset(FIRST_MEMBERS))
         self.assertEqual(group.members(), FIRST_MEMBERS)
 
+    async def test_nothing_is_written_after_the_storage_was_closed(self) -> None:
+        group = await self.cluster.start(FIRST_MEMBERS[0], bootstrap=True)
+        disk = self.cluster.disks[FIRST_MEMBERS[0]]
+        steps: list[str] = []
+        with (
+            patch.object(disk, "save", side_effect=lambda record: steps.append("save")),
+            patch.object(disk, "close", side_effect=lambda: steps.append("close")),
+        ):
+            await self.cluster.stop(FIRST_MEMBERS[0])
+            await asyncio.to_thread(group._executor.shutdown)
+        self.assertEqual(["save", "close"], steps)
+
     async def test_calls_pending_at_stop_are_answered(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
