Read and write only what is new of the accepted changes' digests

Cause: the control document holds the digests of the last 4,096 changes, and each change made, encoded and decoded all of them through a general codec, on the event loop.

Change: taken_changes.py keeps the list in its stored form; an entry is made where it is asked for. A change appends its bytes and cuts the oldest off; a new payload is compared with the lists already read, and only what they lack is looked at; what is damaged is found as before. The bytes are the same, so the version before reads them, and its own are read: no new version. ControlDocument.taken is a TakenChanges, made by TakenChanges.of in the tests that gave a tuple.

--- a/rookwood/clusterconfig/control_document.py
+++ b/rookwood/clusterconfig/control_document.py
@@ -1,61 +1,35 @@
-"""The replicated control document and its binary encoding."""
+"""The replicated control document and its binary encoding.
+
+The encoding is one byte of version and an Avro record: `version` (long), `source` (bytes) and `taken` (an
+array, in one block, of records of `digest`, 16 bytes, and `version`, a long). It is written and read by hand,
+since a general codec makes every one of thousands of entries anew for each change; the tests compare both.
+"""
 
 from __future__ import annotations
 
-import io
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
-
-import fastavro
 
-DIGEST_BYTES = 16
+from rookwood.clusterconfig.taken_changes import (
+    DamagedError,
+    TakenChange,
+    TakenChanges,
+    decode_long,
+    encode_long,
+)
 
 # The encoding does not tell whether older changes were forgotten; `may_have_forgotten` infers it from this
 # bound. It must not be raised without a new encoding version that stores it.
 MAX_TAKEN_CHANGES = 4096
 ENCODING_VERSION = 1
-
-_SCHEMA_V1 = fastavro.parse_schema(
-    {
-        "type": "record",
-        "name": "ControlDocument",
-        "fields": [
-            {"name": "version", "type": "long"},
-            {"name": "source", "type": "bytes"},
-            {
-                "name": "taken",
-                "type": {
-                    "type": "array",
-                    "items": {
-                        "type": "record",
-                        "name": "TakenChange",
-                        "fields": [
-                            {
-                                "name": "digest",
-                                "type": {"type": "fixed", "name": "Digest", "size": DIGEST_BYTES},
-                            },
-                            {"name": "version", "type": "long"},
-                        ],
-                    },
-                },
-            },
-        ],
-    }
-)
+END_OF_ARRAY = b"\0"
+NOTHING_TAKEN = TakenChanges()
 
 
 class ControlDocumentError(ValueError):
     """Bytes are not an encoded control document of a known encoding version."""
 
 
-@dataclass(frozen=True)
-class TakenChange:
-    """A change that was accepted, by its digest, and the version it led to."""
-
-    digest: bytes
-    version: int
-
-
 @dataclass(frozen=True)
 class ControlDocument:
     """The current configuration text and the most recent accepted changes, oldest first.
@@ -65,11 +39,11 @@
 
     version: int = 0
     source: bytes = b""
-    taken: tuple[TakenChange, ...] = ()
+    taken: TakenChanges = NOTHING_TAKEN
 
     def find_taken(self, digest: bytes) -> TakenChange | None:
         """Return the remembered change with this digest."""
-        return next((change for change in self.taken if change.digest == digest), None)
+        return self.taken.find(digest)
 
     def may_have_forgotten(self, base: int) -> bool:
         """Tell whether a change on this base may have been accepted and forgotten since.
@@ -81,33 +55,43 @@
 
     def with_change(self, change: TakenChange, source: bytes) -> ControlDocument:
         """Return the document after an accepted change, forgetting the oldest beyond the bound."""
-        taken = (*self.taken, change)[-MAX_TAKEN_CHANGES:]
-        return ControlDocument(change.version, source, taken)
+        return ControlDocument(change.version, source, self.taken.with_change(change, MAX_TAKEN_CHANGES))
 
     def encode(self) -> bytes:
         """Serialise as one byte of encoding version followed by an Avro record."""
-        record = {
-            "version": self.version,
-            "source": self.source,
-            "taken": [{"digest": change.digest, "version": change.version} for change in self.taken],
-        }
-        buffer = io.BytesIO()
-        buffer.write(bytes([ENCODING_VERSION]))
-        fastavro.schemaless_writer(buffer, _SCHEMA_V1, record)
-        return buffer.getvalue()
+        parts = [
+            bytes([ENCODING_VERSION]),
+            encode_long(self.version),
+            encode_long(len(self.source)),
+            self.source,
+        ]
+        if self.taken:
+            parts += [encode_long(len(self.taken)), self.taken.encoded]
+        return b"".join([*parts, END_OF_ARRAY])
 
     @staticmethod
-    def decode(encoded: bytes) -> ControlDocument:
-        """Read what `encode` wrote; raises `ControlDocumentError` for anything else."""
+    def decode(encoded: bytes, known: Iterable[TakenChanges] = ()) -> ControlDocument:
+        """Read what `encode` wrote; raises `ControlDocumentError` for anything else.
+
+        Accepted changes that are in one of the known lists as well are not read again.
+        """
         if encoded[:1] != bytes([ENCODING_VERSION]):
             raise ControlDocumentError("unknown encoding version")
-        buffer = io.BytesIO(encoded)
-        buffer.seek(1)
         try:
-            record: Any = fastavro.schemaless_reader(buffer, _SCHEMA_V1, None)
-        except (EOFError, ValueError, IndexError, OverflowError, MemoryError) as error:
+            return _decode_record(encoded, known)
+        except DamagedError as error:
             raise ControlDocumentError(f"damaged control document: {error}") from error
-        if buffer.tell() != len(encoded):
-            raise ControlDocumentError("bytes after the end of the control document")
-        taken = tuple(TakenChange(item["digest"], item["version"]) for item in record["taken"])
-        return ControlDocument(record["version"], record["source"], taken)
+
+
+def _decode_record(encoded: bytes, known: Iterable[TakenChanges]) -> ControlDocument:
+    version, place = decode_long(encoded, 1)
+    size, place = decode_long(encoded, place)
+    source = encoded[place : place + size]
+    if size < 0 or len(source) != size:
+        raise DamagedError("the source is cut short")
+    count, place = decode_long(encoded, place + size)
+    if count == 0 and place == len(encoded):
+        return ControlDocument(version, source)
+    if count <= 0 or encoded[-1:] != END_OF_ARRAY:
+        raise DamagedError("the list of changes has no end")
+    return ControlDocument(version, source, TakenChanges.read(encoded[place:-1], count, known))
--- a/tests/test_clusterconfig_operators.py
+++ b/tests/test_clusterconfig_operators.py
@@ -31,6 +31,7 @@
     TakenChange,
     decide,
 )
+from rookwood.clusterconfig.taken_changes import DIGEST_BYTES, TakenChanges
 
 REMEMBERED = 2
 OPERATORS = 3
@@ -192,7 +193,7 @@
         document = decision.document
         for version in range(2, control_document.MAX_TAKEN_CHANGES + 2):
             self.assertEqual(AlreadyTaken(1), decide(document, first))
-            change = TakenChange(version.to_bytes(control_document.DIGEST_BYTES), version)
+            change = TakenChange(version.to_bytes(DIGEST_BYTES), version)
             document = document.with_change(change, document.source)
         self.assertEqual(Forgotten(), decide(document, first))
         later = Change(ChangeMethod.PUT, 2, first.body)
@@ -200,7 +201,8 @@
 
     def test_a_change_whose_base_is_remembered_is_refused(self) -> None:
         body = json.dumps({"ver": 9, "routes": [], "svcs": []}).encode()
-        document = ControlDocument(8, body, (TakenChange(bytes(16), 7), TakenChange(bytes(15) + b"1", 8)))
+        taken = TakenChanges.of((TakenChange(bytes(16), 7), TakenChange(bytes(15) + b"1", 8)))
+        document = ControlDocument(8, body, taken)
         for base in (3, 7, 9):
             self.assertEqual(Conflict(8), decide(document, Change(ChangeMethod.PUT, base, body)))
 
--- a/tests/test_controlplane_confirmation.py
+++ b/tests/test_controlplane_confirmation.py
@@ -21,7 +21,7 @@
 
 IP = "127.0.0.1"
 SOURCE = b'{"ver":3}'
-SNAPSHOT = Snapshot(2, 5, ControlDocument(version=3, source=SOURCE, taken=()).encode())
+SNAPSHOT = Snapshot(2, 5, ControlDocument(version=3, source=SOURCE).encode())
 
 
 class CollectingConnection:
