--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -22,12 +22,15 @@
     decide,
 )
 from rookwood.controlplane.payload import read_payload
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     Committed,
     Confirmed,
     ControlGroup,
     Declined,
+    Overloaded,
+    PayloadTooLarge,
     Primary,
 )
 
@@ -38,7 +41,7 @@
 NO_BASE = -1
 VERSION_TEXT = re.compile(r"[0-9]{1,19}")  # versions are below 2**63
 RETRY_AFTER = "0.3"
-MAXIMUM_BODY = 16 * 1024 * 1024
+OVERLOAD_RETRY_AFTER = "1"  # seconds; about a third of the changes that may wait are made by then
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +96,10 @@
         return await self._change(request, ChangeMethod.PATCH)
 
     async def _change(self, request: web.Request, method: ChangeMethod) -> web.Response:
-        body = await request.read()
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return too_large("the body is too large")
         refusal = await self._refer(request)
         if refusal is not None:
             return refusal
@@ -105,13 +111,16 @@
                 return decision.document.encode()
             return Declined(decision)
 
-        outcome = await self._group.propose(apply)
+        outcome = await self._group.propose(apply, size=len(body))
         if isinstance(outcome, Committed):
             version = read_payload(outcome.snapshot.payload).version
             logger.info("configuration taken", extra={"version": version})
             return web.json_response({"ver": version})
         if isinstance(outcome, Declined):
             return answer_declined(outcome.answer)
+        if isinstance(outcome, Overloaded):
+            reason = "too many changes wait; this call changed nothing"
+            return unavailable(reason, OVERLOAD_RETRY_AFTER)
         return unavailable("the change may not have been taken")
 
     async def _refer(self, request: web.Request) -> web.Response | None:
@@ -144,9 +153,17 @@
     return int(text) if VERSION_TEXT.fullmatch(text) else NO_BASE
 
 
-def unavailable(reason: str) -> web.Response:
-    """No clear answer: the caller tries again elsewhere."""
-    return web.json_response({"err": reason}, status=503, headers={"Retry-After": RETRY_AFTER})
+def unavailable(reason: str, retry_after: str = RETRY_AFTER) -> web.Response:
+    """Nothing to tell but the reason: the caller tries again, or elsewhere."""
+    return web.json_response({"err": reason}, status=503, headers={"Retry-After": retry_after})
+
+
+def too_large(reason: str, size: int | None = None) -> web.Response:
+    """The answer for a change that is above the one limit of a configuration's size."""
+    content: dict[str, str | int] = {"err": reason, "limit": MAX_PAYLOAD_BYTES}
+    if size is not None:
+        content["bytes"] = size
+    return web.json_response(content, status=413)
 
 
 def answer_declined(answer: object) -> web.Response:
@@ -161,4 +178,6 @@
         faults = [{"key": fault.key, "message": fault.message} for fault in answer.faults]
         body = json.dumps({"err": "invalid configuration", "faults": faults})
         return web.Response(status=400, body=body.encode(), content_type="application/json")
+    if isinstance(answer, PayloadTooLarge):
+        return too_large("the configuration would be too large", answer.size)
     raise AssertionError(f"unexpected decision {answer!r}")
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -1,52 +1,36 @@
-"""The primary's work in one epoch: writes, commits, heartbeat rounds, confirmations, members."""
+"""The primary's work in one epoch: writes, commits, heartbeat rounds and confirmations."""
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from rookwood.coordination.context import Context
-from rookwood.coordination.document import Configuration, Document, Member, Position
+from rookwood.coordination.document import (
+    MAX_PAYLOAD_BYTES,
+    Configuration,
+    Document,
+    Member,
+    Position,
+)
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
-from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck
-from rookwood.coordination.outcomes import Committed, Confirmed, Declined, NotPrimary, Uncertain
+from rookwood.coordination.member_progress import MemberProgress
+from rookwood.coordination.membership import Membership
+from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck, WriteFailed
+from rookwood.coordination.outcomes import (
+    Committed,
+    Confirmed,
+    Declined,
+    NotPrimary,
+    Overloaded,
+    PayloadTooLarge,
+    Uncertain,
+)
+from rookwood.coordination.proposals import Proposal, ProposalQueue
 
-Change = Callable[[bytes], bytes | Declined]
 MAX_ROUNDS_REMEMBERED = 32
 HEALTHY_BEATS = 2
 
 
-@dataclass
-class Replication:
-    """How far one other machine has followed the primary."""
-
-    incarnation: int | None = None
-    token: int | None = None
-    stored: Position = Position()
-    round: int = 0
-    round_started_at: float = float("-inf")
-    sent: Position = Position()
-    sent_at: float = float("-inf")
-    disk_failed: bool = False
-    lagging: bool = False
-
-
-@dataclass
-class Learner:
-    """A machine that asks to be admitted."""
-
-    token: int
-    asked_at: float
-
-
-@dataclass(frozen=True)
-class Proposal:
-    """A change that waits for its turn."""
-
-    ticket: int
-    change: Change
-
-
 @dataclass(frozen=True)
 class Waiter:
     """A call that waits for a heartbeat round; `declined` is its answer, else a confirmation."""
@@ -65,9 +49,9 @@
         self.started_at = context.now
         self.established_at: float | None = None
         self.leave_by: float | None = None
-        self._replications: dict[str, Replication] = {}
-        self._learners: dict[str, Learner] = {}
-        self._proposals: deque[Proposal] = deque()
+        self._progress: dict[str, MemberProgress] = {}
+        self._membership = Membership(context)
+        self._proposals = ProposalQueue()
         self._waiters: list[Waiter] = []
         self._in_flight: int | None = None
         self._writing = False
@@ -97,9 +81,12 @@
 
     # Calls
 
-    def propose(self, ticket: int, change: Change) -> None:
-        """Queue a change."""
-        self._proposals.append(Proposal(ticket, change))
+    def propose(self, proposal: Proposal) -> None:
+        """Queue a change, or refuse it at once if too much waits already."""
+        if not self._proposals.has_room(proposal.size):
+            self._context.effects.append(Resolve(proposal.ticket, Overloaded()))
+            return
+        self._proposals.append(proposal)
         self._advance()
 
     def confirm(self, ticket: int, declined: Declined | None = None) -> None:
@@ -112,21 +99,20 @@
 
     def abandon(self, ticket: int) -> None:
         """Forget a call whose limit is over; a write under way goes on."""
-        self._proposals = deque(proposal for proposal in self._proposals if proposal.ticket != ticket)
+        self._proposals.remove(ticket)
         self._waiters = [waiter for waiter in self._waiters if waiter.ticket != ticket]
         if self._in_flight == ticket:
             self._in_flight = None
 
     def close(self) -> None:
         """Resolve what is pending: this epoch is over."""
-        idle = [proposal.ticket for proposal in self._proposals]
+        idle = [proposal.ticket for proposal in self._proposals.take_all()]
         idle += [waiter.ticket for waiter in self._waiters]
         for ticket in idle:
             self._context.effects.append(Resolve(ticket, NotPrimary(None)))
         if self._in_flight is not None:
             outcome = Uncertain("the primary stepped down")
             self._context.effects.append(Resolve(self._in_flight, outcome))
-        self._proposals.clear()
         self._waiters.clear()
         self._in_flight = None
 
@@ -152,35 +138,33 @@
         """Count a member's acknowledgement of a round."""
         if ack.epoch != self.epoch:
             return
-        replication = self._replication(sender, incarnation, ack.token)
-        started_at = self._rounds.get(ack.round)
-        if started_at is not None and ack.round > replication.round:
-            replication.round = ack.round
-            replication.round_started_at = started_at
-        self._note_stored(replication, ack.stored)
-        if ack.stored < self._document.position:
-            self._send_write(sender, replication)
+        progress = self._progress_of(sender, incarnation, ack.token)
+        progress.note_round(ack.round, self._rounds.get(ack.round))
+        self._note_stored(progress, ack.stored)
+        self._send_newest(sender, progress)
         self._check_rounds()
 
     def on_write_ack(self, sender: str, incarnation: int, ack: WriteAck) -> None:
         """Count a member's copy, or a learner's."""
-        if ack.epoch == self.epoch:
-            self._note_stored(self._replication(sender, incarnation, ack.token), ack.stored)
+        if ack.epoch != self.epoch:
+            return
+        progress = self._progress_of(sender, incarnation, ack.token)
+        self._note_stored(progress, ack.stored)
+        if sender in self._receivers():
+            self._send_newest(sender, progress)
 
-    def on_write_failed(self, sender: str, incarnation: int, epoch: int) -> None:
+    def on_write_failed(self, sender: str, incarnation: int, failure: WriteFailed) -> None:
         """Note that a member's disk takes no writes at present."""
-        replication = self._replications.get(sender)
-        if epoch == self.epoch and replication is not None and replication.incarnation == incarnation:
-            replication.disk_failed = True
+        progress = self._progress.get(sender)
+        if failure.epoch == self.epoch and progress is not None and progress.incarnation == incarnation:
+            progress.note_failed(failure.position)
 
     def on_join_request(self, sender: str, incarnation: int, token: int) -> None:
         """Send the document to a machine that asks to be admitted with the storage of this token."""
         if not self.established or self._document.configuration.admits(Member(sender, token)):
             return
-        self._learners[sender] = Learner(token, self._context.now)
-        replication = self._replication(sender, incarnation, token)
-        if replication.stored < self._document.position:
-            self._send_write(sender, replication)
+        self._membership.ask(Member(sender, token))
+        self._send_newest(sender, self._progress_of(sender, incarnation, token))
 
     # Time
 
@@ -188,7 +172,7 @@
         """Send what is due."""
         if self._context.now >= self._heartbeat_at:
             self._start_round()
-        self._drop_silent_learners()
+        self._membership.drop_silent(self._document.configuration)
         self._check_commit()
         self._advance()
 
@@ -211,7 +195,7 @@
         limit = self._context.now - self._context.timing.lease
         candidates = [
             (not state.disk_failed, state.stored, ip)
-            for ip, state in self._replications.items()
+            for ip, state in self._progress.items()
             if state.round_started_at >= limit and ip != self._context.ip and self._is_member(ip, state.token)
         ]
         return max(candidates)[-1] if candidates else None
@@ -226,16 +210,17 @@
         self._context.offer(self._document)
         journal.update(journal.latest.with_document(self._document), OwnWriteStep(position))
         for ip in self._receivers():
-            self._send_write(ip, self._replications.setdefault(ip, Replication()))
+            self._send_newest(ip, self._progress.setdefault(ip, MemberProgress()))
 
-    def _send_write(self, ip: str, replication: Replication) -> None:
+    def _send_newest(self, ip: str, progress: MemberProgress) -> None:
+        """Send the newest document to a machine that lacks it, unless a write to it is under way."""
         now = self._context.now
         position = self._document.position
-        if replication.sent == position and now - replication.sent_at < self._context.timing.write_resend:
+        if progress.stored >= position:
             return
-        replication.sent = position
-        replication.sent_at = now
-        self._context.send(ip, Write(self._document))
+        if progress.may_send(position, now, self._context.timing.write_resend):
+            progress.note_sent(position, now, self._round)
+            self._context.send(ip, Write(self._document))
 
     def _check_commit(self) -> None:
         if not self._writing:
@@ -262,12 +247,12 @@
             state.lagging = True
         return False
 
-    def _healthy_members(self) -> list[Replication]:
+    def _healthy_members(self) -> list[MemberProgress]:
         """Return the other members that answer, and whose disks keep up."""
         limit = self._context.now - HEALTHY_BEATS * self._context.timing.heartbeat
         return [
             state
-            for ip, state in self._replications.items()
+            for ip, state in self._progress.items()
             if self._is_member(ip, state.token)
             and not state.disk_failed
             and not state.lagging
@@ -290,12 +275,14 @@
 
     def _advance(self) -> None:
         while self.established and not self._writing and self._proposals:
-            self._start_proposal(self._proposals.popleft())
+            self._start_proposal(self._proposals.take())
         if self.established and not self._writing and not self.leaving:
             self._advance_membership()
 
     def _start_proposal(self, proposal: Proposal) -> None:
         result = proposal.change(self._document.payload)
+        if isinstance(result, bytes) and len(result) > MAX_PAYLOAD_BYTES:
+            result = Declined(PayloadTooLarge(len(result)))
         if isinstance(result, Declined):
             self.confirm(proposal.ticket, result)
             return
@@ -317,7 +304,7 @@
 
     def _check_rounds(self) -> None:
         best = self._confirmed_round
-        for number in sorted({state.round for state in self._replications.values()} | {self._round}):
+        for number in sorted({state.round for state in self._progress.values()} | {self._round}):
             if self._document.configuration.has_votes(self._voices_in_round(number)):
                 best = max(best, number)
         self._confirmed_round = best
@@ -337,82 +324,28 @@
     # Members
 
     def _advance_membership(self) -> None:
-        configuration = self._document.configuration
-        if configuration.outgoing:
-            self._write(Configuration(configuration.members), self._document.payload)
-            return
-        for learner in self._ready_learners():
-            members = self._members_with(learner)
-            if members is not None:
-                self._write(Configuration(members, configuration.members), self._document.payload)
-                return
-
-    def _ready_learners(self) -> list[Member]:
-        """Return the learners whose copy is current and synced, emptied members first."""
-        configuration = self._document.configuration
-        ready = [
-            Member(ip, learner.token)
-            for ip, learner in self._learners.items()
-            if self._replications[ip].token == learner.token
-            and self._replications[ip].stored >= self._document.position
-            and not configuration.admits(Member(ip, learner.token))
-        ]
-        return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
-
-    def _members_with(self, learner: Member) -> tuple[Member, ...] | None:
-        """Return the members once this learner is one of them, None if there is no place for it."""
-        members = self._document.configuration.members
-        if self._document.configuration.has_address(learner.ip):
-            return tuple(learner if member.ip == learner.ip else member for member in members)
-        if len(members) < 2 * self._context.tolerate + 1:
-            return (*members, learner)
-        lost = self._lost_member(members)
-        if lost is None:
-            return None
-        return (*(member for member in members if member != lost), learner)
-
-    def _lost_member(self, members: tuple[Member, ...]) -> Member | None:
-        span = self._context.timing.replace_after
-        if self._context.now - self.started_at < span:
-            return None
-        lost = [
-            (self._context.heard_at(member.ip), member)
-            for member in members
-            if member.ip != self._context.ip and self._is_lost(member, span)
-        ]
-        return min(lost, key=lambda entry: entry[0])[1] if lost else None
-
-    def _is_lost(self, member: Member, span: float) -> bool:
-        """Tell whether a member was silent for the span, or begins anew with another storage."""
-        learner = self._learners.get(member.ip)
-        begins_anew = learner is not None and learner.token != member.token
-        return begins_anew or not self._context.heard_within(member.ip, span)
-
-    def _drop_silent_learners(self) -> None:
-        limit = self._context.now - self._context.timing.learner_silence
-        configuration = self._document.configuration
-        for ip, learner in list(self._learners.items()):
-            if learner.asked_at < limit or configuration.admits(Member(ip, learner.token)):
-                del self._learners[ip]
+        configuration = self._membership.next_configuration(self._document, self._progress)
+        if configuration is not None:
+            self._write(configuration, self._document.payload)
 
     def _receivers(self) -> tuple[str, ...]:
-        everyone = (*self._document.configuration.everyone(), *self._learners)
+        everyone = (*self._document.configuration.everyone(), *self._membership.learners())
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
 
-    def _replication(self, ip: str, incarnation: int, token: int | None) -> Replication:
+    def _progress_of(self, ip: str, incarnation: int, token: int | None) -> MemberProgress:
         """Return how far a storage has followed; that of another life or token has not."""
-        replication = self._replications.setdefault(ip, Replication())
-        if replication.incarnation is None:
-            replication.incarnation = incarnation
-            replication.token = token
-        elif (replication.incarnation, replication.token) != (incarnation, token):
-            replication = Replication(incarnation, token)
-            self._replications[ip] = replication
-        return replication
-
-    def _voices(self, fits: Callable[[Replication], bool]) -> dict[str, int | None]:
-        """Return the machines whose replication fits, and this one, with the tokens that they told."""
-        voices = {ip: state.token for ip, state in self._replications.items() if fits(state)}
+        progress = self._progress.setdefault(ip, MemberProgress())
+        if progress.incarnation is None:
+            progress.incarnation = incarnation
+            progress.token = token
+        elif (progress.incarnation, progress.token) != (incarnation, token):
+            progress = MemberProgress(incarnation, token)
+            self._progress[ip] = progress
+        return progress
+
+    def _voices(self, fits: Callable[[MemberProgress], bool]) -> dict[str, int | None]:
+        """Return the machines whose progress fits, and this one, with the tokens that they told."""
+        voices = {ip: state.token for ip, state in self._progress.items() if fits(state)}
         return voices | self._context.own_voice()
 
     def _voices_in_round(self, number: int) -> dict[str, int | None]:
@@ -422,11 +355,8 @@
         configuration = self._document.configuration
         return configuration.has_address(ip) if token is None else configuration.admits(Member(ip, token))
 
-    def _note_stored(self, replication: Replication, stored: Position) -> None:
-        if stored.epoch == self.epoch and stored > replication.stored:
-            replication.stored = stored
-            replication.disk_failed = False
-            if self._context.now - replication.sent_at < self._context.timing.copy_patience:
-                replication.lagging = False
+    def _note_stored(self, progress: MemberProgress, stored: Position) -> None:
+        if stored.epoch == self.epoch and stored > progress.stored:
+            progress.note_stored(stored, self._context.now, self._context.timing.copy_patience)
             self._check_commit()
             self._advance()
--- a/rookwood/coordination/outcomes.py
+++ b/rookwood/coordination/outcomes.py
@@ -53,6 +53,13 @@
     answer: object
 
 
+@dataclass(frozen=True)
+class PayloadTooLarge:
+    """The answer of a change that was declined because it would lead to a payload above the limit."""
+
+    size: int
+
+
 @dataclass(frozen=True)
 class NotPrimary:
     """This process is not the primary, and did nothing."""
@@ -60,6 +67,11 @@
     primary: str | None
 
 
+@dataclass(frozen=True)
+class Overloaded:
+    """Too many changes wait for the primary; this one was refused, and is never in force."""
+
+
 @dataclass(frozen=True)
 class Uncertain:
     """The change may or may not be in force, or leadership could not be confirmed."""
@@ -74,5 +86,5 @@
     snapshot: Snapshot
 
 
-ProposeOutcome = Committed | Declined | NotPrimary | Uncertain
+ProposeOutcome = Committed | Declined | NotPrimary | Overloaded | Uncertain
 ConfirmOutcome = Confirmed | NotPrimary | Uncertain
--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -6,7 +6,9 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from unittest.mock import patch
 
+from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     Backup,
     Committed,
@@ -15,12 +17,15 @@
     Declined,
     GroupSettings,
     NotPrimary,
+    Overloaded,
+    PayloadTooLarge,
     Primary,
     Role,
     Snapshot,
     Unattached,
     Uncertain,
 )
+from rookwood.coordination.proposals import MAX_WAITING_CHANGES
 from rookwood.lab.faulty_disk import FaultyStorage
 from rookwood.lab.free_ports import find_free_port
 
@@ -173,6 +178,28 @@
         self.assertTrue(all(isinstance(outcome, Committed) for outcome in outcomes))
         self.assertEqual(group.snapshot().payload, b"x" * 20)
 
+    async def test_changes_beyond_those_that_may_wait_are_refused_and_never_made(self) -> None:
+        await self.cluster.start_all()
+        group = self.cluster.groups[await self.cluster.until_led()]
+        beyond = 10
+        changes = MAX_WAITING_CHANGES + 1 + beyond  # one is in flight
+        proposed = [group.propose(appending(b"%d," % number), limit=LIMIT) for number in range(changes)]
+        outcomes = await asyncio.gather(*proposed)
+        self.assertEqual([Overloaded()] * beyond, outcomes[-beyond:])
+        self.assertTrue(all(isinstance(outcome, Committed) for outcome in outcomes[:-beyond]))
+        made = b"".join(b"%d," % number for number in range(changes - beyond))
+        self.assertEqual(group.snapshot().payload, made)
+
+    async def test_largest_payload_reaches_all_and_a_larger_one_changes_nothing(self) -> None:
+        await self.cluster.start_all()
+        group = self.cluster.groups[await self.cluster.until_led()]
+        largest = bytes(MAX_PAYLOAD_BYTES)
+        self.assertIsInstance(await group.propose(lambda payload: largest), Committed)
+        outcome = await group.propose(appending(b"x"))
+        self.assertEqual(outcome, Declined(PayloadTooLarge(MAX_PAYLOAD_BYTES + 1)))
+        await self.cluster.until(lambda: all(self.cluster.payload(ip) == largest for ip in FIRST_MEMBERS))
+        self.assertIsInstance(await group.propose(lambda payload: b"small"), Committed)
+
     async def test_backup_answers_that_it_is_not_the_primary(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
@@ -305,6 +332,18 @@
         self.assertEqual(group.reachable(), frozenset(FIRST_MEMBERS))
         self.assertEqual(group.members(), FIRST_MEMBERS)
 
+    async def test_nothing_is_written_after_the_storage_was_closed(self) -> None:
+        group = await self.cluster.start(FIRST_MEMBERS[0], bootstrap=True)
+        disk = self.cluster.disks[FIRST_MEMBERS[0]]
+        steps: list[str] = []
+        with (
+            patch.object(disk, "save", side_effect=lambda record: steps.append("save")),
+            patch.object(disk, "close", side_effect=lambda: steps.append("close")),
+        ):
+            await self.cluster.stop(FIRST_MEMBERS[0])
+            await asyncio.to_thread(group._executor.shutdown)
+        self.assertEqual(["save", "close"], steps)
+
     async def test_calls_pending_at_stop_are_answered(self) -> None:
         await self.cluster.start_all()
         primary = await self.cluster.until_led()
