--- a/rookwood/lab/replication_states.py
+++ b/rookwood/lab/replication_states.py
@@ -23,6 +23,7 @@
     "a change, a kill, a failed write": Bounds(changes=1, elections=0, kills=1, failed_writes=1),
     "a change, two power losses": Bounds(changes=1, elections=0, power_losses=2),
     "a change, heartbeats": Bounds(changes=1, elections=0, rounds=True),
+    "two changes, heartbeats": Bounds(changes=2, elections=0, rounds=True),
     "an election": Bounds(changes=0, elections=1),
     "an election, a lost lease": Bounds(changes=0, elections=1, lease_losses=1),
     "a change, an election, writes at once": Bounds(changes=1, elections=1, instant_writes=True),
