Acknowledge that a worker drains or ended once a majority has taken it

A drain that it acknowledged then bound nobody: the worker ended, and dispatchers that were not linked to this machine sent it requests. Ruled out: asking the primary alone; a deposed one answers as well until its lease ends. WorkerApiTests count one member by default, as its group had none.

--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -23,6 +23,7 @@
     Hello,
     KeyDemand,
     Message,
+    PresenceAck,
     Status,
     WantedWeights,
     WorkerGone,
@@ -161,6 +162,7 @@
         ("config_sequence", "long"),
         ("fresh", "boolean"),
     ),
+    PresenceAck: _record("PresenceAck", ("worker", "string"), ("deleted", "boolean")),
 }
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
 _TYPES: tuple[type, ...] = tuple(_SCHEMAS)
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -123,6 +123,14 @@
     deleted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PresenceAck:
+    """A control machine has taken from another one that a worker drains, or that it ended (`deleted`)."""
+
+    worker: str
+    deleted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class KeyDemand:
     """Demand for one model or adapter at one dispatcher."""
@@ -228,4 +236,5 @@
     | WorkNotices
     | Heartbeat
     | HeartbeatAnswer
+    | PresenceAck
 )
--- a/rookwood/cluster/outbox.py
+++ b/rookwood/cluster/outbox.py
@@ -20,6 +20,7 @@
     HeartbeatAnswer,
     Hello,
     Message,
+    PresenceAck,
     Status,
     WorkerGone,
     WorkerUpdates,
@@ -45,6 +46,12 @@
     final: bool
 
 
+class AcknowledgedSubject(NamedTuple):
+    """That the news of a worker was taken."""
+
+    acknowledgement: PresenceAck
+
+
 class Never(enum.Enum):
     """Marks a message that does not wait."""
 
@@ -68,6 +75,8 @@
             return PresenceSubject(record.id, final=False)
         case WorkerGone():
             return PresenceSubject(message.worker, final=message.deleted)
+        case PresenceAck():
+            return AcknowledgedSubject(message)
         case DemandReport():
             return Subject.DEMAND if message.complete else None
         case WorkNotices():
--- a/rookwood/controlplane/peer_feed.py
+++ b/rookwood/controlplane/peer_feed.py
@@ -5,8 +5,9 @@
 import asyncio
 
 from rookwood.cluster.feed import Connection
-from rookwood.cluster.messages import Message, Status, WorkerGone, WorkerUpdates
+from rookwood.cluster.messages import Message, PresenceAck, Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import WorkerState
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_table import Publish
 
@@ -18,14 +19,17 @@
         self._view = view
         self._publish = publish
         self._tenure = tenure
+        self._connections: dict[str, Connection] = {}
 
     def linked(self, peer: str, connection: Connection) -> None:
         """A subscription is open."""
+        self._connections[peer] = connection
         self._view.linked(peer)
         self._tenure.linked(peer)
 
     def unlinked(self, peer: str) -> None:
         """A subscription ended."""
+        self._connections.pop(peer, None)
         now = asyncio.get_running_loop().time()
         self._view.unlinked(peer, now)
         self._tenure.unlinked(peer, now)
@@ -41,3 +45,16 @@
             self._publish(WorkerUpdates(records, complete=False), False)
         elif isinstance(message, WorkerGone) and message.deleted:
             self._publish(message, False)
+        self._acknowledge(peer, message)
+
+    def _acknowledge(self, peer: str, message: Message) -> None:
+        """Tell the sender that its news of workers that leave were taken, and passed on."""
+        connection = self._connections.get(peer)
+        if connection is None:
+            return
+        if isinstance(message, WorkerGone) and message.deleted:
+            connection.send(PresenceAck(message.worker, deleted=True))
+        elif isinstance(message, WorkerUpdates):
+            for record in message.records:
+                if record.state is WorkerState.DRAINING:
+                    connection.send(PresenceAck(record.id, deleted=False))
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -21,6 +21,7 @@
     HeartbeatAnswer,
     Hello,
     Message,
+    PresenceAck,
     Status,
     WorkerGone,
     WorkerUpdates,
@@ -37,6 +38,7 @@
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import OperatorApi
 from rookwood.controlplane.peer_feed import PeerFeed
+from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_table import WorkerTable
@@ -95,6 +97,7 @@
         self._scheduler = LoadScheduler(
             settings.hostname, settings.bounds, self.group, self._view, self._table, self._tenure
         )
+        self._presence = PresenceQuorum(settings.ip, self.group.members)
         self._links: LinkSet | None = None
         self._metrics: MetricsServer | None = None
         self._runner: web.AppRunner | None = None
@@ -150,7 +153,7 @@
 
     async def _serve_http(self) -> None:
         application = web.Application(client_max_size=MAX_PAYLOAD_BYTES)
-        WorkerApi(self.group, self._table).add_routes(application)
+        WorkerApi(self.group, self._table, self._presence).add_routes(application)
         OperatorApi(self._settings, self.group).add_routes(application)
         ControlApi(self._settings.ip, self.group, self.dispatchers).add_routes(application)
         self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.5)
@@ -262,6 +265,8 @@
             self._scheduler.take_demand(message)
         elif isinstance(message, WorkNotices):
             self._notices.take(message)
+        elif isinstance(message, PresenceAck) and connection.hello is not None:
+            self._presence.acknowledged(connection.hello.identity, message)
 
     def _send_notices(self, notices: WorkNotices) -> None:
         self._feed.send_to([c for c in self._feed.connections if not is_core(c)], notices)
--- a/rookwood/controlplane/worker_table.py
+++ b/rookwood/controlplane/worker_table.py
@@ -27,27 +27,43 @@
         self._heard: dict[str, float] = {}
         view.linked(own_ip)
 
-    def heartbeat(self, record: WorkerRecord, now: float) -> None:
-        """A worker called this machine."""
+    def was_deleted(self, worker: str) -> bool:
+        """Whether the worker said that it ended."""
+        return self._view.registry.was_deleted(worker)
+
+    def heartbeat(self, record: WorkerRecord, now: float) -> bool:
+        """A worker called this machine; returns whether that was news, which all were told."""
         if self._view.registry.was_deleted(record.id):
-            return
+            return False
         news = record.id not in self._heard
         self._heard[record.id] = now
         before = self._view.registry.get(record.id)
         self._view.received(self._own_ip, WorkerUpdates((record,), complete=False), now)
         after = self._view.registry.get(record.id)
         if after is None:
-            return
+            return False
         if news or before is None or replace(after, sequence=before.sequence) != before:
             self._publish(WorkerUpdates((after,), complete=False), True)
+            return True
+        return False
 
-    def delete(self, worker: str, now: float) -> None:
-        """A worker said that it ended."""
+    def delete(self, worker: str, now: float) -> bool:
+        """A worker said that it ended; returns whether that was news, which all were told."""
         self._heard.pop(worker, None)
-        if not self._view.registry.was_deleted(worker):
-            gone = WorkerGone(worker, deleted=True)
-            self._view.received(self._own_ip, gone, now)
-            self._publish(gone, True)
+        if self._view.registry.was_deleted(worker):
+            return False
+        gone = WorkerGone(worker, deleted=True)
+        self._view.received(self._own_ip, gone, now)
+        self._publish(gone, True)
+        return True
+
+    def announce(self, worker: str) -> None:
+        """Tell all subscribers again what is known of a worker, or that it ended."""
+        known = self._view.registry.get(worker)
+        if known is not None:
+            self._publish(WorkerUpdates((known,), complete=False), True)
+        elif self.was_deleted(worker):
+            self._publish(WorkerGone(worker, deleted=True), True)
 
     def set_holding(self, worker: str, models: tuple[HeldModel, ...], stamp: HoldingStamp) -> None:
         """The load scheduler read which weights a worker holds."""
--- a/tests/test_cluster_messages.py
+++ b/tests/test_cluster_messages.py
@@ -25,6 +25,7 @@
     Hello,
     KeyDemand,
     Message,
+    PresenceAck,
     Status,
     WantedWeights,
     WorkerGone,
@@ -74,6 +75,7 @@
     Heartbeat("10.0.0.4", 6, 91),
     Heartbeat("10.0.0.4", 6, 91, 1234.5678),
     HeartbeatAnswer(1234.5678, 6, 91, True),
+    PresenceAck("i-7", deleted=True),
     ConfigurationDelta(
         epoch=7,
         sequence=2,
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -14,6 +14,7 @@
 from rookwood.cluster.messages import (
     DemandReport,
     KeyDemand,
+    PresenceAck,
     Status,
     WantedWeights,
     WorkerGone,
@@ -21,8 +22,9 @@
 )
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
-from rookwood.controlplane import worker_client
+from rookwood.controlplane import presence_quorum, worker_client
 from rookwood.controlplane.demand import DemandSum
+from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.worker_api import WorkerApi
 from rookwood.controlplane.worker_client import (
     NOT_CONNECTED,
@@ -52,6 +54,7 @@
 OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
 BEAT = 1.0
 LONG_SILENCE = 100.0
+SHORT_CONFIRMATION = 0.02  # seconds
 WORKER = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
 HELD = (HeldModel("small", 1, frozenset()),)
 SETTLED = Status(OWN_IP, 1, OWN_IP, True, True, 0, 0, 1, (OWN_IP,))
@@ -174,10 +177,13 @@
 class WorkerApiTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.view = ClusterView(lambda record: None, lambda worker: None)
-        table = WorkerTable(self.view, OWN_IP, BEAT, lambda update, to_core: None)
+        table = WorkerTable(self.view, OWN_IP, BEAT, self.publish)
         self.group = FakeGroup(Primary(1, 0.0))
         application = web.Application()
-        WorkerApi(cast(ControlGroup, self.group), table).add_routes(application)
+        self.members: tuple[str, ...] = (OWN_IP,)
+        self.presence = PresenceQuorum(OWN_IP, lambda: self.members)
+        self.acknowledging: tuple[str, ...] = ()
+        WorkerApi(cast(ControlGroup, self.group), table, self.presence).add_routes(application)
         runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.05)
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
@@ -186,6 +192,15 @@
         self.client = ClientSession()
         self.addAsyncCleanup(self.client.close)
 
+    def publish(self, update: Update, to_core: bool) -> None:
+        """The other machines that hear of it acknowledge a moment later."""
+        if isinstance(update, WorkerGone):
+            news = PresenceAck(update.worker, deleted=True)
+        else:
+            news = PresenceAck(update.records[0].id, deleted=False)
+        for machine in self.acknowledging:
+            asyncio.get_running_loop().call_soon(self.presence.acknowledged, machine, news)
+
     async def beat(self, body: bytes | None = None, **changes: object) -> int:
         """Send a heartbeat; returns the status."""
         document = {"svc": "models", "addr": "10.0.0.9:80", "az": "z1", "slots": 8, "state": "up", "seq": 1}
@@ -218,6 +233,28 @@
                 async with self.client.delete(self.url) as response:
                     self.assertEqual(503, response.status)
 
+    async def test_a_drain_is_acknowledged_once_a_majority_has_taken_it(self) -> None:
+        """A machine that was just cut off still believes in its primary."""
+        self.members = (OWN_IP, PEER, "10.0.0.3")
+        with mock.patch.object(presence_quorum, "CONFIRMATION_LIMIT", SHORT_CONFIRMATION):
+            self.assertEqual(503, await self.beat(state="draining"))
+            self.acknowledging = ("10.0.0.4",)
+            self.assertEqual(503, await self.beat(state="draining", seq=2), "not a member")
+        self.acknowledging = (PEER,)
+        self.assertEqual(200, await self.beat(state="draining", seq=3))
+        self.acknowledging = ()
+        self.assertEqual(200, await self.beat(state="draining", seq=4), "taken before")
+
+    async def test_a_farewell_is_acknowledged_once_a_majority_has_taken_it(self) -> None:
+        self.members = (OWN_IP, PEER, "10.0.0.3")
+        with mock.patch.object(presence_quorum, "CONFIRMATION_LIMIT", SHORT_CONFIRMATION):
+            async with self.client.delete(self.url) as response:
+                self.assertEqual(503, response.status)
+        self.acknowledging = (PEER,)
+        async with self.client.delete(self.url) as response:
+            self.assertEqual(200, response.status)
+        self.assertEqual(200, await self.beat(state="draining"), "a late heartbeat")
+
     async def test_what_is_no_heartbeat_is_refused(self) -> None:
         for body in (b"", b"{", b"[]", b"7", b"null", b'"text"', b'{"svc":"models"}', b"\xff\xfe"):
             with self.subTest(body=body):
