Tests: headers, timeouts, versions and kept connections of requests

The dispatcher of these tests is served by the product's ClientServer now, and the time that a busy machine's event loop loses (LoopLag) has a module of its own.

--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -77,7 +77,7 @@
     async def reset(self) -> None:
         """Reset the connection, after what was written has been handed to the network."""
         await self._writer.drain()
-        self._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        reset_at_close(self._writer)
         self._writer.transport.abort()
         raise ConnectionResetError
 
@@ -86,6 +86,11 @@
 Result = TypeVar("Result")
 
 
+def reset_at_close(writer: asyncio.StreamWriter) -> None:
+    """Let the connection end with a reset once it is closed."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+
 async def within(awaitable: Awaitable[Result]) -> Result:
     """Wait for something that comes soon; raises TimeoutError where it does not."""
     return await asyncio.wait_for(awaitable, WAIT_LIMIT)
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -26,7 +26,7 @@
 from rookwood.cluster.workers import WorkerRecord
 from rookwood.dataplane import program
 from rookwood.dataplane.program import DataPlane
-from tests.fake_worker import HOST, WAIT_LIMIT, FakeWorker, Silence, answering, held_back, within
+from tests.fake_worker import HOST, WAIT_LIMIT, Exchange, FakeWorker, Silence, answering, held_back, within
 from tests.test_dataplane_proxy import CONFIGURATION, MODEL_SERVICE, MODELS, MUTATING, SAFE, SERVICE, SITE
 
 CONTROL_IP = "127.0.0.2"
@@ -34,6 +34,7 @@
 HEADER_MARGIN = 2048  # bytes for the other headers of a request
 SHORT_NOTICE = 0.05
 REFUSALS = 3
+SHORT_KEEPALIVE = 0.1  # seconds
 SHORT_DRAIN = 1.0  # seconds between SIGTERM and the end of the process
 
 
@@ -43,6 +44,7 @@
     def __init__(self) -> None:
         self.records: list[WorkerRecord] = []
         self.source = b""
+        self.sequence = 1
         self.fresh = True
         self.confirms = True
         self.asked: list[FetchConfiguration] = []
@@ -51,7 +53,7 @@
 
     def status(self) -> Status:
         """What it tells of itself."""
-        sequence = 1 if self.source else 0
+        sequence = self.sequence if self.source else 0
         return Status(CONTROL_IP, 1, CONTROL_IP, self.fresh, True, 1, sequence, 1, (CONTROL_IP,))
 
     def greeting(self, connection: Connection) -> Iterable[Message]:
@@ -62,13 +64,20 @@
         """Give out the configuration; keep reports of demand."""
         if isinstance(message, FetchConfiguration):
             self.asked.append(message)
-            connection.send(ConfigurationBody(1, 1, self.source, confirmed=self.confirms))
+            connection.send(ConfigurationBody(1, self.sequence, self.source, confirmed=self.confirms))
         elif isinstance(message, DemandReport):
             self.messages.put_nowait(message)
 
     def lost(self, connection: Connection) -> None:
         """Nothing to do."""
 
+    def send_next_configuration(self) -> None:
+        """Have a further configuration in force, and tell of it."""
+        document = json.loads(self.source)
+        self.source = json.dumps({**document, "ver": document["ver"] + 1}).encode()
+        self.sequence += 1
+        self.server.broadcast(self.status())
+
 
 def free_port(ip: str) -> int:
     """A port on which nobody listens."""
@@ -269,5 +278,52 @@
         self.assertEqual(200, await self.readiness())
 
 
+class KeptConnectionTests(DataPlaneCase):
+    """A connection that a client keeps is closed only while no request is under way on it."""
+
+    async def asyncSetUp(self) -> None:
+        self.enterContext(mock.patch.object(program, "CLIENT_KEEPALIVE", SHORT_KEEPALIVE))
+        await super().asyncSetUp()
+
+    async def open_connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A client's connection of raw bytes."""
+        address = self.settings.listen["edge"]
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    @staticmethod
+    def send_over(writer: asyncio.StreamWriter, request_id: str) -> None:
+        """Send a request that can't be repeated over an open connection."""
+        headers = {"Host": SITE, "X-Try-Id": request_id, "X-Time-Left": "3000", "Content-Length": "1"}
+        lines = [f"POST {MUTATING} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+        writer.write("\r\n".join([*lines, "", "q"]).encode())
+
+    async def test_no_request_is_cut_by_the_idle_time_sighup_or_a_configuration(self) -> None:
+        release, began = asyncio.Event(), asyncio.Event()
+
+        async def answer_late(exchange: Exchange) -> None:
+            began.set()
+            await release.wait()
+            await answering(b"late")(exchange)
+
+        worker = await self.start_worker(FakeWorker(answering(), answer_late, answering()))
+        await self.feed()
+        reader, writer = await self.open_connection()
+        self.send_over(writer, "first")
+        await within(reader.readuntil(b"answer"))
+        self.send_over(writer, "second")
+        await within(began.wait())
+        os.kill(os.getpid(), signal.SIGHUP)
+        self.control.send_next_configuration()
+        idle_reader, idle_writer = await self.open_connection()
+        self.send_over(idle_writer, "idle")
+        await within(idle_reader.readuntil(b"answer"))
+        self.assertEqual(b"", await within(idle_reader.read()), "the idle time of another client is over")
+        release.set()
+        await within(reader.readuntil(b"late"))
+        self.assertEqual(1, len(worker.requests_of("second")))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -10,12 +10,13 @@
 from typing import Any
 from unittest import mock
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from aiohttp import ClientSession, ClientTimeout, TCPConnector, TraceConfig, web
 from yarl import URL
 
 from rookwood.cluster.workers import HeldModel, WorkerRecord
 from rookwood.dataplane import proxy
 from rookwood.dataplane.budget import RetryBudget
+from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.proxy import Proxy
@@ -32,11 +33,13 @@
     break_off,
     held_back,
     refusing,
+    reset_at_close,
     seal_of,
     streaming,
     whole_answer,
     within,
 )
+from tests.loop_lag import LoopLag
 
 SITE = "ficu95.example"
 SERVICE, OTHER_SERVICE, MODEL_SERVICE = "pages", "others", "models"
@@ -47,6 +50,9 @@
 BODY_LIMIT = 4096
 USED_MS = 50
 ROUNDING_MS = 2
+SHORT_TIMEOUT_MS = 300
+ANSWER_LIMIT = 0.5  # seconds after a route's timeout within which the answer is there
+LEAVING_LIMIT = 0.5  # seconds after a client's end within which the work behind it stops
 SHORT_PATIENCE = 0.05  # seconds
 PROMISES = (408, 421, 429, 503)  # statuses that say that a request has not run and never will
 AMPLE_BUDGET = (1.0, 10.0, 1000.0)  # ratio, window, slack
@@ -144,7 +150,7 @@
             on_work=lambda notice: None,
             is_level=self.is_level,
         )
-        server = web.Server(self.proxy.handle, handler_cancellation=True, access_log=None)
+        server = ClientServer(self.proxy.handle, access_log=None)
         self.runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.05)
         await self.runner.setup()
         await web.TCPSite(self.runner, HOST, 0).start()
@@ -297,6 +303,23 @@
         await self.start_worker(answer_in_chunks)
         self.assertEqual(b"firstsecond", (await self.send(SAFE)).body)
 
+    async def test_what_a_request_says_of_its_prompt_reaches_every_worker_unchanged(self) -> None:
+        told = {"X-Model": "small/a1", "X-Tokens": "1460,80", "X-Prompt-Prefix": "5c1e07a2:800,91bd3f06:410"}
+        for prefix in (SAFE, STREAM):
+            workers = await self.start_workers(TRIES, refusing(503))
+            for worker in workers:
+                self.know(worker.record(SERVICE, models=(HeldModel("small", 1, frozenset({"a1"})),)))
+            headers = {**self.headers(f"try-{prefix}"), **told}
+            async with self.client.post(self.url(prefix), data=b"question", headers=headers) as response:
+                self.assertEqual(503, response.status)
+            requests = [request for worker in workers for request in worker.requests]
+            self.assertEqual(TRIES, len(requests))
+            for request in requests:
+                self.assertEqual(f"try-{prefix}", request.id)
+                self.assertEqual(told, {name: request.headers[name.lower()] for name in told})
+            for worker in workers:
+                self.dispatcher.router.worker_gone(worker.id)
+
     async def test_each_send_names_the_worker_it_is_for(self) -> None:
         workers = await self.start_workers(2, refusing(503))
         await self.send(MUTATING)
@@ -332,6 +355,21 @@
         self.assertLessEqual(second, first - USED_MS + ROUNDING_MS)
         self.assertGreaterEqual(second, 2000 - passed_ms - ROUNDING_MS)
 
+    async def test_the_answer_comes_by_the_timeout_of_the_route(self) -> None:
+        """Also where the client would wait for longer, and whatever may be done with the request."""
+        routes = [{**item, "timeout-ms": SHORT_TIMEOUT_MS} for item in CONFIGURATION["routes"]]
+        self.configure({**CONFIGURATION, "ver": 2, "routes": routes})
+        loop = asyncio.get_running_loop()
+        for prefix in (SAFE, MUTATING, STREAM, RESUMED):
+            with self.subTest(prefix=prefix):
+                worker = await self.start_worker(Silence())
+                lag, began = LoopLag(), loop.time()
+                answer = await self.send(prefix, X_Time_Left="60000")
+                took = loop.time() - began
+                self.assertLess(took, SHORT_TIMEOUT_MS / 1000 + ANSWER_LIMIT + lag.stop())
+                self.assert_no_promise(answer)
+                self.dispatcher.router.worker_gone(worker.id)
+
     async def test_the_answer_comes_by_the_deadline(self) -> None:
         silence = Silence()
         await self.start_worker(silence)
@@ -468,6 +506,18 @@
         self.assertEqual(200, (await sending).status)
         self.assertEqual((1, 0), (len(plain.requests), len(holder.requests)))
 
+    async def test_a_request_whose_client_left_while_it_waited_is_sent_to_nobody(self) -> None:
+        worker = await self.start_holder()
+        sending = asyncio.create_task(self.send(MODELS, "left", X_Model="small"))
+        await within(self.dispatcher.wanted.get())
+        lag, left_at = LoopLag(), asyncio.get_running_loop().time()
+        sending.cancel()
+        await within(self.no_request_in_flight())
+        self.assertLess(asyncio.get_running_loop().time() - left_at, LEAVING_LIMIT + lag.stop())
+        self.know(replace(worker.record(MODEL_SERVICE), models=(HeldModel("small", 1, frozenset()),)))
+        self.assertEqual(200, (await self.send(MODELS, "next", X_Model="small")).status)
+        self.assertEqual(["next"], [request.id for request in worker.requests])
+
     async def test_weights_that_never_come_are_a_refusal(self) -> None:
         await self.start_holder()
         self.assert_refused_early(await self.send(MODELS, X_Model="small", X_Time_Left="200"))
@@ -763,6 +813,66 @@
                 self.assertEqual(1, len(worker.requests))
                 self.dispatcher.router.worker_gone(worker.id)
 
+    async def test_work_stops_within_half_a_second_of_the_clients_end(self) -> None:
+        """However the client ends its connection: in order, or with a reset."""
+        loop = asyncio.get_running_loop()
+        for prefix in (SAFE, MUTATING, STREAM, RESUMED):
+            for reset in (False, True):
+                with self.subTest(prefix=prefix, reset=reset):
+                    silence = Silence()
+                    worker = await self.start_worker(silence)
+                    _, writer = await asyncio.open_connection(HOST, self.dispatcher.port)
+                    lines = [f"{name}: {value}" for name, value in self.headers("left").items()]
+                    head = [f"POST {prefix} HTTP/1.1", *lines, "Content-Length: 1", "", "q"]
+                    writer.write("\r\n".join(head).encode())
+                    await within(silence.began.wait())
+                    if reset:
+                        reset_at_close(writer)
+                    lag, left_at = LoopLag(), loop.time()
+                    writer.transport.abort()
+                    await within(silence.abandoned.wait())
+                    self.assertLess(loop.time() - left_at, LEAVING_LIMIT + lag.stop())
+                    self.assertEqual(1, len(worker.requests))
+                    self.dispatcher.router.worker_gone(worker.id)
+
+
+class KeptConnectionTests(DispatcherCase):
+    """A request on a kept connection gets an answer, and the connection serves the next one."""
+
+    async def test_whatever_its_worker_does_a_request_is_answered_and_the_connection_kept(self) -> None:
+        async def babble(exchange: Exchange) -> None:
+            exchange.write(b"not an answer\r\n\r\n")
+            await exchange.break_off()
+
+        behaviours = [
+            answering(),
+            answering(b"failed", 500),
+            refusing(503),
+            break_off,
+            babble,
+            Exchange.reset,
+        ]
+        connections = 0
+
+        async def count_connection(*_: object) -> None:
+            nonlocal connections
+            connections += 1
+
+        trace = TraceConfig()
+        trace.on_connection_create_end.append(count_connection)
+        kept = ClientSession(trace_configs=[trace], timeout=ClientTimeout(total=WAIT_LIMIT))
+        self.addAsyncCleanup(kept.close)
+        for prefix in (SAFE, MUTATING, STREAM, RESUMED):
+            for number, behaviour in enumerate(behaviours):
+                worker = await self.start_worker(behaviour)
+                headers = self.headers(f"try-{number}")
+                async with kept.post(self.url(prefix), data=b"question", headers=headers) as response:
+                    self.assertEqual(number == 0, response.status == 200)
+                    await response.read()
+                self.assertEqual(1, len(worker.requests))
+                self.dispatcher.router.worker_gone(worker.id)
+        self.assertEqual(1, connections)
+
 
 class DrainingDispatcherTests(DispatcherCase):
     async def test_a_dispatcher_that_drains_still_answers_and_closes_the_connection(self) -> None:
--- a/tests/test_dataplane_streams.py
+++ b/tests/test_dataplane_streams.py
@@ -11,6 +11,7 @@
 
 from tests.fake_worker import (
     HOST,
+    STREAM_TYPE,
     Behaviour,
     Exchange,
     FakeWorker,
@@ -123,6 +124,20 @@
             release.set()
             self.assertEqual(event(2), await response.content.read())
 
+    async def test_the_version_of_weights_passes_in_the_head_and_before_an_event(self) -> None:
+        versioned = [b"versions: 7\nid: 1\ndata: old\n\n", b"versions: 8\nid: 2\ndata: new\n\n"]
+
+        async def stream_versions(exchange: Exchange) -> None:
+            headers = {"X-Try-Id": exchange.request.id, "X-Seal": "s", "Versions": "7"}
+            exchange.write_head(200, {**headers, "Content-Type": STREAM_TYPE, "Transfer-Encoding": "chunked"})
+            for piece in (*versioned, b""):
+                exchange.write_chunk(piece)
+
+        await self.start_worker(stream_versions)
+        stream = await self.read_stream(RESUMED)
+        self.assertEqual((True, b"".join(versioned)), (stream.complete, stream.body))
+        self.assertEqual("7", stream.headers["Versions"])
+
     async def test_a_client_that_resumes_goes_on_at_its_event(self) -> None:
         worker = await self.start_worker(streaming([13, 14]))
         stream = await self.read_stream(RESUMED, Last_Event_Id="12")
@@ -164,6 +179,19 @@
         self.assertFalse(stream.complete)
         self.assertEqual([], second.requests)
 
+    async def test_a_stream_is_taken_up_after_an_event_that_tells_a_version(self) -> None:
+        told = b"versions: 8\nid: 2\ndata: piece 2\n\n"
+
+        async def tell_a_version_and_break(exchange: Exchange) -> None:
+            begin_stream(exchange, "first")
+            exchange.write_chunk(event(1) + told)
+            await exchange.break_off()
+
+        stream, first, (second,) = await self.read_past(tell_a_version_and_break, streaming([3], "second"))
+        self.assertEqual((True, event(1) + told + event(3)), (stream.complete, stream.body))
+        self.assertEqual("2", second.requests[0].headers["last-event-id"])
+        self.assertEqual(seal_of(first.requests[0], "first"), stream.headers["X-Seal"])
+
     async def test_a_stream_may_break_twice(self) -> None:
         first = streaming_until_broken([1])
         release = asyncio.Event()
