Tests: readings on both sides of a cut, a second loss beside it, resets in the control group

Need: no test read the configuration at every control machine while the group was cut, let a second machine go beside a cut, or reset connections of control machines. With the usual lease the cut-off primary has lost it before a successor is elected; LongLeaseTest takes that away, so that the round before a reading alone decides.

--- a/tests/test_coordination_group.py
+++ b/tests/test_coordination_group.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 
 from rookwood.coordination.group import (
@@ -22,12 +23,15 @@
     Unattached,
     Uncertain,
 )
+from rookwood.coordination.timing import Timing
 from rookwood.lab.faulty_disk import FaultyStorage
+from tests.fake_worker import reset_at_close
 
 FIRST_MEMBERS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 NEWCOMER = "127.0.0.4"
 LIMIT = 15.0
 COMMITS_OF_AN_ADMISSION = 2
+CHANGES_AMID_RESETS = 12
 
 
 def free_port() -> int:
@@ -52,7 +56,8 @@
 class Cluster:
     """The groups of one test, with a signal for whatever they tell."""
 
-    def __init__(self, directory: str) -> None:
+    def __init__(self, directory: str, timing: Timing | None = None) -> None:
+        self._timing = timing or Timing()
         self.groups: dict[str, ControlGroup] = {}
         self.commits: dict[str, list[Snapshot]] = {}
         self.disks: dict[str, FaultyStorage] = {}
@@ -72,6 +77,7 @@
             bootstrap=bootstrap,
             directory=str(self._directory / ip),
             disk_mb=128,
+            **asdict(self._timing),
         )
         self.commits[ip] = []
 
@@ -156,6 +162,11 @@
     return lambda payload: payload + text
 
 
+def once(text: bytes) -> Callable[[bytes], bytes | Declined]:
+    """A change that may be sent again: it is made only where it is missing."""
+    return lambda payload: payload if payload.endswith(text) else payload + text
+
+
 class GroupTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
@@ -293,6 +304,34 @@
         await self.cluster.until(lambda: returned.snapshot().payload == b"a")
         self.assertNotIn(gone, returned.members())
 
+    async def test_connections_that_are_reset_again_and_again_lose_nothing(self) -> None:
+        """Resets strike control machines as well: a change that was taken stays, others are sent again."""
+        await self.cluster.start_all()
+        await self.cluster.until_led()
+        taken = b""
+        for number in range(CHANGES_AMID_RESETS):
+            text = b"%d," % number
+            victim = FIRST_MEMBERS[number % len(FIRST_MEMBERS)]
+            outcome: object = None
+            while not isinstance(outcome, Committed):
+                await self.cluster.until(lambda: self.cluster.primary_address() is not None)
+                primary = self.cluster.primary_address() or victim
+                proposing = asyncio.create_task(self.cluster.groups[primary].propose(once(text), limit=1.0))
+                await asyncio.sleep(0)
+                self.reset_connections(victim)
+                outcome = await proposing
+            taken += text
+            self.assertEqual(taken, outcome.snapshot.payload)
+        await self.cluster.until(lambda: all(self.cluster.payload(ip) == taken for ip in FIRST_MEMBERS))
+
+    def reset_connections(self, ip: str) -> None:
+        """Reset what a member has open to others, and others to it."""
+        transport = self.cluster.groups[ip].transport
+        opened = [link.writer for link in transport._links.values() if link.writer is not None]
+        for writer in (*opened, *transport._incoming.values()):
+            reset_at_close(writer)
+            writer.transport.abort()
+
     async def test_planned_transfer_leaves_hardly_any_time_without_a_primary(self) -> None:
         await self.cluster.start_all()
         first = await self.cluster.until_led()
--- a/tests/test_operators_in_a_cut.py
+++ b/tests/test_operators_in_a_cut.py
@@ -1,4 +1,4 @@
-"""Two operators on both sides of a cut: the operator's interface on real control groups, cut in between."""
+"""Operators on both sides of a cut: the operator's interface on real control groups, cut in between."""
 
 import asyncio
 import json
@@ -11,7 +11,10 @@
 
 from rookwood.cluster.settings import parse_settings
 from rookwood.controlplane.operator_api import OperatorApi
+from rookwood.coordination.group import Primary
 from rookwood.coordination.messages import Message
+from rookwood.coordination.timing import Timing
+from rookwood.lab.control_simulation import LONG_LEASE
 from rookwood.lab.many_changes import is_free
 from tests.test_coordination_group import FIRST_MEMBERS, Cluster, free_port
 
@@ -23,6 +26,8 @@
 TAKEN, CONFLICT, UNCLEAR = 200, 412, 503
 PATIENCE = 15.0
 RETRY_PAUSE = 0.05
+READINGS = 2
+VERSIONS_IN_CUTS = (8, 9)
 
 
 def change(version: int, health: str) -> dict[str, Any]:
@@ -30,11 +35,15 @@
     return {**FIRST, "ver": version, "svcs": [{"name": "pages", "health": health, "max-conns": 64}]}
 
 
-class CutTest(unittest.IsolatedAsyncioTestCase):
+class CutCase(unittest.IsolatedAsyncioTestCase):
+    """Three control groups with the operator's interface, which a test may cut from each other."""
+
+    timing = Timing()
+
     async def asyncSetUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        self.cluster = Cluster(directory.name)
+        self.cluster = Cluster(directory.name, self.timing)
         self.addAsyncCleanup(self.cluster.stop_all)
         self.port = free_port()
         while not all(is_free(ip, self.port) for ip in FIRST_MEMBERS):
@@ -107,11 +116,67 @@
                         return await answer.json()
                 await asyncio.sleep(RETRY_PAUSE)
 
+    async def read_once(self, ip: str) -> tuple[int, Any]:
+        """What a member answers to one reading, redirects followed; 503 where no answer comes."""
+        try:
+            async with self.client.get(f"http://{ip}:{self.port}/config") as answer:
+                return answer.status, await answer.json()
+        except (OSError, TimeoutError):
+            return UNCLEAR, None
+
+    async def assert_current_or_unclear(self, expected: dict[str, Any]) -> None:
+        """Require of every member, asked at once, the newest configuration or 503."""
+        for status, document in await asyncio.gather(*(self.read_once(ip) for ip in self.cluster.groups)):
+            self.assertIn(status, (TAKEN, UNCLEAR))
+            if status == TAKEN:
+                self.assertEqual(expected, document)
+
+    async def assert_current_or_unclear_during(
+        self, sending: asyncio.Task[int], old: dict[str, Any], new: dict[str, Any]
+    ) -> None:
+        """Until a change is answered, readings tell of the configuration before it, of it, or nothing."""
+        while not sending.done():
+            for status, document in await asyncio.gather(*(self.read_once(ip) for ip in FIRST_MEMBERS)):
+                self.assertIn(status, (TAKEN, UNCLEAR))
+                self.assertIn(document if status == TAKEN else old, (old, new))
+
+    async def read_while_changed(self) -> None:
+        """Cut the primary off, have a change taken on the other side, and read everywhere meanwhile.
+
+        Readings begin with the cut, when the primary that was cut off does not know it yet.
+        """
+        newest = FIRST
+        for version in VERSIONS_IN_CUTS:
+            self.cut([self.primary], self.others)
+            changed = change(version, f"/{version}")
+            successor = await self.leader_of(self.others)
+            sending = asyncio.create_task(self.send(successor, changed, newest["ver"]))
+            await self.assert_current_or_unclear_during(sending, newest, changed)
+            self.assertEqual(TAKEN, await sending)
+            newest = changed
+            for _ in range(READINGS):
+                await self.assert_current_or_unclear(newest)
+            self.cut()
+            self.assertEqual(newest, await self.read(self.primary))
+            self.primary = await self.cluster.until_led()
+            self.others = [ip for ip in FIRST_MEMBERS if ip != self.primary]
+
+    async def leader_of(self, side: list[str]) -> str:
+        """The member of a side that leads it."""
+        await self.cluster.until(lambda: any(self.leads(ip) for ip in side))
+        return next(ip for ip in side if self.leads(ip))
+
+    def leads(self, ip: str) -> bool:
+        """Whether a member is a primary."""
+        return isinstance(self.cluster.groups[ip].role(), Primary)
+
     async def assert_everywhere(self, status: int, document: dict[str, Any], base: int) -> None:
         """Require the same clear answer of every member."""
         for ip in FIRST_MEMBERS:
             self.assertEqual(status, await self.send_until_clear(ip, document, base), ip)
 
+
+class CutTest(CutCase):
     async def test_of_two_changes_on_both_sides_that_of_the_majority_is_taken(self) -> None:
         cut_off, taken = change(8, "/cut-off"), change(8, "/taken")
         self.cut([self.primary], self.others)
@@ -147,6 +212,40 @@
         await self.assert_everywhere(TAKEN, late, 3)
         await self.assert_everywhere(CONFLICT, other, 3)
 
+    async def test_no_reading_on_either_side_of_a_cut_is_older_than_what_was_acknowledged(self) -> None:
+        await self.read_while_changed()
+
+    async def test_a_second_loss_beside_a_cut_loses_nothing_and_nobody_is_sure_meanwhile(
+        self,
+    ) -> None:
+        taken, later = change(8, "/taken"), change(9, "/later")
+        self.cut([self.primary], self.others)
+        self.assertEqual(TAKEN, await self.send_until_clear(self.others[0], taken, 3))
+        lost = await self.leader_of(self.others)
+        await self.cluster.stop(lost)
+        await self.cluster.until(lambda: not self.any_primary())
+        for ip in self.cluster.groups:
+            self.assertEqual(UNCLEAR, (await self.read_once(ip))[0])
+            self.assertEqual(UNCLEAR, await self.send(ip, later, 8))
+        self.cut()
+        left = next(ip for ip in self.others if ip != lost)
+        self.assertEqual(taken, await self.read(left))
+        self.assertEqual(taken, await self.read(self.primary))
+        self.assertEqual(TAKEN, await self.send_until_clear(self.primary, later, 8))
+
+    def any_primary(self) -> bool:
+        """Whether any member that runs is a primary."""
+        return any(self.leads(ip) for ip in self.cluster.groups)
+
+
+class LongLeaseTest(CutCase):
+    """The lease outlasts the election on the other side, so that a round alone tells who leads."""
+
+    timing = LONG_LEASE
+
+    async def test_no_reading_on_either_side_of_a_cut_is_older_than_what_was_acknowledged(self) -> None:
+        await self.read_while_changed()
+
 
 if __name__ == "__main__":
     unittest.main()
