Tests: a lost disk while all others go down, a worker that only says goodbye

Whole programs: a control machine's disk is emptied while all processes, data planes too, are killed. ModelWorker can say goodbye and go on.

--- a/rookwood/lab/control_families.py
+++ b/rookwood/lab/control_families.py
@@ -39,10 +39,18 @@
     longest_pause=0.3,
     calm=10.0,
 )
+POWER_OF_ALL = Plan(
+    troubled=12.0,
+    faults=8,
+    kinds=(Fault.POWER_ALL,),
+    triggered=0.05,
+    sync_time=0.02,
+)
 FAMILIES = {
     "long cut": LONG_CUT,
     "second losses": SECOND_LOSSES,
     "second losses of five": SECOND_LOSSES_OF_FIVE,
     "hundreds of changes": HUNDREDS_OF_CHANGES,
     "busy machines": BUSY_MACHINES,
+    "power of all, at times with a lost disk": POWER_OF_ALL,
 }
--- a/rookwood/lab/emulatedworker/worker.py
+++ b/rookwood/lab/emulatedworker/worker.py
@@ -209,6 +209,14 @@
             self.deregistration_acknowledged = await self._registrar.deregister()
         await self.crash()
 
+    async def say_goodbye(self) -> bool:
+        """Deregisters without having said `draining`, and serves on; True once that is acknowledged."""
+        if self._registrar is None or not await self._registrar.deregister():
+            return False
+        self.deregistration_acknowledged = True
+        self.drain_acknowledged_at = time.monotonic()
+        return True
+
     def runs_after_drain(self, bound_s: float) -> list[Run]:
         """The runs that began more than so long after the draining was acknowledged."""
         if self.drain_acknowledged_at is None:
--- a/tests/test_replication_mutants.py
+++ b/tests/test_replication_mutants.py
@@ -19,6 +19,7 @@
 from rookwood.coordination.messages import PreVoteRequest, Promise, Write, WriteAck
 from rookwood.coordination.outcomes import Confirmed, Declined, NotPrimary, Snapshot
 from rookwood.coordination.voting import Voter
+from rookwood.lab.control_families import POWER_OF_ALL
 from rookwood.lab.control_simulation import LONG_LEASE, NO_FAVOUR, Fault, InvariantError, Plan, Simulation
 
 Patch = AbstractContextManager[Any]
@@ -344,6 +345,12 @@
     def test_commit_without_second_copy(self) -> None:
         self.assert_found(commit_without_second_copy())
 
+    def test_changes_on_single_disks_beside_a_loss_of_all_power(self) -> None:
+        """All lose power, at times one its disk, right after an acknowledgement or at any other moment."""
+        for mutant in (commit_without_second_copy, acknowledge_before_sync, commit_before_own_sync):
+            with self.subTest(mutant=mutant.__name__):
+                self.assert_found(mutant(), POWER_OF_ALL)
+
     def test_emptied_member_resumes_its_token(self) -> None:
         self.assert_found(emptied_member_resumes_its_token(), DISKS)
 
--- a/tests/test_system_day.py
+++ b/tests/test_system_day.py
@@ -5,9 +5,10 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from functools import partial
 
 from rookwood.lab.emulatedworker.faults import Pause
-from rookwood.lab.emulatedworker.worker import ModelWorker
+from rookwood.lab.emulatedworker.worker import ModelWorker, inject_into_any
 from rookwood.lab.systemstage.client import TryOptions
 from rookwood.lab.systemstage.configuration import Configuration, small_configuration
 from rookwood.lab.systemstage.stage import SystemStage
@@ -17,6 +18,8 @@
 STREAM = CONFIGURATION.route("resumable")
 PAGE = CONFIGURATION.route("page")
 LOADS_PER_S = 20.0
+FIRST_AFTER_GOODBYE, LATER_AFTER_GOODBYE = 5, 20  # requests
+DRAIN_S = 2.0
 
 
 def hosts_of(workers: list[ModelWorker], name: str) -> list[ModelWorker]:
@@ -140,6 +143,31 @@
         self.assertEqual(leaving.runs_after_drain(2.0), [])
         self.assertEqual(stage.broken_rules(LOADS_PER_S), [])
 
+    async def test_worker_that_only_says_goodbye_ends_its_run_and_is_sent_nothing_more(self) -> None:
+        """It never says that it drains, and its heartbeats go on; it serves on for a while."""
+        stage = await self.enterAsyncContext(SystemStage(data_planes=1))
+        workers = await stage.begin_day(CONFIGURATION)
+        resume = asyncio.Event()
+        inject_into_any(workers, Pause(resume, after_event=1))
+        async with stage.client.open(stage.data_planes[0], STREAM, "alpha") as stream:
+            await stream.read_event()
+            (leaving,) = [worker for worker in workers if worker.records.runs]
+            self.assertTrue(await leaving.say_goodbye())
+            served_elsewhere = partial(self.is_passed_over, stage, leaving, FIRST_AFTER_GOODBYE)
+            await eventually(served_elsewhere, "the goodbye is known", DRAIN_S)
+            self.assertTrue(await self.is_passed_over(stage, leaving, LATER_AFTER_GOODBYE))
+            resume.set()
+            self.assertTrue((await stream.read_to_end()).served)
+        self.assertEqual(stage.broken_rules(LOADS_PER_S), [])
+
+    async def is_passed_over(self, stage: SystemStage, worker: ModelWorker, requests: int) -> bool:
+        """Whether so many requests are served by other workers."""
+        before = len(worker.records.runs)
+        for _ in range(requests):
+            answer = await stage.client.send(stage.data_planes[0], STREAM, "alpha")
+            self.assertTrue(answer.served, answer)
+        return len(worker.records.runs) == before
+
     async def test_nothing_is_lost_with_a_worker_taken_away_at_short_notice(self) -> None:
         stage = await self.enterAsyncContext(SystemStage(control_planes=1, data_planes=1))
         workers = await stage.begin_day(CONFIGURATION)
--- a/tests/test_system_restarts.py
+++ b/tests/test_system_restarts.py
@@ -166,6 +166,30 @@
             await stage.client.send_until_served(data_plane, SECOND.route("new"))
         self.assertEqual(stage.broken_rules(LOADS_PER_S), [])
 
+    async def test_disk_lost_while_every_other_machine_is_killed_loses_nothing(self) -> None:
+        """The end of a day: right after an acknowledgement, the data planes among the others."""
+        for of_primary in (True, False):
+            with self.subTest(of_primary=of_primary):
+                async with SystemStage(data_planes=2) as stage:
+                    await self.lose_a_disk_and_every_process(stage, of_primary)
+
+    async def lose_a_disk_and_every_process(self, stage: SystemStage, of_primary: bool) -> None:
+        await stage.begin_day(FIRST)
+        await stage.wait_for_control_planes(FIRST)
+        primary = await stage.find_primary()
+        victim = next(m for m in stage.control_planes if (m is primary) is of_primary)
+        await stage.configure(SECOND, 3)
+        await asyncio.gather(*(machine.kill() for machine in stage.processes))
+        victim.wipe()
+        await asyncio.gather(*(machine.start() for machine in stage.processes))
+        self.assertEqual(await self.read(stage), SECOND.document())
+        self.assertEqual((await stage.operator.put(SECOND, 3)).status, 200)
+        await stage.wait_until_ready()
+        for data_plane in stage.data_planes:
+            await stage.client.send_until_served(data_plane, SECOND.route("new"))
+        await eventually(lambda: stage.answers_as(victim, SECOND), "the wiped machine follows")
+        self.assertEqual(stage.broken_rules(LOADS_PER_S), [])
+
     async def test_wiped_machine_takes_part_again(self) -> None:
         stage = await self.enterAsyncContext(SystemStage(data_planes=0))
         await stage.configure(FIRST)
