--- a/tests/test_dataplane_end.py
+++ b/tests/test_dataplane_end.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.settings import Bounds, NodeSettings
 from rookwood.clusterconfig.document import Route, RouteKind
 from rookwood.dataplane import closing, durations, program
 from rookwood.dataplane.client_server import ClientConnection, ClientServer
@@ -384,6 +384,12 @@
 
 
 class ClosingTimeTests(unittest.IsolatedAsyncioTestCase):
+    def test_what_is_under_way_ends_within_the_last_sixth_of_the_grace(self) -> None:
+        """A request that is cut sooner, or whose answer is not flushed after it, counts as lost."""
+        self.assertLess(program.CLOSING_MARGIN, Bounds().grace / 6)
+        self.assertLess(0.0, program.EXIT_MARGIN)
+        self.assertLess(program.EXIT_MARGIN, program.CLOSING_MARGIN)
+
     async def test_scopes_end_at_a_closing_time_that_is_set_later(self) -> None:
         loop = asyncio.get_running_loop()
         closing_time = ClosingTime()
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -326,6 +326,25 @@
         for worker in workers:
             self.assertEqual([worker.id], [r.headers["x-want-instance"] for r in worker.requests])
 
+    async def test_workers_are_told_the_rank_of_the_route(self) -> None:
+        """The more urgent route comes first; on a worker with room a short prompt goes before all others."""
+        worker = await self.start_worker(answering())
+        self.configure({**CONFIGURATION, "routes": [route(f"/rank-{n}/", "safe", prio=n) for n in range(9)]})
+        traffic = self.dispatcher.pool.get(worker.id)
+        for busy in (False, True):  # what a worker told of its load counts for a while
+            for number in range(9):
+                if busy:
+                    traffic.tell_load(8, 0, 8, asyncio.get_running_loop().time())
+                await self.send(f"/rank-{number}/", f"{busy}-{number}")
+            told = [int(request.headers["priority"]) for request in worker.requests]
+            worker.requests.clear()
+            self.assertEqual(sorted(told), told)
+            self.assertTrue(set(told) <= set(range(10)))
+            if busy:
+                self.assertEqual(list(range(2, 10)), told[:8])
+            else:
+                self.assertEqual({1}, set(told))
+
     async def test_the_time_left_is_never_more_than_client_or_route_allow(self) -> None:
         workers = await self.start_workers(TRIES, refusing(429))
         for told, most in (("800", 800), ("60000", TIMEOUT_MS)):
