Tests: a silent worker's answer is waited for, unless another may give it

Need: no test held that a worker's silence ends no answer sooner, nor that what may be repeated goes elsewhere. Seen to fail against copies broken on purpose: silence that ends every wait; silence that never counts.

--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -14,11 +14,11 @@
 from yarl import URL
 
 from rookwood.cluster.workers import HeldModel, WorkerRecord
-from rookwood.dataplane import proxy
+from rookwood.dataplane import proxy, silence
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
-from rookwood.dataplane.pool import WorkerPool
+from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.proxy import Proxy
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
@@ -54,6 +54,8 @@
 ANSWER_LIMIT = 0.5  # seconds after a route's timeout within which the answer is there
 LEAVING_LIMIT = 0.5  # seconds after a client's end within which the work behind it stops
 SHORT_PATIENCE = 0.05  # seconds
+SHORT_CHECK = 0.01  # seconds
+LOOKS = 5
 PROMISES = (408, 421, 429, 503)  # statuses that say that a request has not run and never will
 AMPLE_BUDGET = (1.0, 10.0, 1000.0)  # ratio, window, slack
 NO_BUDGET = (0.0, 10.0, 0.0)
@@ -390,11 +392,11 @@
                 self.dispatcher.router.worker_gone(worker.id)
 
     async def test_the_answer_comes_by_the_deadline(self) -> None:
-        silence = Silence()
-        await self.start_worker(silence)
+        silent = Silence()
+        await self.start_worker(silent)
         answer = await self.send(MUTATING, X_Time_Left="400")
         self.assert_no_promise(answer)
-        await within(silence.abandoned.wait())
+        await within(silent.abandoned.wait())
 
 
 class RoutingTests(DispatcherCase):
@@ -816,17 +818,66 @@
             self.assertEqual((200, f"for try-{number}".encode()), (answer.status, answer.body))
 
 
+class SilentWorkerTests(DispatcherCase):
+    """A worker from which nothing was heard for too long, by what the dispatcher is told of it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.looks = 0
+        self.looked_often = asyncio.Event()
+        self.enterContext(mock.patch.object(silence, "CHECK_INTERVAL", SHORT_CHECK))
+        self.enterContext(mock.patch.object(WorkerTraffic, "silent", self.note_look))
+
+    def note_look(self, now: float, since: float) -> bool:
+        """The worker counts as silent, whenever it is looked at."""
+        self.looks += 1
+        if self.looks == LOOKS:
+            self.looked_often.set()
+        return True
+
+    async def answer_after_silence(self, prefix: str, spares: int) -> None:
+        """Send a request whose worker answers after many looks; nobody else gets it."""
+        self.looks = 0
+        self.looked_often.clear()
+        worker = await self.start_worker(held_back(answering(b"late"), self.looked_often))
+        sending = asyncio.create_task(self.send(prefix))
+        await within(worker.request_came.wait())
+        others = await self.start_workers(spares, answering(b"other"))
+        answer = await sending
+        self.assertEqual((200, b"late"), (answer.status, answer.body))
+        self.assertEqual(0, count_requests(others))
+        for each in (worker, *others):
+            self.dispatcher.router.worker_gone(each.id)
+
+    async def test_silence_ends_no_answer_of_what_may_not_be_repeated(self) -> None:
+        for prefix in (MUTATING, STREAM):
+            with self.subTest(prefix=prefix):
+                await self.answer_after_silence(prefix, spares=1)
+
+    async def test_silence_ends_no_answer_that_nobody_else_can_give(self) -> None:
+        for prefix in (SAFE, RESUMED):
+            with self.subTest(prefix=prefix):
+                await self.answer_after_silence(prefix, spares=0)
+
+    async def test_what_may_be_repeated_goes_to_another_worker(self) -> None:
+        for prefix in (SAFE, RESUMED):
+            with self.subTest(prefix=prefix):
+                outcome = await self.send_past(Silence(), prefix, answering(b"other"))
+                self.assertEqual((200, b"other"), (outcome.answer.status, outcome.answer.body))
+                self.assertEqual(1, len(outcome.second.requests))
+
+
 class LeavingClientTests(DispatcherCase):
     async def test_a_client_that_leaves_frees_the_worker(self) -> None:
         for prefix in (SAFE, STREAM, RESUMED):
             with self.subTest(prefix=prefix):
-                silence = Silence()
-                worker = await self.start_worker(silence)
+                silent = Silence()
+                worker = await self.start_worker(silent)
                 sending = asyncio.create_task(self.send(prefix))
-                await within(silence.began.wait())
+                await within(silent.began.wait())
                 self.assertEqual(1, self.dispatcher.pool.get(worker.id).in_flight)
                 sending.cancel()
-                await within(silence.abandoned.wait())
+                await within(silent.abandoned.wait())
                 await within(self.no_request_in_flight())
                 self.assertEqual(0, self.dispatcher.pool.get(worker.id).in_flight)
                 self.assertEqual(1, len(worker.requests))
@@ -838,18 +889,18 @@
         for prefix in (SAFE, MUTATING, STREAM, RESUMED):
             for reset in (False, True):
                 with self.subTest(prefix=prefix, reset=reset):
-                    silence = Silence()
-                    worker = await self.start_worker(silence)
+                    silent = Silence()
+                    worker = await self.start_worker(silent)
                     _, writer = await asyncio.open_connection(HOST, self.dispatcher.port)
                     lines = [f"{name}: {value}" for name, value in self.headers("left").items()]
                     head = [f"POST {prefix} HTTP/1.1", *lines, "Content-Length: 1", "", "q"]
                     writer.write("\r\n".join(head).encode())
-                    await within(silence.began.wait())
+                    await within(silent.began.wait())
                     if reset:
                         reset_at_close(writer)
                     lag, left_at = LoopLag(), loop.time()
                     writer.transport.abort()
-                    await within(silence.abandoned.wait())
+                    await within(silent.abandoned.wait())
                     self.assertLess(loop.time() - left_at, LEAVING_LIMIT + lag.stop())
                     self.assertEqual(1, len(worker.requests))
                     self.dispatcher.router.worker_gone(worker.id)
