Split routes by an even sequence at each dispatcher, not by draws

Cause: the service of a split route was drawn by a hash of the request's id.

Change: RouteSplitter (dataplane/splitting.py) goes through multiples of the golden section for each route, begun at a random point, kept when weights change.

Tests: that one id always has the same service was a property of the hash alone and no demand: each try has an id of its own, and a request keeps its service while its route stays (test_a_split_route_sends_one_request_to_one_service_only). In its place stands the bound on each window, with unequal loads, restarts and other weights before it. Seen to fail: draws in place of the sequence; all dispatchers begun at the same point.

--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -34,9 +34,10 @@
 from rookwood.dataplane.events import Event, EventSplitter, OversizedEventError, is_repeated
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
-from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
+from rookwood.dataplane.requests import RoutedRequest, build_request, read_time_left
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
+from rookwood.dataplane.splitting import RouteSplitter
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
     Complete,
@@ -95,6 +96,7 @@
         self.counts = RequestCounts()
         self._durations = DurationMeter()
         self._closing = ClosingTime()
+        self._splitter = RouteSplitter()
 
     @property
     def draining(self) -> bool:
@@ -198,8 +200,7 @@
                 return Refusal(503, "no route, by a configuration that may be old", RETRY_SOON)
         if not request.headers.get(names.REQUEST_ID):
             return Refusal(400, f"{names.REQUEST_ID} is missing")
-        service = choose_service(route, request.headers[names.REQUEST_ID])
-        return build_request(request, route, body, service, arrived)
+        return build_request(request, route, body, self._splitter.choose(route), arrived)
 
     def _is_rerouted(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
--- a/rookwood/dataplane/requests.py
+++ b/rookwood/dataplane/requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import zlib
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -14,7 +13,6 @@
 from rookwood.dataplane.demand import ServiceKey
 
 MILLISECONDS = 1000.0
-CHOICES = 1 << 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,21 +45,6 @@
         return self.route.repeatable
 
 
-def choose_service(route: Route, request_id: str) -> str:
-    """Draw the service of a split route; the same request always gets the same one."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
-    point = zlib.crc32(request_id.encode()) / CHOICES * total
-    for share in route.shares:
-        if share.weight <= 0:
-            continue
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return max(route.shares, key=lambda share: share.weight).service
-
-
 def read_parts(weights: str, text: str) -> tuple[PromptPart, ...]:
     """Read X-Prompt-Prefix for the weights in X-Model; parts that can't be read end the list."""
     parts: list[PromptPart] = []
