--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -32,9 +32,10 @@
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.repeats import MINIMUM_ATTEMPT, RepeatRules
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
-from rookwood.dataplane.requests import RoutedRequest, build_request, choose_service, read_time_left
+from rookwood.dataplane.requests import RoutedRequest, build_request, read_time_left
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
+from rookwood.dataplane.splitting import RouteSplitter
 from rookwood.dataplane.stream_relay import SILENT, copy_events
 from rookwood.dataplane.upstream import (
     MISDIRECTED,
@@ -84,6 +85,7 @@
         self.counts = RequestCounts()
         self._limits = AttemptLimits()
         self._repeats = RepeatRules(router, budget)
+        self._splitter = RouteSplitter()
 
     @property
     def draining(self) -> bool:
@@ -187,8 +189,7 @@
                 return Refusal(503, "no route, by a configuration that may be old", RETRY_SOON)
         if not request.headers.get(names.REQUEST_ID):
             return Refusal(400, f"{names.REQUEST_ID} is missing")
-        service = choose_service(route, request.headers[names.REQUEST_ID])
-        return build_request(request, route, body, service, arrived)
+        return build_request(request, route, body, self._splitter.choose(route), arrived)
 
     def _is_rerouted(
         self, client: web.BaseRequest, request: RoutedRequest, progress: RequestProgress
--- a/rookwood/lab/raw_http.py
+++ b/rookwood/lab/raw_http.py
@@ -22,8 +22,13 @@
     return b"".join(encode_chunk(part) for part in parts if part) + LAST_CHUNK
 
 
-def reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset; what is not with the kernel yet is not sent."""
+def reset_at_close(writer: asyncio.StreamWriter) -> None:
+    """Let a connection end with a reset once it is closed."""
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; what is not with the kernel yet is not sent."""
+    reset_at_close(writer)
     writer.transport.abort()
--- a/tests/test_dataplane_end.py
+++ b/tests/test_dataplane_end.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from rookwood.cluster.settings import NodeSettings
+from rookwood.cluster.settings import Bounds, NodeSettings
 from rookwood.clusterconfig.document import Route, RouteKind
 from rookwood.dataplane import closing, durations, program
 from rookwood.dataplane.client_listener import ClientListener, turn_loop
@@ -34,6 +34,7 @@
     held_back,
     within,
 )
+from tests.loop_lag import LoopLag
 from tests.test_dataplane_program import DataPlaneCase
 from tests.test_dataplane_proxy import MUTATING, SITE, STREAM
 
@@ -58,32 +59,6 @@
     await reached
 
 
-class LoopLag:
-    """How much time the event loop lost in stalls, because a busy machine held it up."""
-
-    INTERVAL = 0.01
-    STALL = 0.1  # seconds; shorter delays are ordinary and count for nothing
-
-    def __init__(self) -> None:
-        self.total = 0.0
-        self._loop = asyncio.get_running_loop()
-        self._expect()
-
-    def _expect(self) -> None:
-        self._timer = self._loop.call_later(self.INTERVAL, self._measure, self._loop.time() + self.INTERVAL)
-
-    def _measure(self, expected: float) -> None:
-        late = self._loop.time() - expected
-        if late > self.STALL:
-            self.total += late
-        self._expect()
-
-    def stop(self) -> float:
-        """The seconds lost so far."""
-        self._timer.cancel()
-        return self.total
-
-
 def paced_stream(seconds: float, count: int) -> Behaviour:
     """A stream whose events are spread over a time."""
 
@@ -424,6 +399,12 @@
 
 
 class ClosingTimeTests(unittest.IsolatedAsyncioTestCase):
+    def test_what_is_under_way_ends_within_the_last_sixth_of_the_grace(self) -> None:
+        """A request that is cut sooner, or whose answer is not flushed after it, counts as lost."""
+        self.assertLess(program.CLOSING_MARGIN, Bounds().grace / 6)
+        self.assertLess(0.0, program.EXIT_MARGIN)
+        self.assertLess(program.EXIT_MARGIN, program.CLOSING_MARGIN)
+
     async def test_scopes_end_at_a_closing_time_that_is_set_later(self) -> None:
         loop = asyncio.get_running_loop()
         closing_time = ClosingTime()
