Split the control simulation into a package of small modules

Cause: one module of 848 lines held the clock, network, disks, faults, operators, checks and the course of a history, and new operators and checks would have come on top.

Change: `rookwood/lab/controlsimulation/` has a module for each of them (engine, world, processes, network, disks, faults, injector, operators, checks, simulation), put together by composition.

--- a/rookwood/lab/control_families.py
+++ b/rookwood/lab/control_families.py
@@ -1,6 +1,6 @@
 """Families of simulated histories, each around one kind of bad day of the control state."""
 
-from rookwood.lab.control_simulation import Fault, Plan
+from rookwood.lab.controlsimulation import Fault, Plan
 
 LONG_CUT = Plan(
     spares=1,
--- a/rookwood/lab/failover_times.py
+++ b/rookwood/lab/failover_times.py
@@ -6,7 +6,7 @@
 
 from rookwood.coordination.effects import RoleChanged
 from rookwood.coordination.outcomes import Primary
-from rookwood.lab.control_simulation import Machine, Plan, Simulation
+from rookwood.lab.controlsimulation import Machine, Plan, Simulation
 
 EARLIEST = 2.5
 LATEST = 3.5
@@ -43,36 +43,39 @@
 
     def measure(self) -> float:
         """Play the history and return the span from the trouble until another member is primary."""
-        self.at(self.random.uniform(EARLIEST, LATEST), self._strike)
+        self.world.engine.at(self.world.random.uniform(EARLIEST, LATEST), self._strike)
         self.run()
         if self.span is None:
             raise ValueError("no other primary came")
         return self.span
 
     def _strike(self) -> None:
-        primaries = [machine for machine in self._running() if self._is_primary(machine)]
+        world = self.world
+        primaries = world.primaries()
         if not primaries:
-            self.at(self.now + 0.1, self._strike)
+            world.engine.at(world.now + 0.1, self._strike)
             return
         victim = primaries[0]
         self._victim_ip = victim.ip
-        self._struck_at = self.now
+        self._struck_at = world.now
         match self._trouble:
             case Trouble.KILL:
-                self._kill(victim.ip)
-                self.at(self.now + FAULT_SPAN, lambda: self._boot(victim.ip))
+                self.processes.kill(victim.ip)
+                self.processes.boot_after(victim.ip, FAULT_SPAN)
             case Trouble.FREEZE:
-                victim.frozen_until = self.now + FAULT_SPAN
+                victim.frozen_until = world.now + FAULT_SPAN
             case Trouble.CUT:
-                self._cut_between([victim.ip], [ip for ip in self.machines if ip != victim.ip], FAULT_SPAN)
+                others = [ip for ip in world.machines if ip != victim.ip]
+                self.network.cut_between([victim.ip], others, FAULT_SPAN)
             case Trouble.DISK_FULL:
                 victim.disk.full = True
 
-    def _on_role(self, machine: Machine, effect: RoleChanged) -> None:
-        super()._on_role(machine, effect)
+    def on_role(self, machine: Machine, effect: RoleChanged) -> None:
+        """Note when another machine became primary."""
+        super().on_role(machine, effect)
         is_other = isinstance(effect.role, Primary) and machine.ip != self._victim_ip
         if is_other and self._struck_at is not None and self.span is None:
-            self.span = self.now - self._struck_at
+            self.span = self.world.now - self._struck_at
 
 
 def measure_spans(trouble: Trouble, seeds: range, plan: Plan) -> Spans:
--- a/rookwood/lab/simulation_report.py
+++ b/rookwood/lab/simulation_report.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from pathlib import Path
 
-from rookwood.lab.control_simulation import InvariantError, Simulation
+from rookwood.lab.controlsimulation import InvariantError, Simulation
 
 JOIN = "--join"
 
--- a/tests/test_replication_mutants.py
+++ b/tests/test_replication_mutants.py
@@ -19,7 +19,7 @@
 from rookwood.coordination.messages import PreVoteRequest, Promise, Write, WriteAck
 from rookwood.coordination.outcomes import Confirmed, Declined, NotPrimary, Snapshot
 from rookwood.coordination.voting import Voter
-from rookwood.lab.control_simulation import LONG_LEASE, NO_FAVOUR, Fault, InvariantError, Plan, Simulation
+from rookwood.lab.controlsimulation import LONG_LEASE, NO_FAVOUR, Fault, InvariantError, Plan, Simulation
 
 Patch = AbstractContextManager[Any]
 SEEDS_TO_SEARCH = 400
--- a/tests/test_replication_simulation.py
+++ b/tests/test_replication_simulation.py
@@ -3,7 +3,7 @@
 import unittest
 
 from rookwood.lab.control_families import FAMILIES, HUNDREDS_OF_CHANGES
-from rookwood.lab.control_simulation import Plan, Simulation
+from rookwood.lab.controlsimulation import Plan, Simulation
 
 SEEDS_PER_TEST = 30
 SEEDS_PER_FAMILY = 4
