--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -14,7 +14,7 @@
 from rookwood.coordination.effects import Resolve
 from rookwood.coordination.journal import OwnWriteStep
 from rookwood.coordination.member_progress import MemberProgress
-from rookwood.coordination.membership import Membership
+from rookwood.coordination.membership import HEALTHY_BEATS, Membership
 from rookwood.coordination.messages import Heartbeat, HeartbeatAck, Write, WriteAck, WriteFailed
 from rookwood.coordination.outcomes import (
     Committed,
@@ -28,7 +28,6 @@
 from rookwood.coordination.proposals import Proposal, ProposalQueue
 
 MAX_ROUNDS_REMEMBERED = 32
-HEALTHY_BEATS = 2
 
 
 @dataclass(frozen=True)
--- a/rookwood/coordination/membership.py
+++ b/rookwood/coordination/membership.py
@@ -11,6 +11,9 @@
 from rookwood.coordination.document import Configuration, Document, Member
 from rookwood.coordination.member_progress import MemberProgress
 
+HEALTHY_BEATS = 2
+"""Heartbeats without an answer after which a machine is not counted on."""
+
 
 @dataclass(frozen=True)
 class Learner:
@@ -57,13 +60,19 @@
         return None
 
     def _ready_learners(self, document: Document, progress: Mapping[str, MemberProgress]) -> list[Member]:
-        """Return the learners whose copy is current and synced, emptied members first."""
+        """Return the learners whose copy is current and synced, emptied members first.
+
+        One that has fallen silent is none of them: in the place of a lost member it would be lost as well,
+        and with one more loss the new members would have no majority.
+        """
         configuration = document.configuration
+        silence = HEALTHY_BEATS * self._context.timing.heartbeat
         ready = [
             Member(ip, learner.token)
             for ip, learner in self._learners.items()
             if progress[ip].token == learner.token
             and progress[ip].stored >= document.position
+            and self._context.heard_within(ip, silence)
             and not configuration.admits(Member(ip, learner.token))
         ]
         return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
--- a/rookwood/lab/simulation_report.py
+++ b/rookwood/lab/simulation_report.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from pathlib import Path
 
-from rookwood.lab.control_simulation import InvariantError, Simulation
+from rookwood.lab.controlsimulation import InvariantError, Simulation
 
 JOIN = "--join"
 
@@ -31,6 +31,10 @@
         counts["events"] += report.events
         counts["changes acknowledged"] += report.committed
         counts["changes refused"] += report.declined
+        counts["requests sent again"] += report.sent_again
+        counts["changes answered as taken before"] += report.taken_before
+        counts["calls put into one order"] += report.calls_in_order
+        counts["histories undecided"] += report.undecided
         counts["reads confirmed"] += report.confirmed
         counts["without a clear answer"] += report.uncertain
         counts["primaries"] += report.primaries
--- a/tests/test_operators_in_a_cut.py
+++ b/tests/test_operators_in_a_cut.py
@@ -14,7 +14,7 @@
 from rookwood.coordination.group import Primary
 from rookwood.coordination.messages import Message
 from rookwood.coordination.timing import Timing
-from rookwood.lab.control_simulation import LONG_LEASE
+from rookwood.lab.controlsimulation import LONG_LEASE
 from rookwood.lab.free_ports import find_free_port
 from tests.test_coordination_group import FIRST_MEMBERS, Cluster
 
