Give no load order by an older report that shows an order in progress

Cause: reports of one sequence were taken as equally new. Once a worker had reported itself idle, an older report of the same sequence, from while it still loaded, hid the model that it holds by now; with an adapter's order taken since, the next order followed at once and went beyond the worker's memory.

Change: a report of an order in progress is out of date once the same sequence, or a later one, was reported idle.

Tests: the new test fails without the change. test_memory_slots_and_rate_hold_under_any_reports_and_outcomes failed with an example that Hypothesis found and kept, and passes with it. test_modelplacement_loads, test_modelplacement_simulation, test_modelplacement_table: 62 passed.

--- a/rookwood/modelplacement/orders.py
+++ b/rookwood/modelplacement/orders.py
@@ -80,6 +80,7 @@
         self.models = models
         self._pending: dict[str, list[_PendingOrder]] = {}
         self._newest: dict[str, int] = {}  # highest sequence reported by each worker
+        self._newest_idle: dict[str, int] = {}  # highest sequence reported with no order in progress
         self._seen_at: dict[str, float] = {}
         self._paused_until: dict[str, float] = {}
 
@@ -115,6 +116,8 @@
         settled = []
         for worker, weights in present.items():
             self._newest[worker] = max(weights.sequence, self._newest.get(worker, 0))
+            if not weights.busy:
+                self._newest_idle[worker] = max(weights.sequence, self._newest_idle.get(worker, 0))
             pending = self._pending.get(worker)
             if not pending:
                 continue
@@ -127,6 +130,7 @@
         for worker in [worker for worker, at in self._seen_at.items() if now - at > MISSING_S]:
             del self._seen_at[worker]
             del self._newest[worker]
+            self._newest_idle.pop(worker, None)
             self._pending.pop(worker, None)
             self._paused_until.pop(worker, None)
 
@@ -183,7 +187,7 @@
     def _next_sequence(self, now: float, weights: WorkerWeights) -> int | None:
         if weights.draining or now < self._paused_until.get(weights.worker, now):
             return None
-        if weights.sequence < self._newest.get(weights.worker, 0):
+        if self._is_outdated(weights):
             return None
         pending = self._pending.get(weights.worker)
         if not pending:
@@ -195,6 +199,12 @@
             return max(weights.sequence, last.order.if_sequence + 1)
         return None
 
+    def _is_outdated(self, weights: WorkerWeights) -> bool:
+        """Whether a newer report was seen; a worker is busy with its newest order before it is idle again."""
+        if weights.sequence < self._newest.get(weights.worker, 0):
+            return True
+        return weights.busy and weights.sequence <= self._newest_idle.get(weights.worker, -1)
+
     def _find(self, order: LoadOrder) -> _PendingOrder | None:
         orders = self._pending.get(order.worker, ())
         return next((pending for pending in orders if pending.order == order), None)
--- a/tests/test_modelplacement_loads.py
+++ b/tests/test_modelplacement_loads.py
@@ -11,6 +11,7 @@
 
 from rookwood.modelplacement.bucket import TokenBucket
 from rookwood.modelplacement.loads import Demand, LoadOrder, LoadPlanner
+from rookwood.modelplacement.orders import OrderBook
 from rookwood.modelplacement.types import ModelSpec, WeightsKey, WorkerWeights
 from tests.test_modelplacement_simulation import Simulation, irama, kvadrat, most_in_window
 
@@ -238,6 +239,19 @@
         self.plan(2.8, weights("w0", {}, busy=True, sequence=1))
         self.assertEqual(self.plan(5.0, weights("w0", {}, sequence=0)), [])
 
+    def test_an_older_report_of_an_order_in_progress_does_not_hide_what_it_loaded(self) -> None:
+        """The same sequence was reported idle since: this worker holds the model by now."""
+        book = OrderBook(MODELS)
+        idle = weights("w0", holding("m0", "m2"), size_mb=260.0, sequence=3)
+        book.observe(10.0, [idle])
+        order = LoadOrder("w0", True, WeightsKey("m0", "a1"), 3)
+        book.begin(10.0, order)
+        book.outcome(10.0, order, True)
+        self.assertEqual(book.holdings(10.5, idle).next_sequence, 4)
+        older = weights("w0", holding("m0"), size_mb=260.0, busy=True, sequence=3)
+        book.observe(10.5, [older])
+        self.assertIsNone(book.holdings(10.5, older).next_sequence)
+
     def test_an_order_to_a_worker_that_is_missing_for_a_while_stays_known(self) -> None:
         self.planner.outcome(2.1, self.order, None)
         self.planner.plan(2.3, [], {}, {})
