--- /dev/null
+++ b/tests/test_worker_presence.py
@@ -0,0 +1,129 @@
+"""What dispatchers and control machines believe of workers that fell silent or ended, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from rookwood.cluster.messages import Status, WorkerGone, WorkerUpdates
+from rookwood.cluster.view import ClusterView
+from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.controlplane.peer_feed import PeerFeed
+from rookwood.controlplane.tenure import Tenure
+from rookwood.controlplane.worker_table import WorkerTable
+
+BEAT = 1.2
+WORKER = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
+IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+class Dispatcher:
+    """A dispatcher's view, fed by control machines."""
+
+    def __init__(self) -> None:
+        self.view = ClusterView(lambda record: None, lambda worker: None)
+
+    def link(self, machine: ControlMachine, now: float) -> None:
+        """Subscribe: the greeting comes."""
+        self.view.linked(machine.ip)
+        self.view.received(machine.ip, machine.status(), now)
+        self.view.received(machine.ip, machine.table.known(), now)
+        machine.dispatchers.append(self)
+
+    def state(self) -> WorkerState | None:
+        """What is believed of the worker."""
+        record = self.view.registry.get(WORKER.id)
+        return None if record is None else record.state
+
+
+class ControlMachine:
+    """The parts of a control machine that deal with workers, without sockets."""
+
+    def __init__(self, ip: str) -> None:
+        self.ip = ip
+        self.fresh = True
+        self.view = ClusterView(lambda record: None, lambda worker: None)
+        self.table = WorkerTable(self.view, ip, BEAT, self.publish)
+        self.peer_feed = PeerFeed(self.view, self.publish, Tenure(ip, 3.0, True))
+        self.dispatchers: list[Dispatcher] = []
+        self.peers: list[ControlMachine] = []
+        self.view.received(ip, self.status(), 0.0)
+
+    def status(self) -> Status:
+        """Settled."""
+        return Status(self.ip, 1, IPS[0], self.fresh, True, 1, 1, 1, IPS)
+
+    def publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
+        """Tell subscribers at once."""
+        now = asyncio.get_running_loop().time()
+        for dispatcher in self.dispatchers:
+            dispatcher.view.received(self.ip, message, now)
+        if to_core:
+            for peer in self.peers:
+                peer.peer_feed.received(self.ip, message)
+
+    def subscribe(self, peer: ControlMachine) -> None:
+        """This machine hears the other one."""
+        peer.peers.append(self)
+        self.view.linked(peer.ip)
+        self.peer_feed.received(peer.ip, peer.status())
+        self.peer_feed.received(peer.ip, peer.table.direct())
+
+    def cut_off(self, others: list[ControlMachine], now: float) -> None:
+        """No link to the others any more, dispatchers reach it as before."""
+        self.fresh = False
+        for other in others:
+            self.peers.remove(other)
+            other.peers.remove(self)
+            self.view.unlinked(other.ip, now)
+            other.view.unlinked(self.ip, now)
+
+
+class PresenceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.machines = [ControlMachine(ip) for ip in IPS]
+
+    async def asyncSetUp(self) -> None:
+        self.now = asyncio.get_running_loop().time()
+        for machine in self.machines:
+            for peer in self.machines:
+                if peer is not machine:
+                    machine.subscribe(peer)
+
+    def housekeeping(self, now: float, *dispatchers: Dispatcher) -> None:
+        for machine in self.machines:
+            machine.table.expire(now)
+        for dispatcher in dispatchers:
+            dispatcher.view.drop_silent(now)
+
+    async def test_a_worker_that_falls_silent_goes_at_dispatchers_too(self) -> None:
+        """A crash says nothing: the worker was heard at one machine, which tells that it fell silent."""
+        first = self.machines[0]
+        dispatcher = Dispatcher()
+        for machine in self.machines:
+            dispatcher.link(machine, self.now)
+        first.table.heartbeat(WORKER, self.now)
+        for seconds in (5.0, 10.0, 20.0, 60.0, 600.0):
+            self.housekeeping(self.now + seconds, dispatcher)
+        for machine in self.machines:
+            self.assertIsNone(machine.view.registry.get(WORKER.id), machine.ip)
+        self.assertIsNone(dispatcher.state())
+
+    async def test_a_dispatcher_that_starts_beside_a_cut_off_machine_does_not_use_a_worker_that_ended(
+        self,
+    ) -> None:
+        """The farewell was acknowledged by a majority; a machine cut off before still tells of the worker."""
+        first, second, cut = self.machines
+        cut.table.heartbeat(WORKER, self.now)
+        cut.cut_off([first, second], self.now)
+        first.table.delete(WORKER.id, self.now + 0.5)
+        starting = Dispatcher()
+        for machine in self.machines:
+            starting.link(machine, self.now + 1.0)
+        for seconds in (2.5, 3.0, 3.5, 4.0):
+            self.housekeeping(self.now + seconds, starting)
+        self.assertIsNone(starting.state(), "4 s after the cut, 3.5 s after the acknowledgement")
+
+
+if __name__ == "__main__":
+    unittest.main()
