--- a/rookwood/cluster/configuration_follower.py
+++ b/rookwood/cluster/configuration_follower.py
@@ -157,7 +157,8 @@
             known.position = answer.position
             self.progress.announce(answer.position)
         known.fresh = answer.fresh
-        known.confirmed_at = answer.heartbeat_sent_at
+        if answer.fresh:
+            known.confirmed_at = answer.heartbeat_sent_at
 
     def unlinked(self, peer: str) -> None:
         """The link to a control machine ended; what was asked there is not answered any more."""
--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -128,7 +128,12 @@
         ("source", "bytes"),
         ("confirmed", "boolean"),
     ),
-    WorkerUpdates: _record("WorkerUpdates", ("records", _array(_WORKER)), ("complete", "boolean")),
+    WorkerUpdates: _record(
+        "WorkerUpdates",
+        ("records", _array(_WORKER)),
+        ("complete", "boolean"),
+        ("ended", _array("string")),
+    ),
     WorkerGone: _record("WorkerGone", ("worker", "string"), ("deleted", "boolean")),
     DemandReport: _record(
         "DemandReport",
@@ -264,7 +269,11 @@
     if isinstance(message, ConfigurationDelta):
         return _delta_to_avro(message)
     if isinstance(message, WorkerUpdates):
-        return {"records": [_worker_to_avro(r) for r in message.records], "complete": message.complete}
+        return {
+            "records": [_worker_to_avro(r) for r in message.records],
+            "complete": message.complete,
+            "ended": message.ended,
+        }
     if isinstance(message, DemandReport):
         keys = [_plain(key) for key in message.keys]
         wanted = [_plain(item) for item in message.wanted]
@@ -289,7 +298,8 @@
     if kind is ConfigurationDelta:
         return _delta_from_avro(value)
     if kind is WorkerUpdates:
-        return WorkerUpdates(tuple(_worker_from_avro(r) for r in value["records"]), value["complete"])
+        records = tuple(_worker_from_avro(r) for r in value["records"])
+        return WorkerUpdates(records, value["complete"], tuple(value["ended"]))
     if kind is DemandReport:
         keys = tuple(KeyDemand(**key) for key in value["keys"])
         wanted = tuple(WantedWeights(**item) for item in value["wanted"])
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -109,10 +109,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerUpdates:
-    """Records of workers that are new or changed; `complete` when these are all that are known."""
+    """Records of workers that are new or changed; `complete` when these are all that are known.
+
+    `ended` names workers that said lately that they ended, for a receiver that may have missed it.
+    """
 
     records: tuple[WorkerRecord, ...]
     complete: bool
+    ended: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -86,8 +86,8 @@
         counts = [s.status.dispatchers for s in self._sources.values() if s.status is not None]
         return max(counts, default=1)
 
-    def drop_silent(self, now: float) -> None:
-        """Forget workers that no source knows any more, once a settled one is linked."""
+    def drop_silent(self, now: float) -> tuple[str, ...]:
+        """Forget workers that no source knows any more, once a settled one is linked; returns them."""
         for peer, source in self._sources.items():
             if not source.linked and now - source.unlinked_at > LINGER:
                 self._absent_at(peer)
@@ -97,10 +97,11 @@
                     self._presence.get(worker, set()).discard(peer)
         settled = any(s.linked and s.status is not None and s.status.settled for s in self._sources.values())
         if not settled:
-            return
-        for record in list(self.registry):
-            if not self._presence.get(record.id):
-                self._remove(record.id)
+            return ()
+        silent = tuple(record.id for record in self.registry if not self._presence.get(record.id))
+        for worker in silent:
+            self._remove(worker)
+        return silent
 
     def _compare(self, peer: str, source: Source, named: set[str], now: float) -> None:
         """Workers that a complete list lacks are gone; a source that just started may hear of them yet."""
@@ -115,6 +116,8 @@
 
     def _take_workers(self, peer: str, updates: WorkerUpdates, now: float) -> None:
         source = self._sources.setdefault(peer, Source(linked=True))
+        for worker in updates.ended:
+            self._end(worker)
         if updates.complete:
             self._compare(peer, source, {record.id for record in updates.records}, now)
         for record in updates.records:
@@ -128,11 +131,15 @@
 
     def _take_gone(self, peer: str, gone: WorkerGone) -> None:
         if gone.deleted:
-            self._presence.pop(gone.worker, None)
-            if self.registry.delete(gone.worker):
-                self._on_worker_gone(gone.worker)
-            return
-        self._presence.get(gone.worker, set()).discard(peer)
+            self._end(gone.worker)
+        else:
+            self._presence.get(gone.worker, set()).discard(peer)
+
+    def _end(self, worker: str) -> None:
+        """A worker said that it ended: it is gone whoever still tells of it."""
+        self._presence.pop(worker, None)
+        if self.registry.delete(worker):
+            self._on_worker_gone(worker)
 
     def _absent_at(self, peer: str) -> None:
         for present in self._presence.values():
--- a/rookwood/cluster/workers.py
+++ b/rookwood/cluster/workers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections import OrderedDict
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 TOMBSTONES = 4096
+DRAINED = 4096  # workers that are remembered to drain, also once they fell silent
 
 
 class WorkerState(enum.Enum):
@@ -108,6 +110,7 @@
     def __init__(self) -> None:
         self._records: dict[str, WorkerRecord] = {}
         self._deleted: OrderedDict[str, None] = OrderedDict()
+        self._drained: OrderedDict[str, None] = OrderedDict()
 
     def __iter__(self) -> Iterator[WorkerRecord]:
         return iter(self._records.values())
@@ -127,6 +130,7 @@
         """Take in a statement; returns the merged record if it changed what others see."""
         if told.id in self._deleted:
             return None
+        told = self._with_drain(told)
         known = self._records.get(told.id)
         merged = told if known is None else merge_records(known, told)
         self._records[told.id] = merged
@@ -134,6 +138,14 @@
             return None
         return merged
 
+    def _with_drain(self, told: WorkerRecord) -> WorkerRecord:
+        """A worker that drains never serves again, also when it fell silent and a late heartbeat comes."""
+        if told.state is WorkerState.DRAINING:
+            remember(self._drained, told.id, DRAINED)
+        elif told.id in self._drained:
+            return replace(told, state=WorkerState.DRAINING)
+        return told
+
     def forget(self, worker: str) -> bool:
         """Drop a worker that fell silent; it may come back. Returns whether it was known."""
         return self._records.pop(worker, None) is not None
@@ -141,8 +153,19 @@
     def delete(self, worker: str) -> bool:
         """Drop a worker for good. Returns whether that is news."""
         news = worker not in self._deleted
-        self._deleted[worker] = None
-        if len(self._deleted) > TOMBSTONES:
-            self._deleted.popitem(last=False)
+        remember(self._deleted, worker, TOMBSTONES)
+        self._drained.pop(worker, None)
         self._records.pop(worker, None)
         return news
+
+    def deleted_lately(self, most: int) -> tuple[str, ...]:
+        """The workers that said last that they ended, the oldest of them first."""
+        newest = itertools.islice(reversed(self._deleted), most)
+        return tuple(newest)[::-1]
+
+
+def remember(ids: OrderedDict[str, None], worker: str, most: int) -> None:
+    """Add a worker to a bounded memory, in which the oldest entry makes room."""
+    ids[worker] = None
+    if len(ids) > most:
+        ids.popitem(last=False)
--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -140,7 +140,7 @@
             role = self._group.role()
             if isinstance(role, Primary):
                 return Here()
-            if isinstance(role, Backup) and role.fresh:
+            if isinstance(role, Backup) and role.in_touch:
                 return Elsewhere(role.primary)
             if asyncio.get_running_loop().time() > deadline:
                 return Nowhere()
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -66,10 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownPrimary:
-    """The primary as far as this machine knows; `fresh` while this machine is in touch with it."""
+    """The primary as far as this machine knows.
+
+    `in_touch` while this machine hears it, `fresh` while it also has every commit that the primary told of.
+    """
 
     address: str
     epoch: int
+    in_touch: bool
     fresh: bool
 
 
@@ -174,10 +178,10 @@
     def _known_primary(self) -> KnownPrimary:
         role = self.group.role()
         if isinstance(role, Primary):
-            return KnownPrimary(self._settings.ip, role.epoch, fresh=True)
+            return KnownPrimary(self._settings.ip, role.epoch, in_touch=True, fresh=True)
         if isinstance(role, Backup):
-            return KnownPrimary(role.primary, role.epoch, role.fresh)
-        return KnownPrimary("", 0, fresh=False)
+            return KnownPrimary(role.primary, role.epoch, role.in_touch, role.fresh)
+        return KnownPrimary("", 0, in_touch=False, fresh=False)
 
     def _status(self) -> Status:
         known = self._known_primary()
@@ -188,7 +192,7 @@
             identity=self._settings.ip,
             epoch=known.epoch,
             primary=known.address,
-            fresh=known.fresh,
+            fresh=known.in_touch,
             settled=uptime > SETTLED_BEATS * self._settings.beat,
             config_epoch=snapshot.epoch,
             config_sequence=snapshot.sequence,
--- a/rookwood/controlplane/worker_api.py
+++ b/rookwood/controlplane/worker_api.py
@@ -72,5 +72,5 @@
         """Whether this machine may be cut off: what it hears then may not reach all dispatchers."""
         role = self._group.role()
         if isinstance(role, Backup):
-            return not role.fresh
+            return not role.in_touch
         return not isinstance(role, Primary)
--- a/rookwood/controlplane/worker_table.py
+++ b/rookwood/controlplane/worker_table.py
@@ -10,6 +10,7 @@
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord
 
 SILENT_BEATS = 3.4  # a worker that misses this many heartbeats is taken for gone
+TOLD_ENDS = 256  # farewells in a greeting; older ones are known to all that still hear of the worker
 
 
 class WorkerTable:
@@ -75,23 +76,34 @@
             self._publish(WorkerUpdates((changed,), complete=False), True)
 
     def expire(self, now: float) -> None:
-        """Forget workers that fell silent."""
-        for worker, heard in list(self._heard.items()):
-            if now - heard > self._silence:
-                del self._heard[worker]
-                gone = WorkerGone(worker, deleted=False)
-                self._view.received(self._own_ip, gone, now)
-                self._publish(gone, True)
-        self._view.drop_silent(now)
+        """Forget workers that fell silent, and tell the dispatchers of those that nobody hears any more.
+
+        A dispatcher takes each control machine for a source of its own. Those that never heard the worker
+        have to take back what they passed on, else it stays there for good.
+        """
+        silent = [worker for worker, heard in self._heard.items() if now - heard > self._silence]
+        for worker in silent:
+            del self._heard[worker]
+            gone = WorkerGone(worker, deleted=False)
+            self._view.received(self._own_ip, gone, now)
+            self._publish(gone, True)
+        for worker in self._view.drop_silent(now):
+            if worker not in silent:
+                self._publish(WorkerGone(worker, deleted=False), False)
 
     def known(self) -> WorkerUpdates:
         """All workers, for a dispatcher that subscribes."""
-        return WorkerUpdates(tuple(self._view.registry), complete=True)
+        return WorkerUpdates(tuple(self._view.registry), complete=True, ended=self._ended())
 
     def direct(self) -> WorkerUpdates:
         """The workers heard directly, for another control machine that subscribes."""
         records: Iterable[WorkerRecord | None] = (self._view.registry.get(worker) for worker in self._heard)
-        return WorkerUpdates(tuple(record for record in records if record is not None), complete=True)
+        heard = tuple(record for record in records if record is not None)
+        return WorkerUpdates(heard, complete=True, ended=self._ended())
+
+    def _ended(self) -> tuple[str, ...]:
+        """Farewells that a new subscriber may have missed, beside a machine that missed them too."""
+        return self._view.registry.deleted_lately(TOLD_ENDS)
 
 
 Publish = Callable[[WorkerUpdates | WorkerGone, bool], None]
--- a/rookwood/coordination/following.py
+++ b/rookwood/coordination/following.py
@@ -39,8 +39,9 @@
         """Return the role towards the primary, None if none is known or it is this process."""
         if self.primary is None or self.primary == self._context.ip:
             return None
-        fresh = now - self._heard_at <= self._context.timing.lease
-        return Backup(self.primary, self._epoch, fresh)
+        in_touch = now - self._heard_at <= self._context.timing.lease
+        level = self._context.applied >= self._committed
+        return Backup(self.primary, self._epoch, in_touch, level)
 
     def follow(self, primary: str, epoch: int) -> None:
         """Note that a primary is heard."""
--- a/rookwood/coordination/outcomes.py
+++ b/rookwood/coordination/outcomes.py
@@ -1,6 +1,6 @@
 """Roles, snapshots and outcomes as callers of the group see them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -22,11 +22,22 @@
 
 @dataclass(frozen=True)
 class Backup:
-    """This process follows a primary; `fresh` tells whether it heard from it lately."""
+    """This process follows a primary.
+
+    `in_touch` tells whether it heard from the primary lately, `level` whether it holds the document of every
+    commit that the primary told it of. Documents come a moment after the news of their commit now and then,
+    so `level` alone makes no other role.
+    """
 
     primary: str
     epoch: int
-    fresh: bool
+    in_touch: bool
+    level: bool = field(default=True, compare=False)
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the newest committed document here was the newest of all a lease ago at most."""
+        return self.in_touch and self.level
 
 
 @dataclass(frozen=True)
--- a/tests/test_worker_presence.py
+++ b/tests/test_worker_presence.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from rookwood.cluster.messages import Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.controlplane.peer_feed import PeerFeed
 from rookwood.controlplane.tenure import Tenure
-from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.controlplane.worker_table import TOLD_ENDS, WorkerTable
 
 BEAT = 1.2
 WORKER = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
@@ -124,6 +125,38 @@
             self.housekeeping(self.now + seconds, starting)
         self.assertIsNone(starting.state(), "4 s after the cut, 3.5 s after the acknowledgement")
 
+    async def test_a_drain_outlasts_silence(self) -> None:
+        """A worker that drained and fell silent does not serve again by a heartbeat that comes late."""
+        first = self.machines[0]
+        dispatcher = Dispatcher()
+        for machine in self.machines:
+            dispatcher.link(machine, self.now)
+        first.table.heartbeat(replace(WORKER, state=WorkerState.DRAINING, sequence=6), self.now)
+        self.housekeeping(self.now + 10.0, dispatcher)
+        self.assertIsNone(dispatcher.state())
+        first.table.heartbeat(WORKER, self.now + 11.0)
+        self.assertIs(WorkerState.DRAINING, dispatcher.state())
+
+    async def test_a_worker_that_is_heard_elsewhere_stays(self) -> None:
+        """It calls another control machine now: that the first one hears it no more tells nothing."""
+        first, second, _ = self.machines
+        dispatcher = Dispatcher()
+        for machine in self.machines:
+            dispatcher.link(machine, self.now)
+        first.table.heartbeat(WORKER, self.now)
+        second.table.heartbeat(replace(WORKER, sequence=6), self.now + 3.0)
+        self.housekeeping(self.now + 5.0, dispatcher)
+        self.assertIs(WorkerState.UP, dispatcher.state())
+
+    async def test_greetings_tell_of_a_bounded_number_of_ends(self) -> None:
+        """The newest farewells alone: a greeting stays short on a thin link."""
+        table = self.machines[0].table
+        for number in range(TOLD_ENDS + 10):
+            table.delete(f"i-{number}", self.now)
+        ended = table.known().ended
+        self.assertEqual(TOLD_ENDS, len(ended))
+        self.assertEqual(f"i-{TOLD_ENDS + 9}", ended[-1])
+
 
 if __name__ == "__main__":
     unittest.main()
