--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -352,6 +352,10 @@
     return length, number
 
 
+LINK_ERRORS = (OSError, EOFError, FrameError, asyncio.TimeoutError)
+"""What reading messages from a stream may raise where the link or the peer fails."""
+
+
 async def read_message(reader: asyncio.StreamReader) -> Message:
     """The next message; raises FrameError, EOFError (IncompleteReadError) or OSError."""
     length, number = read_header(await reader.readexactly(HEADER.size))
--- a/rookwood/cluster/metrics.py
+++ b/rookwood/cluster/metrics.py
@@ -7,7 +7,7 @@
 
 from prometheus_client.metrics_core import Metric
 
-from rookwood.cluster.feed import Connection
+from rookwood.cluster.connection import Connection
 from rookwood.cluster.invariants import InvariantCounter
 from rookwood.cluster.progress import ConfigurationProgress
 from rookwood.metrics.families import Sample, counters, gauge, gauges
--- a/rookwood/cluster/workers.py
+++ b/rookwood/cluster/workers.py
@@ -132,11 +132,16 @@
             return None
         told = self._with_drain(told)
         known = self._records.get(told.id)
-        merged = told if known is None else merge_records(known, told)
-        self._records[told.id] = merged
-        if known is not None and replace(merged, sequence=known.sequence) == known:
+        if known is None:
+            self._records[told.id] = told
+            return told
+        if told == known:
             return None
-        return merged
+        merged = merge_records(known, told)
+        self._records[told.id] = merged
+        if merged.sequence != known.sequence:
+            known = replace(known, sequence=merged.sequence)
+        return None if merged == known else merged
 
     def _with_drain(self, told: WorkerRecord) -> WorkerRecord:
         """A worker that drains never serves again, also when it fell silent and a late heartbeat comes."""
--- a/rookwood/controlplane/configuration_feed.py
+++ b/rookwood/controlplane/configuration_feed.py
@@ -8,7 +8,7 @@
 
 import cachetools
 
-from rookwood.cluster.feed import Connection
+from rookwood.cluster.connection import Connection
 from rookwood.cluster.frames import encode_frame
 from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration
 from rookwood.cluster.outbox import Subject
--- a/rookwood/controlplane/peer_feed.py
+++ b/rookwood/controlplane/peer_feed.py
@@ -4,11 +4,12 @@
 
 import asyncio
 
-from rookwood.cluster.feed import Connection
+from rookwood.cluster.connection import Connection
 from rookwood.cluster.messages import Message, PresenceAck, Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import WorkerState
 from rookwood.controlplane.tenure import Tenure
+from rookwood.controlplane.worker_relay import WorkerRelay
 from rookwood.controlplane.worker_table import Publish
 
 
@@ -20,6 +21,7 @@
         self._publish = publish
         self._tenure = tenure
         self._connections: dict[str, Connection] = {}
+        self._relay = WorkerRelay(view.registry.get, lambda updates: publish(updates, False))
 
     def linked(self, peer: str, connection: Connection) -> None:
         """A subscription is open."""
@@ -40,9 +42,7 @@
             return
         self._view.received(peer, message, asyncio.get_running_loop().time())
         if isinstance(message, WorkerUpdates):
-            known = (self._view.registry.get(record.id) for record in message.records)
-            records = tuple(record for record in known if record is not None)
-            self._publish(WorkerUpdates(records, complete=False), False)
+            self._relay.take(message)
         elif isinstance(message, WorkerGone) and message.deleted:
             self._publish(message, False)
         self._acknowledge(peer, message)
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -13,7 +13,8 @@
 
 from aiohttp import web
 
-from rookwood.cluster.feed import Connection, FeedServer, LinkSet
+from rookwood.cluster.connection import Connection
+from rookwood.cluster.feed import FeedServer, LinkSet
 from rookwood.cluster.messages import (
     DemandReport,
     FetchConfiguration,
@@ -60,6 +61,7 @@
 
 TIER_CORE = "core"
 STATUS_INTERVAL = 0.4
+STATUS_REPEAT = 2.0  # seconds after which dispatchers get an unchanged status again
 HOUSEKEEPING_INTERVAL = 0.5
 SETTLED_BEATS = 4.0
 
@@ -102,6 +104,8 @@
             settings.hostname, settings.bounds, self.group, self._view, self._table, self._tenure
         )
         self._presence = PresenceQuorum(settings.ip, self.group.members)
+        self._told_status: Status | None = None
+        self._told_at = 0.0
         self._links: LinkSet | None = None
         self._metrics: MetricsServer | None = None
         self._runner: web.AppRunner | None = None
@@ -206,8 +210,18 @@
         return HeartbeatAnswer(heartbeat.sent_at, snapshot.epoch, snapshot.sequence, fresh)
 
     def _send_status(self) -> None:
+        """Tell the status: to control machines as a heartbeat, to dispatchers where it is news.
+
+        Dispatchers have the answers to their own heartbeats.
+        """
+        now = asyncio.get_running_loop().time()
         status = self._status()
-        self._view.received(self._settings.ip, status, asyncio.get_running_loop().time())
+        self._view.received(self._settings.ip, status, now)
+        if status == self._told_status and now - self._told_at < STATUS_REPEAT:
+            self._feed.send_to([c for c in self._feed.connections if is_core(c)], status)
+            return
+        self._told_status = status
+        self._told_at = now
         self._feed.broadcast(status)
 
     def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
--- /dev/null
+++ b/rookwood/controlplane/worker_relay.py
@@ -0,0 +1,48 @@
+"""Passes what other control machines tell of workers on to this machine's dispatchers, several at once.
+
+A dispatcher that is in touch hears of each change from the machine that saw it. What is passed on serves
+those that are not linked to that machine, and keeps the worker known where that machine is lost. Neither is
+urgent, so it is collected for a moment: else each change costs a dispatcher as many messages as there are
+control machines. That a worker drains is passed on at once, since it is acknowledged to the worker.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from rookwood.cluster.messages import WorkerUpdates
+from rookwood.cluster.workers import WorkerRecord, WorkerState
+
+COLLECTING_TIME = 0.25  # seconds
+
+
+class WorkerRelay:
+    """Collects workers and tells the newest that is known of each."""
+
+    def __init__(
+        self, find: Callable[[str], WorkerRecord | None], send: Callable[[WorkerUpdates], None]
+    ) -> None:
+        self._find = find
+        self._send = send
+        self._collected: dict[str, None] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def take(self, updates: WorkerUpdates) -> None:
+        """Another control machine told of workers."""
+        self._collected.update((record.id, None) for record in updates.records)
+        if any(record.state is WorkerState.DRAINING for record in updates.records):
+            self.flush()
+        elif self._collected and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(COLLECTING_TIME, self.flush)
+
+    def flush(self) -> None:
+        """Tell of all that were collected and are still known."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        found = [self._find(worker) for worker in self._collected]
+        self._collected.clear()
+        records = tuple(record for record in found if record is not None)
+        if records:
+            self._send(WorkerUpdates(records, complete=False))
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -11,7 +11,8 @@
 from aiohttp import web
 
 from rookwood.cluster.configuration_follower import ANSWER_LIMIT, ConfigurationFollower
-from rookwood.cluster.feed import Connection, LinkSet
+from rookwood.cluster.connection import Connection
+from rookwood.cluster.feed import LinkSet
 from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice, WorkNotices
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
--- a/rookwood/lab/systemstage/feed_relay.py
+++ b/rookwood/lab/systemstage/feed_relay.py
@@ -14,8 +14,8 @@
 from enum import StrEnum
 from typing import Any
 
-from rookwood.cluster.feed import CONNECT_LIMIT, LINK_ERRORS
-from rookwood.cluster.frames import HEADER, decode_message, encode_frame
+from rookwood.cluster.feed import CONNECT_LIMIT
+from rookwood.cluster.frames import HEADER, LINK_ERRORS, decode_message, encode_frame
 from rookwood.cluster.messages import Message
 from rookwood.lab.raw_http import reset_connection
 
--- a/tests/test_cli_control.py
+++ b/tests/test_cli_control.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from rookwood.cli.control import main
+from rookwood.cluster.connection import Connection
 from rookwood.cluster.control_status import (
     HISTORY_PATH,
     STATUS_PATH,
@@ -31,7 +32,7 @@
     MachineStatus,
     StatePosition,
 )
-from rookwood.cluster.feed import Connection, FeedLink
+from rookwood.cluster.feed import FeedLink
 from rookwood.cluster.messages import Hello, Message
 from rookwood.cluster.position import ConfigurationPosition
 from rookwood.clusterconfig.control_document import ControlDocument
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -9,9 +9,11 @@
 from dataclasses import replace
 from unittest import mock
 
+from rookwood.cluster import connection as connection_module
 from rookwood.cluster import feed
-from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedLink, FeedServer, LinkSet
-from rookwood.cluster.frames import encode_frame, read_message
+from rookwood.cluster.connection import Connection
+from rookwood.cluster.feed import FeedLink, FeedServer, LinkSet
+from rookwood.cluster.frames import LINK_ERRORS, encode_frame, read_message
 from rookwood.cluster.messages import (
     ConfigurationBody,
     FetchConfiguration,
@@ -163,14 +165,14 @@
         self.assertEqual(frozenset(), self.server.connections)
 
     async def test_a_silent_subscriber_is_dropped(self) -> None:
-        with mock.patch.object(feed, "SILENCE_LIMIT", SHORT_SILENCE):
+        with mock.patch.object(connection_module, "SILENCE_LIMIT", SHORT_SILENCE):
             reader, _ = await self.subscribe_raw()
             await within(read_to_end(reader))
             await within(self.handler.losses.get())
 
     async def test_heartbeats_keep_a_quiet_link_open(self) -> None:
         with (
-            mock.patch.object(feed, "SILENCE_LIMIT", KEPT_SILENCE),
+            mock.patch.object(connection_module, "SILENCE_LIMIT", KEPT_SILENCE),
             mock.patch.object(feed, "HEARTBEAT_INTERVAL", SHORT_INTERVAL),
         ):
             recorder = LinkRecorder()
@@ -203,7 +205,10 @@
         for sequence in range(64):
             self.server.broadcast(ConfigurationBody(1, sequence, LARGE_SOURCE, True))
             self.server.broadcast(replace(STATUS, config_sequence=sequence))
-        self.assertLess(connection.queued_bytes, feed.OUTBOX_LIMIT + feed.UNSENT_LIMIT + len(LARGE_SOURCE))
+        self.assertLess(
+            connection.queued_bytes,
+            connection_module.OUTBOX_LIMIT + connection_module.UNSENT_LIMIT + len(LARGE_SOURCE),
+        )
         self.assertEqual(frozenset({connection}), self.server.connections)
 
     async def test_a_slow_subscriber_gets_the_newest_state_of_all(self) -> None:
@@ -227,7 +232,7 @@
     async def test_a_message_whose_bytes_keep_coming_is_no_silence(self) -> None:
         recorder = LinkRecorder()
         frame = encode_frame(ConfigurationBody(1, 1, os.urandom(SLOW_PIECES * SLOW_PIECE), True))
-        with mock.patch.object(feed, "SILENCE_LIMIT", KEPT_SILENCE):
+        with mock.patch.object(connection_module, "SILENCE_LIMIT", KEPT_SILENCE):
             writers = await self.serve_raw(recorder)
             writer = await within(writers.get())
             loop = asyncio.get_running_loop()
@@ -295,7 +300,7 @@
         self.addCleanup(silent_server.close)
         port = silent_server.sockets[0].getsockname()[1]
         recorder = LinkRecorder()
-        with mock.patch.object(feed, "SILENCE_LIMIT", SHORT_SILENCE):
+        with mock.patch.object(connection_module, "SILENCE_LIMIT", SHORT_SILENCE):
             link = FeedLink(HOST, port, HELLO, recorder)
             self.addCleanup(link.close)
             self.assertEqual(HELLO, await within(hellos.get()))
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -15,8 +15,9 @@
 
 from aiohttp import ClientError, ClientSession
 
-from rookwood.cluster.feed import LINK_ERRORS, Connection, FeedServer
-from rookwood.cluster.frames import encode_frame, read_message
+from rookwood.cluster.connection import Connection
+from rookwood.cluster.feed import FeedServer
+from rookwood.cluster.frames import LINK_ERRORS, encode_frame, read_message
 from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Hello, Message, Status
 from rookwood.cluster.settings import SETTINGS_VARIABLE, parse_settings
 from rookwood.cluster.tasks import cancel_tasks
--- a/tests/test_controlplane_confirmation.py
+++ b/tests/test_controlplane_confirmation.py
@@ -9,7 +9,7 @@
 from typing import cast
 from unittest import mock
 
-from rookwood.cluster.feed import Connection
+from rookwood.cluster.connection import Connection
 from rookwood.cluster.frames import HEADER, decode_message, encode_frame
 from rookwood.cluster.messages import ConfigurationBody, FetchConfiguration, Message
 from rookwood.cluster.settings import parse_settings
--- a/tests/test_dataplane_counts.py
+++ b/tests/test_dataplane_counts.py
@@ -8,7 +8,7 @@
 
 from aiohttp import ClientSession, ClientTimeout
 
-from rookwood.cluster import feed
+from rookwood.cluster import connection as connection_module
 from rookwood.cluster.frames import encode_frame
 from rookwood.cluster.messages import FetchConfiguration, Status
 from rookwood.dataplane.request_counts import EndedRequests, RefusalCause, RequestOutcome
@@ -78,7 +78,7 @@
 
     async def test_both_directions_are_counted_by_kind_of_peer(self) -> None:
         fetch = FetchConfiguration(7, False)
-        with mock.patch.object(feed, "FEED_TRAFFIC", MessageTraffic()) as traffic:
+        with mock.patch.object(connection_module, "FEED_TRAFFIC", MessageTraffic()) as traffic:
             recorder = LinkRecorder()
             self.open_link(recorder)
             self.assertEqual(STATUS, await within(recorder.messages.get()))
--- a/tests/test_dataplane_program.py
+++ b/tests/test_dataplane_program.py
@@ -12,7 +12,8 @@
 
 from aiohttp import ClientSession, ClientTimeout, TCPConnector
 
-from rookwood.cluster.feed import Connection, FeedServer
+from rookwood.cluster.connection import Connection
+from rookwood.cluster.feed import FeedServer
 from rookwood.cluster.messages import (
     ConfigurationBody,
     DemandReport,
