Log each request that was not served in time, and the stage that it lost its time in

A dispatcher started with `--log-losses` writes one line for each: route, rank, size, outcome, reason, the stage that took longest, the waits, and the worker with what was known of it. Off by default. An unknown argument ends the program with one line and exit code 2.

--- a/rookwood/dataplane/answers.py
+++ b/rookwood/dataplane/answers.py
@@ -10,6 +10,7 @@
 
 from rookwood.dataplane import headers as names
 from rookwood.dataplane.request_counts import RequestOutcome
+from rookwood.dataplane.request_trace import RequestTrace
 from rookwood.dataplane.requests import RoutedRequest
 from rookwood.dataplane.upstream import Complete, Rejected
 from rookwood.httpclient.outcomes import Broken, NotSent
@@ -59,7 +60,10 @@
 class RequestProgress:
     """What has happened to one request so far."""
 
-    def __init__(self) -> None:
+    def __init__(self, arrived: float) -> None:
+        self.trace = RequestTrace(arrived)
+        self.routed: RoutedRequest | None = None
+        self.broken: str = ""  # why the last attempt broke off
         self.sends = 0
         self.connection_failures = 0
         self.may_have_run = False
--- a/rookwood/dataplane/pool.py
+++ b/rookwood/dataplane/pool.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from rookwood.dataplane.backlog import WorkerBacklog
+from rookwood.dataplane.request_trace import ChosenWorker
 
 LOAD_LIFETIME = 1.5  # seconds for which a load that a worker told counts
 SILENCE_LIMIT = 1.2  # seconds without a byte from a worker that has requests of this dispatcher
@@ -28,6 +29,12 @@
     missing: dict[tuple[str, str], float] = field(default_factory=dict)
     backlog: WorkerBacklog = field(default_factory=WorkerBacklog)
 
+    def describe(self, worker: str, now: float) -> ChosenWorker:
+        """What is known of the worker, for the log of losses."""
+        return ChosenWorker(
+            worker, self.in_flight, self.running, self.waiting, round(self.backlog.remaining(now), 3)
+        )
+
     def tell_load(self, running: int, waiting: int, slots: int, now: float) -> None:
         """The worker told its load."""
         self.running, self.waiting, self.slots = running, waiting, slots
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -22,6 +22,8 @@
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.closing import INGRESS_NOTICE
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
+from rookwood.dataplane.loss_log import LossLog
+from rookwood.dataplane.options import Options
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.proxy import Proxy
 from rookwood.dataplane.router import Router
@@ -48,8 +50,9 @@
 class DataPlane:
     """Wires the parts of a dispatcher together."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, options: Options | None = None) -> None:
         self._settings = settings
+        self._options = options or Options()
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._pool = WorkerPool()
@@ -80,6 +83,7 @@
             client,
             self._tell_work,
             self._is_level,
+            LossLog(self._options.log_losses),
         )
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
         self._links = LinkSet(
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -29,6 +29,7 @@
 from rookwood.dataplane.attempt_limits import WAIT_SHARE, AttemptLimits
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.demand import DemandMeter
+from rookwood.dataplane.loss_log import LossLog
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.repeats import MINIMUM_ATTEMPT, RepeatRules
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
@@ -73,7 +74,9 @@
         client: UpstreamClient,
         on_work: Callable[[WorkNotice], None],
         is_level: Callable[[], bool],
+        losses: LossLog | None = None,
     ) -> None:
+        self._losses = losses or LossLog(enabled=False)
         self._is_level = is_level
         self._router = router
         self._pool = pool
@@ -103,31 +106,41 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.in_flight += 1
+        progress = RequestProgress(self._now())
         try:
-            response = await self._handle(request)
+            response = await self._handle(request, progress)
             if self.draining:
                 response.force_close()
-            self._count_answer(response)
+            self._count_answer(response, progress)
             return response
         except (asyncio.CancelledError, OSError, web.RequestPayloadError):
-            self.counts.end(RequestOutcome.ABANDONED)
+            self._count_end(RequestOutcome.ABANDONED, progress)
             raise
         except Exception:
-            self.counts.end(RequestOutcome.FAILED)
+            self._count_end(RequestOutcome.FAILED, progress)
             raise
         finally:
             self.in_flight -= 1
 
-    def _count_answer(self, response: web.StreamResponse) -> None:
+    def _count_answer(self, response: web.StreamResponse, progress: RequestProgress) -> None:
         refusal = response.get(REFUSAL_KEY)
         if refusal is not None:
             self.counts.refuse(refusal.status, refusal.reason)
+            self._note_loss(RequestOutcome.REFUSED, progress, refusal.reason)
         else:
-            self.counts.end(response.get(OUTCOME_KEY, RequestOutcome.ANSWERED), response.status)
+            outcome = response.get(OUTCOME_KEY, RequestOutcome.ANSWERED)
+            self.counts.end(outcome, response.status)
+            self._note_loss(outcome, progress, progress.broken)
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    def _count_end(self, outcome: RequestOutcome, progress: RequestProgress) -> None:
+        self.counts.end(outcome)
+        self._note_loss(outcome, progress, progress.broken)
+
+    def _note_loss(self, outcome: RequestOutcome, progress: RequestProgress, why: str) -> None:
+        self._losses.ended(progress.routed, progress.trace, outcome, why, self._now())
+
+    async def _handle(self, request: web.BaseRequest, progress: RequestProgress) -> web.StreamResponse:
         """Answer a request, at the latest when the process ends."""
-        progress = RequestProgress()
         scope = asyncio.timeout(None)
         try:
             async with scope:
@@ -157,6 +170,8 @@
         routed = await self._match(request, body, arrived)
         if isinstance(routed, Refusal):
             return routed.response()
+        progress.routed = routed
+        progress.trace.routed = self._now()
         self._count(routed)
         answer = await self._forward(request, routed, progress)
         while isinstance(answer, Rerouted):
@@ -165,7 +180,7 @@
                 return rerouted.response()
             if (rerouted.service, rerouted.key) != (routed.service, routed.key):
                 self._count(rerouted)
-            routed = rerouted
+            routed = progress.routed = rerouted
             answer = await self._forward(request, routed, progress)
         return answer
 
@@ -236,6 +251,7 @@
         began = self._now()
         quiet = traffic.backlog.remaining(began) < QUIET_BACKLOG
         tokens = uncached_tokens(traffic.backlog, request)
+        progress.trace.send(traffic.describe(worker.id, began), began)
         notice = self._router.note_sent(request, worker, began)
         if notice is not None:
             self._on_work(notice)
@@ -251,6 +267,8 @@
             self._learn(request, worker, outcome)
             result = placement_outcome(request, outcome, self._now())
             answered = self._now()
+            progress.trace.answer(answered)
+            progress.broken = outcome.why if isinstance(outcome, Broken) else ""
             if isinstance(outcome, Streaming):
                 if quiet and request.key is not None:
                     self._router.speed.observe(request.key.model, tokens, self._now() - began)
@@ -359,6 +377,7 @@
         if isinstance(ended, StreamEnded):
             await progress.response.write_eof()
             return progress.response
+        progress.broken = ended.why
         if ended.why != "deadline":
             self._pool.get(worker.id).failed(self._now())
         return Broken(ended.why)
@@ -373,6 +392,7 @@
             return worker
         if now >= self._limits.wait_limit(request, now) or not self._worth_waiting(request, progress):
             return Refusal(503, "no worker", RETRY_SOON)
+        progress.trace.begin_wait(now)
         if request.key is None:
             found = await self._await_worker(client, request, progress)
         else:
@@ -381,6 +401,7 @@
                 found = await self._await_worker(client, request, progress)
             finally:
                 self._demand.end_wait(request.key, now)
+        progress.trace.end_wait(self._now())
         return found or Refusal(503, "no worker with the weights", RETRY_SOON)
 
     def _worth_waiting(self, request: RoutedRequest, progress: RequestProgress) -> bool:
--- a/rookwood/dataplane/stream_relay.py
+++ b/rookwood/dataplane/stream_relay.py
@@ -38,6 +38,7 @@
                     return StreamBroke(data.why)
                 watch.renew()
                 traffic.heard = loop.time()
+                progress.trace.event(loop.time())
                 await _pass_events(splitter.feed(data), progress, response)
             ended = StreamBroke("partial event") if splitter.partial else StreamEnded()
     except TimeoutError:
--- a/rookwood_dataplane.py
+++ b/rookwood_dataplane.py
@@ -12,15 +12,17 @@
 
     from rookwood.cluster.logs import configure_logging
     from rookwood.cluster.settings import SettingsError, load_settings, settings_path
+    from rookwood.dataplane.options import OptionsError, read_options
     from rookwood.dataplane.program import DataPlane
 
     try:
+        options = read_options(sys.argv[1:])
         settings = load_settings(settings_path())
-    except SettingsError as error:
+    except (OptionsError, SettingsError) as error:
         print(error, file=sys.stderr)
         return 2
     configure_logging(settings.hostname)
-    asyncio.run(DataPlane(settings).run())
+    asyncio.run(DataPlane(settings, options).run())
     return 0
 
 
