--- a/rookwood/dataplane/headers.py
+++ b/rookwood/dataplane/headers.py
@@ -16,6 +16,7 @@
 MODEL = "X-Model"
 TOKENS = "X-Tokens"
 PRIORITY = "Priority"
+KEEP_ALIVE = "Keep-Alive"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import re
 from dataclasses import dataclass
 
 from multidict import CIMultiDict
@@ -13,7 +15,10 @@
 from rookwood.httpclient.outcomes import Broken, NotSent
 
 CONNECT_LIMIT = 0.6
-IDLE_CONNECTION = 4.0  # seconds for which a kept connection is used again
+IDLE_CONNECTION = 4.0  # seconds for which a kept connection is used again where workers tell no limit
+IDLE_MARGIN = 1.5  # seconds that a request may take to a worker which closes a connection at its limit
+LEAST_IDLE = 0.5  # seconds for which connections are kept however short the limit is
+IDLE_PARAMETER = re.compile(r"\btimeout=(\d{1,6})\b")
 OK_STATUSES = range(200, 300)
 MISDIRECTED = 421
 PROMISES = frozenset({408, 421, 429, 503})  # to a client these say that the request has not run
@@ -67,6 +72,7 @@
             idle_limit=IDLE_CONNECTION,
             connect_limit=CONNECT_LIMIT,
         )
+        self._told_idle = math.inf  # seconds; the shortest that any worker told
 
     async def close(self) -> None:
         """Close all connections."""
@@ -87,11 +93,19 @@
             return answer
         return await self._receive(answer, request)
 
+    def _learn_idle(self, keep_alive: str) -> None:
+        """Keep idle connections for as long as the workers do: each new one costs them a handshake."""
+        told = read_idle_limit(keep_alive)
+        if told is not None and told < self._told_idle:
+            self._told_idle = told
+            self._http.limit_idle(max(LEAST_IDLE, told - IDLE_MARGIN))
+
     async def _receive(self, answer: Answer, request: UpstreamRequest) -> UpstreamOutcome:
         flaw = find_flaw(answer, request)
         if flaw is not None:
             answer.discard()
             return Broken(flaw)
+        self._learn_idle(answer.headers.get(names.KEEP_ALIVE, ""))
         passed = names.end_to_end(answer.headers)
         if answer.status in OK_STATUSES and answer.content_type == "text/event-stream":
             return Streaming(answer.status, passed, answer)
@@ -105,6 +119,12 @@
         return Complete(answer.status, passed, body)
 
 
+def read_idle_limit(text: str) -> float | None:
+    """Read Keep-Alive: the seconds after which the worker closes an idle connection."""
+    found = IDLE_PARAMETER.search(text)
+    return float(found.group(1)) if found else None
+
+
 def find_flaw(answer: Answer, request: UpstreamRequest) -> str | None:
     """Why an answer can't be the worker's true answer to this request, if so."""
     if answer.headers.getall(names.REQUEST_ID, []) != [request.request_id]:
--- a/rookwood/httpclient/client.py
+++ b/rookwood/httpclient/client.py
@@ -75,8 +75,9 @@
     """HTTP connections; what comes of a request is a value."""
 
     def __init__(self, *, connections: int, idle_limit: float, connect_limit: float) -> None:
+        self._connector = AnswerConnector(limit=connections, keepalive_timeout=idle_limit)
         self._session = aiohttp.ClientSession(
-            connector=AnswerConnector(limit=connections, keepalive_timeout=idle_limit),
+            connector=self._connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SKIPPED_HEADERS,
@@ -89,6 +90,10 @@
         """Close all connections."""
         await self._session.close()
 
+    def limit_idle(self, seconds: float) -> None:
+        """Use connections again that have rested for at most so long."""
+        self._connector.limit_idle(seconds)
+
     async def send(
         self, method: str, url: URL, headers: Mapping[str, str], body: bytes | None
     ) -> Answer | NotSent | Broken:
--- a/rookwood/httpclient/connections.py
+++ b/rookwood/httpclient/connections.py
@@ -130,6 +130,10 @@
         # The library has no public way to choose the protocol of its connections.
         self._factory = functools.partial(_new_protocol, self._loop)
 
+    def limit_idle(self, seconds: float) -> None:
+        """Use connections again that have rested for so long, also those that rest now."""
+        self._keepalive_timeout = seconds  # The library takes it when it is made, and reads it at each use.
+
 
 def _new_protocol(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
     return AnswerProtocol(loop)
