--- a/rookwood/cli/main.py
+++ b/rookwood/cli/main.py
@@ -11,7 +11,7 @@
 from rookwood.cli.files import check, show
 from rookwood.cli.running import demo, serve
 from rookwood.cli.site_commands import duties, members, replicas, roll
-from rookwood.cli.system_commands import config, control
+from rookwood.cli.system_commands import config, control, explain
 
 
 @click.group(epilog=CODES, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -29,7 +29,7 @@
 
 
 for command in (
-    *(check, config, control, demo, duties, experiment),
+    *(check, config, control, demo, duties, experiment, explain),
     *(members, replicas, roll, serve, show, version),
 ):
     main.add_command(command)
--- a/rookwood/cli/system_commands.py
+++ b/rookwood/cli/system_commands.py
@@ -1,4 +1,4 @@
-"""Commands of the whole system, which cappa parses: `config` and `control`."""
+"""Commands of the whole system, which cappa parses: `config`, `control` and `explain`."""
 
 from __future__ import annotations
 
@@ -36,3 +36,8 @@
     "rookwood.cli.control",
     "The control machines: `control status`, `history`, `transfer`, `verify`, `recover`.",
 )
+explain = parsed_by_cappa(
+    "explain",
+    "rookwood.cli.explain",
+    "What dispatchers wrote: `explain losses FILE` tells why requests were not served in time.",
+)
--- a/rookwood/dataplane/loss_log.py
+++ b/rookwood/dataplane/loss_log.py
@@ -97,6 +97,7 @@
         "stage": find_stage(trace, now).value,
         "held_ms": _milliseconds(now - trace.arrived),
         "left_ms": _milliseconds(request.deadline - trace.arrived),
+        "route_ms": _milliseconds(None if trace.routed is None else trace.routed - trace.arrived),
         "weights_ms": _milliseconds(waited),
         "first_ms": _milliseconds(first),
         "pause_ms": _milliseconds(trace.longest_pause),
