--- /dev/null
+++ b/tests/test_worker_relay.py
@@ -0,0 +1,66 @@
+"""What a control machine passes on of workers that others heard, and when."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from rookwood.cluster.messages import WorkerUpdates
+from rookwood.cluster.workers import WorkerRecord, WorkerRegistry, WorkerState
+from rookwood.controlplane import worker_relay
+from rookwood.controlplane.worker_relay import WorkerRelay
+from tests.fake_worker import within
+
+FIRST = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
+SECOND = replace(FIRST, id="i-2")
+
+
+class WorkerRelayTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.enterContext(mock.patch.object(worker_relay, "COLLECTING_TIME", 0.01))
+        self.registry = WorkerRegistry()
+        self.sent: asyncio.Queue[WorkerUpdates] = asyncio.Queue()
+        self.relay = WorkerRelay(self.registry.get, self.sent.put_nowait)
+
+    def hear(self, *records: WorkerRecord) -> None:
+        """Another control machine tells of workers."""
+        for record in records:
+            self.registry.merge(record)
+        self.relay.take(WorkerUpdates(records, complete=False))
+
+    async def test_changes_of_a_moment_go_in_one_message_with_the_newest_state(self) -> None:
+        newer = replace(FIRST, sequence=6, slots=9)
+        self.hear(FIRST)
+        self.hear(SECOND)
+        self.hear(newer)
+        self.assertTrue(self.sent.empty())
+        self.assertEqual(WorkerUpdates((newer, SECOND), complete=False), await within(self.sent.get()))
+        self.assertTrue(self.sent.empty())
+
+    async def test_a_drain_is_passed_on_at_once_with_what_waits(self) -> None:
+        draining = replace(SECOND, state=WorkerState.DRAINING)
+        self.hear(FIRST)
+        self.hear(draining)
+        self.assertEqual(WorkerUpdates((FIRST, draining), complete=False), self.sent.get_nowait())
+
+    async def test_a_worker_that_went_meanwhile_is_not_told_of(self) -> None:
+        self.hear(FIRST, SECOND)
+        self.registry.delete(FIRST.id)
+        self.assertEqual(WorkerUpdates((SECOND,), complete=False), await within(self.sent.get()))
+
+    async def test_later_changes_are_passed_on_as_well(self) -> None:
+        self.hear(FIRST)
+        await within(self.sent.get())
+        self.hear(SECOND)
+        self.assertEqual(WorkerUpdates((SECOND,), complete=False), await within(self.sent.get()))
+
+    async def test_nothing_is_sent_for_an_empty_list(self) -> None:
+        self.relay.take(WorkerUpdates((), complete=True))
+        self.relay.flush()
+        self.assertTrue(self.sent.empty())
+
+
+if __name__ == "__main__":
+    unittest.main()
