--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -21,6 +21,8 @@
 logger = logging.getLogger("rookwood")
 
 HEARTBEAT_INTERVAL = 0.4
+BEAT_PHASE = random.uniform(0.0, HEARTBEAT_INTERVAL)  # seconds; of this process
+LEAST_BEAT_SHARE = 0.05  # of the interval; a timer may go off a little early
 CONNECT_LIMIT = 0.5
 RECONNECT_PAUSE = 0.2
 RECONNECT_SPREAD = (0.5, 1.5)  # of the pause; links that broke together do not all come back at once
@@ -191,13 +193,24 @@
             self._handler.received(self.peer, message)
 
     async def _send_heartbeats(self, connection: Connection) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            await asyncio.sleep(time_to_beat(loop.time()))
             position = self._position()
-            sent_at = asyncio.get_running_loop().time()
+            sent_at = loop.time()
             connection.send(Heartbeat(self._hello.identity, position.epoch, position.sequence, sent_at))
 
 
+def time_to_beat(now: float) -> float:
+    """Seconds to the next heartbeat. All links of a process beat together, so that it wakes once for all.
+
+    Processes beat at moments of their own, so that a control machine is not called by all at once. A beat
+    that is almost due is the one that was just sent.
+    """
+    left = HEARTBEAT_INTERVAL - (now + BEAT_PHASE) % HEARTBEAT_INTERVAL
+    return left if left > LEAST_BEAT_SHARE * HEARTBEAT_INTERVAL else left + HEARTBEAT_INTERVAL
+
+
 class LinkSet:
     """The links to all control machines that are known: the seeds and whoever these name."""
 
--- a/rookwood/metrics/loop_lag.py
+++ b/rookwood/metrics/loop_lag.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-INTERVAL = 0.1
+INTERVAL = 0.25  # seconds
 WINDOW = 10.0  # seconds; the recent maximum covers between one and two of these
 
 
--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -360,6 +360,20 @@
         self.assertTrue(self.recorder.losses.empty())
 
 
+class BeatTests(unittest.TestCase):
+    def test_links_that_opened_at_any_time_beat_at_the_same_moments(self) -> None:
+        for number in range(1000):
+            now = number * 0.0137
+            due = now + feed.time_to_beat(now) + feed.BEAT_PHASE
+            beats = due / feed.HEARTBEAT_INTERVAL
+            self.assertAlmostEqual(round(beats), beats, places=6)
+
+    def test_no_beat_is_sent_twice(self) -> None:
+        beat = 10 * feed.HEARTBEAT_INTERVAL - feed.BEAT_PHASE
+        for moment in (beat - 1e-6, beat, beat + 1e-6):
+            self.assertAlmostEqual(feed.HEARTBEAT_INTERVAL, feed.time_to_beat(moment), places=4)
+
+
 async def read_to_end(reader: asyncio.StreamReader) -> bytes:
     """All that still comes; a reset counts as the end."""
     received = b""
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -45,6 +45,7 @@
 SERVICE, OTHER_SERVICE, MODEL_SERVICE = "pages", "others", "models"
 SAFE, MUTATING, SPLIT = "/safe/", "/mutating/", "/split/"
 STREAM, RESUMED, MODELS = "/stream/", "/resumed/", "/models/"
+ONCE = "/once/"
 TRIES = 3
 TIMEOUT_MS = 4000
 BODY_LIMIT = 4096
@@ -99,6 +100,7 @@
         route(RESUMED, "stream", resume=True),
         route(SPLIT, "safe", split=HALVES),
         route(MODELS, "safe", svc=MODEL_SERVICE, sticky=True),
+        route(ONCE, "safe", tries=1),
     ],
     "svcs": [service(SERVICE), service(OTHER_SERVICE), service(MODEL_SERVICE, runtime=RUNTIME)],
     "limits": {"hdr-bytes": 16384, "body-bytes": BODY_LIMIT, "hdr-ms": 3000, "idle-ms": 15000},
@@ -555,6 +557,12 @@
                     wanted = outcome.second.requests[0].headers["x-want-instance"]
                     self.assertEqual(outcome.second.id, wanted)
 
+    async def test_a_rejected_request_was_sent_all_the_same(self) -> None:
+        """`tries` is the largest number of workers to which one try may be sent, whatever they say."""
+        workers = await self.start_workers(3, refusing(503))
+        self.assert_refused_early(await self.send(ONCE))
+        self.assertEqual(1, count_requests(workers))
+
     async def test_no_more_workers_are_tried_than_the_route_allows(self) -> None:
         workers = await self.start_workers(TRIES + 2, refusing(503))
         self.assert_refused_early(await self.send(MUTATING))
