--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from rookwood.cluster.engines import model_specs
 from rookwood.cluster.messages import DemandReport
 from rookwood.cluster.settings import Bounds
 from rookwood.cluster.view import ClusterView
-from rookwood.cluster.workers import HoldingStamp, WorkerRecord, WorkerState
+from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
 from rookwood.clusterconfig.document import Configuration, Engine
 from rookwood.controlplane.demand import DemandSum
 from rookwood.controlplane.tenure import Tenure
@@ -29,7 +29,7 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
-from rookwood.modelplacement.types import WorkerWeights
+from rookwood.modelplacement.types import WeightsKey, WorkerWeights
 
 logger = logging.getLogger("rookwood")
 
@@ -53,6 +53,7 @@
     reading: bool = False
     executing: bool = False
     failures: int = 0
+    leaving: WeightsKey | None = None  # weights that the order under way unloads
 
 
 @dataclass(slots=True)
@@ -234,12 +235,21 @@
         status.failures = 0
         status.report = report
         status.read_at = self._now()
-        epoch = self._leading_epoch
-        if epoch is not None:
-            self._counter += 1
-            self._table.set_holding(worker, report.models, HoldingStamp(epoch, self._counter))
+        self._tell_holding(worker, status)
         return report
 
+    def _tell_holding(self, worker: str, status: WorkerStatus) -> None:
+        """Tell the dispatchers what a worker holds, without what it is about to unload.
+
+        An unload waits for the requests that run, and meanwhile the worker rejects others for these weights.
+        """
+        epoch = self._leading_epoch
+        if epoch is None or status.report is None:
+            return
+        self._counter += 1
+        models = without_weights(status.report.models, status.leaving)
+        self._table.set_holding(worker, models, HoldingStamp(epoch, self._counter))
+
     async def _execute(self, plan: ServicePlan, order: LoadOrder, epoch: int) -> None:
         assert self._client is not None
         record = self._view.registry.get(order.worker)
@@ -250,6 +260,9 @@
         now = self._now()
         plan.planner.ordered(now, order)
         status.executing = True
+        if not order.place:
+            status.leaving = order.key
+            self._tell_holding(order.worker, status)
         call = OrderCall(
             order.place, order.key.model, order.key.adapter, self._owner, epoch, order.if_sequence
         )
@@ -266,6 +279,7 @@
                 plan.planner.outcome(self._now(), order, None)
         finally:
             status.executing = False
+            status.leaving = None
             status.due = True
             self._wake.set()
 
@@ -301,6 +315,18 @@
     return before is not None and report.sequence < before.sequence
 
 
+def without_weights(models: tuple[HeldModel, ...], key: WeightsKey | None) -> tuple[HeldModel, ...]:
+    """The models without one of them, or without one adapter."""
+    if key is None:
+        return models
+    if not key.adapter:
+        return tuple(held for held in models if held.name != key.model)
+    return tuple(
+        replace(held, adapters=held.adapters - {key.adapter}) if held.name == key.model else held
+        for held in models
+    )
+
+
 def poll_interval(plan: ServicePlan, order: LoadOrder) -> float:
     """How often to ask after an order, in seconds."""
     model = plan.engine.models.get(order.key.model)
--- a/tests/test_controlplane_orders.py
+++ b/tests/test_controlplane_orders.py
@@ -15,7 +15,7 @@
 from rookwood.cluster.workers import HeldModel, WorkerRecord, parse_heartbeat
 from rookwood.clusterconfig.loading import load_configuration
 from rookwood.controlplane import load_scheduler
-from rookwood.controlplane.load_scheduler import LoadScheduler
+from rookwood.controlplane.load_scheduler import LoadScheduler, without_weights
 from rookwood.controlplane.tenure import LAST_ORDER_LIMIT, LEASE_MARGIN, Tenure
 from rookwood.controlplane.worker_client import OrderCall, OrderTaken, WorkerReport
 from rookwood.controlplane.worker_table import WorkerTable
@@ -23,6 +23,7 @@
 from rookwood.lab.emulatedworker.settings import WorkerSettings
 from rookwood.lab.emulatedworker.weights import ModelSpec, WeightKey
 from rookwood.lab.emulatedworker.worker import ModelWorker
+from rookwood.modelplacement.types import WeightsKey
 from tests.fake_worker import within
 
 OWN_IP, PEER, DISPATCHER = "10.0.0.1", "10.0.0.2", "10.0.0.7"
@@ -266,6 +267,46 @@
                 _, held = await self.play_reports(idle_report(5), idle_report(sequence, "small"))
                 self.assertTrue(held)
 
+    async def test_dispatchers_hear_of_an_unload_before_it_is_done(self) -> None:
+        """It waits for the requests that run, and meanwhile the worker rejects others for these weights."""
+        tight = json.loads(json.dumps(CONFIGURATION))
+        runtime = tight["svcs"][0]["runtime"]
+        runtime["size-mb"] = 100
+        runtime["models"].append({**runtime["models"][0], "name": "old"})
+        client = ScriptedClient([idle_report(5, "old")], ordered_first=False)
+        self.enterContext(mock.patch.dict(CONFIGURATION, tight))
+        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda: client))
+        for pause in ("PLAN_INTERVAL", "LEAST_PLAN_PAUSE", "IDLE_REPORT_AGE", "BUSY_POLL_INTERVAL"):
+            self.enterContext(mock.patch.object(load_scheduler, pause, SHORT_INTERVAL))
+        await self.start_scheduler(Primary(1, asyncio.get_running_loop().time()))
+        await within(self.ordered(client))
+        self.assertEqual([(False, "old")], [(order.place, order.model) for order in client.orders])
+        for _ in range(OFTEN):  # reports go on to tell of the weights
+            client.last_often_read.clear()
+            await within(client.last_often_read.wait())
+            record = self.view.registry.get(self.worker.instance)
+            assert record is not None
+            self.assertFalse(record.holds("old", ""))
+
+    async def ordered(self, client: ScriptedClient) -> None:
+        """Wait until an order was given."""
+        while not client.orders:
+            client.last_often_read.clear()
+            await client.last_often_read.wait()
+
+
+class UnloadedWeightsTests(unittest.TestCase):
+    HELD = (HeldModel("a", 1, frozenset({"x", "y"})), HeldModel("b", 2, frozenset()))
+
+    def test_a_model_goes_with_its_adapters_and_an_adapter_alone(self) -> None:
+        first, second = self.HELD
+        self.assertEqual((second,), without_weights(self.HELD, WeightsKey("a")))
+        fewer = HeldModel("a", 1, frozenset({"y"}))
+        self.assertEqual((fewer, second), without_weights(self.HELD, WeightsKey("a", "x")))
+        self.assertEqual(self.HELD, without_weights(self.HELD, None))
+        self.assertEqual(self.HELD, without_weights(self.HELD, WeightsKey("c")))
+        self.assertEqual((first,), without_weights(self.HELD, WeightsKey("b")))
+
 
 if __name__ == "__main__":
     unittest.main()
