--- a/rookwood/dataplane/answers.py
+++ b/rookwood/dataplane/answers.py
@@ -66,6 +66,7 @@
         self.broken: str = ""  # why the last attempt broke off
         self.sends = 0
         self.connection_failures = 0
+        self.first_try = False  # of the client, by the time that it has left
         self.may_have_run = False
         self.excluded: set[str] = set()
         self.response: web.StreamResponse | None = None
--- a/rookwood/dataplane/demand.py
+++ b/rookwood/dataplane/demand.py
@@ -68,6 +68,11 @@
         if not waits:
             del self._waiting[key]
 
+    def oldest_wait(self, key: ServiceKey, now: float) -> float:
+        """For how many seconds a request has waited for the key, 0 if none does."""
+        waits = self._waiting.get(key)
+        return now - min(waits) if waits else 0.0
+
     @property
     def waiting(self) -> int:
         """How many requests wait for weights to be loaded."""
@@ -76,9 +81,9 @@
     def report(self, key: ServiceKey, now: float) -> KeyDemand:
         """The demand for one key."""
         use = self._use(key, now)
-        waits = self._waiting.get(key, [])
-        oldest = now - min(waits) if waits else 0.0
-        return KeyDemand(key.service, key.model, key.adapter, use.rate, use.busy, len(waits), oldest)
+        waiting = len(self._waiting.get(key, ()))
+        oldest = self.oldest_wait(key, now)
+        return KeyDemand(key.service, key.model, key.adapter, use.rate, use.busy, waiting, oldest)
 
     def reports(self, now: float) -> tuple[KeyDemand, ...]:
         """The demand for all keys in use."""
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from aiohttp import web
@@ -34,6 +35,7 @@
 from rookwood.dataplane.repeats import MINIMUM_ATTEMPT, RepeatRules
 from rookwood.dataplane.request_counts import RequestCounts, RequestOutcome
 from rookwood.dataplane.requests import RoutedRequest, build_request, read_time_left
+from rookwood.dataplane.return_times import ReturnTimes
 from rookwood.dataplane.router import Router, uncached_tokens
 from rookwood.dataplane.silence import SilenceWatch
 from rookwood.dataplane.splitting import RouteSplitter
@@ -87,6 +89,7 @@
         self.in_flight = 0
         self.counts = RequestCounts()
         self._limits = AttemptLimits()
+        self._returns = ReturnTimes()
         self._repeats = RepeatRules(router, budget)
         self._splitter = RouteSplitter()
 
@@ -171,6 +174,8 @@
         if isinstance(routed, Refusal):
             return routed.response()
         progress.routed = routed
+        if routed.told_left is not None:
+            progress.first_try = self._returns.observe(routed.route, routed.told_left)
         progress.trace.routed = self._now()
         self._count(routed)
         answer = await self._forward(request, routed, progress)
@@ -392,6 +397,9 @@
             return worker
         if now >= self._limits.wait_limit(request, now) or not self._worth_waiting(request, progress):
             return Refusal(503, "no worker", RETRY_SOON)
+        coming = self._find_return(request, progress, now)
+        if coming is not None:
+            return Refusal(503, "weights are not loaded yet", coming)
         progress.trace.begin_wait(now)
         if request.key is None:
             found = await self._await_worker(client, request, progress)
@@ -404,6 +412,26 @@
         progress.trace.end_wait(self._now())
         return found or Refusal(503, "no worker with the weights", RETRY_SOON)
 
+    def _find_return(self, request: RoutedRequest, progress: RequestProgress, now: float) -> float | None:
+        """When to come back for a model that nobody holds, where that is better than to wait here.
+
+        The client counts among those that wait until it is back, so that the model is loaded meanwhile.
+        """
+        key = request.key
+        if key is None or request.told_left is None or not progress.first_try:
+            return None
+        if progress.sends or self._router.holders_exist(replace(key, adapter=""), request.service):
+            return None
+        model = self._router.model(key)
+        if model is None:
+            return None
+        under_way = self._demand.oldest_wait(key, now)
+        back = self._returns.find(request.route, model, under_way, request.told_left)
+        if back is not None:
+            self._demand.begin_wait(key, now)
+            asyncio.get_running_loop().call_later(back, self._demand.end_wait, key, now)
+        return back
+
     def _worth_waiting(self, request: RoutedRequest, progress: RequestProgress) -> bool:
         """Weights are loaded on demand; other workers appear only while a system starts."""
         return request.key is not None or not progress.excluded
--- a/rookwood/dataplane/requests.py
+++ b/rookwood/dataplane/requests.py
@@ -38,6 +38,7 @@
     body: bytes
     arrived: float
     deadline: float
+    told_left: float | None = None  # seconds; what the client told, also beyond the route's limit
 
     @property
     def repeatable(self) -> bool:
@@ -94,4 +95,5 @@
         body=body,
         arrived=arrived,
         deadline=arrived + (limit if left is None else min(limit, left)),
+        told_left=left,
     )
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -10,7 +10,7 @@
 from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.clusterconfig.configuration_store import Applied, ApplyOutcome, ConfigurationStore
-from rookwood.clusterconfig.document import Configuration, Route
+from rookwood.clusterconfig.document import Configuration, Model, Route
 from rookwood.clusterconfig.items import ItemChanges
 from rookwood.dataplane.backlog import ReadingSpeed, WorkerBacklog
 from rookwood.dataplane.demand import ServiceKey
@@ -101,6 +101,12 @@
         """Whether some worker is known to hold the weights."""
         return any(self._serves(record, key) for record in self._workers[service].values())
 
+    def model(self, key: ServiceKey) -> Model | None:
+        """The model of a key by the configuration in force."""
+        service = self.configuration.services.get(key.service) if self.configuration else None
+        engine = service.engine if service else None
+        return engine.models.get(key.model) if engine else None
+
     def choose(self, request: RoutedRequest, excluded: set[str], now: float) -> WorkerRecord | None:
         """A worker that holds the request's weights, or None."""
         records = self._eligible(request, excluded, now)
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -20,6 +20,7 @@
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.proxy import Proxy
+from rookwood.dataplane.return_times import ORDER_TIME
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
 from rookwood.lab.raw_http import reset_at_close
@@ -45,7 +46,7 @@
 SERVICE, OTHER_SERVICE, MODEL_SERVICE = "pages", "others", "models"
 SAFE, MUTATING, SPLIT = "/safe/", "/mutating/", "/split/"
 STREAM, RESUMED, MODELS = "/stream/", "/resumed/", "/models/"
-ONCE = "/once/"
+ONCE, URGENT_MODELS = "/once/", "/urgent-models/"
 TRIES = 3
 TIMEOUT_MS = 4000
 BODY_LIMIT = 4096
@@ -83,9 +84,12 @@
     return {"name": name, "health": "/healthz", "max-conns": 64, "proto": "h1", "tls": False, **changes}
 
 
+RUNTIME_MODELS: list[dict[str, Any]] = [
+    {"name": "small", "size-mb": 60, "load-s": 0.05, "loras": 2, "lora-mb": 10}
+]
 RUNTIME = {
     "slots": 8,
-    "models": [{"name": "small", "size-mb": 60, "load-s": 0.05, "loras": 2, "lora-mb": 10}],
+    "models": RUNTIME_MODELS,
     "size-mb": 160,
     "lora-slots": 2,
     "loads-per-s": 10,
@@ -101,6 +105,7 @@
         route(SPLIT, "safe", split=HALVES),
         route(MODELS, "safe", svc=MODEL_SERVICE, sticky=True),
         route(ONCE, "safe", tries=1),
+        route(URGENT_MODELS, "safe", **{"svc": MODEL_SERVICE, "target-ms": 200}),
     ],
     "svcs": [service(SERVICE), service(OTHER_SERVICE), service(MODEL_SERVICE, runtime=RUNTIME)],
     "limits": {"hdr-bytes": 16384, "body-bytes": BODY_LIMIT, "hdr-ms": 3000, "idle-ms": 15000},
@@ -541,6 +546,27 @@
         self.assertEqual(200, (await self.send(MODELS, "next", X_Model="small")).status)
         self.assertEqual(["next"], [request.id for request in worker.requests])
 
+    async def test_who_can_not_wait_for_a_load_is_told_at_once_when_to_come_back(self) -> None:
+        """The load takes longer than the objective. Who comes back is held; the load goes on meanwhile."""
+        worker = await self.start_holder()
+        answer = await self.send(URGENT_MODELS, X_Model="small", X_Time_Left="3000")
+        self.assert_refused_early(answer)
+        (load_s,) = (model["load-s"] for model in RUNTIME_MODELS)
+        self.assertAlmostEqual(ORDER_TIME + load_s, float(answer.headers["Retry-After"]), places=1)
+        key = ServiceKey(MODEL_SERVICE, "small", "")
+        self.assertEqual(key, await within(self.dispatcher.wanted.get()))
+        sending = asyncio.create_task(self.send(URGENT_MODELS, X_Model="small", X_Time_Left="2500"))
+        self.know(replace(worker.record(MODEL_SERVICE), models=(HeldModel("small", 1, frozenset()),)))
+        self.assertEqual(200, (await sending).status)
+
+    async def test_an_adapter_of_a_held_model_is_waited_for(self) -> None:
+        worker = await self.start_holder(HeldModel("small", 1, frozenset()))
+        sending = asyncio.create_task(self.send(URGENT_MODELS, X_Model="small/a1", X_Time_Left="3000"))
+        await within(self.dispatcher.wanted.get())
+        adapted = HeldModel("small", 1, frozenset({"a1"}))
+        self.know(replace(worker.record(MODEL_SERVICE), models=(adapted,)))
+        self.assertEqual(200, (await sending).status)
+
     async def test_weights_that_never_come_are_a_refusal(self) -> None:
         await self.start_holder()
         self.assert_refused_early(await self.send(MODELS, X_Model="small", X_Time_Left="200"))
