--- a/rookwood/modelplacement/loads.py
+++ b/rookwood/modelplacement/loads.py
@@ -35,6 +35,7 @@
 BURST = 2.0  # loads that may begin at once
 CEILING_SLACK = 3.0  # loads that the rule allows beyond the rate
 INTENT_S = 3.0  # an eviction that takes longer no longer keeps its key from being placed elsewhere
+EVICTION_S = 0.5  # a usual eviction: as long as the requests that run on the evicted copy go on
 LOST_LOAD_FACTOR = 3.0  # a load that takes so many times its `load_s` no longer counts as under way
 WAITING_WORTH = 2.0  # loss that a waiting request outweighs; it grows by its wait in seconds
 BUSY_LOSS = 1.5  # loss from which victims are in steady use
@@ -218,6 +219,17 @@
             return False
         return self._bucket.available(now) - intended >= 1.0
 
+    def _may_make_room(self, now: float) -> bool:
+        """Whether room can be made for one more load: the store allows further ones while evictions last.
+
+        An eviction waits for the requests that run, often for longer than the store needs between two loads.
+        """
+        intended = sum(not intent.key.adapter for intent in self._intents.values())
+        if len(self._loading) + intended >= self.simultaneous:
+            return False
+        coming = self._bucket.rate * EVICTION_S
+        return self._bucket.available(now) + coming - intended >= 1.0
+
     def _is_ready(self, view: Holdings) -> bool:
         """Whether a worker can take an order and is not kept for an intended place."""
         return view.next_sequence is not None and view.weights.worker not in self._intents
@@ -276,9 +288,11 @@
 
     def _serve_model(self, now: float, key: WeightsKey, demand: ModelDemand) -> Iterator[LoadOrder]:
         """Place a model that requests wait for."""
-        if not self._may_load(now):
+        if not self._may_make_room(now):
             return
         site = self._best_site(now, key)
+        if site is not None and not site.victims and not self._may_load(now):
+            return
         if site is None or self._displaced(site, key) > WAITING_WORTH * demand.waiting + demand.oldest_wait_s:
             return
         self._missed.add(now)
