--- a/rookwood/dataplane/pool.py
+++ b/rookwood/dataplane/pool.py
@@ -24,6 +24,7 @@
     slots: int = 0
     load_told: float = -1e9
     heard: float = -1e9
+    answered: float = -1e9  # the last answer was whole, and its connection is kept
     penalty: float = 0.0
     avoided_until: float = -1e9
     missing: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -44,6 +45,10 @@
         """Whether nothing came from the worker for a while, though a request waits there since `since`."""
         return now - max(self.heard, since) > SILENCE_LIMIT
 
+    def is_connected(self, now: float, idle_limit: float) -> bool:
+        """Whether a kept connection is likely to be free."""
+        return self.in_flight == 0 and now - self.answered < idle_limit
+
     def load(self, now: float) -> int:
         """Requests there: this dispatcher's own, or the worker's recent count if that is higher."""
         if now - self.load_told > LOAD_LIFETIME:
@@ -54,6 +59,7 @@
         """A connection or request failed there; avoid the worker for a while, longer each time."""
         if now < self.avoided_until:
             return
+        self.answered = -1e9
         self.penalty = min(LAST_PENALTY, self.penalty * 2 or FIRST_PENALTY)
         self.avoided_until = now + self.penalty
 
@@ -76,6 +82,7 @@
 
     def __init__(self) -> None:
         self._traffic: dict[str, WorkerTraffic] = {}
+        self.idle_limit = 0.0  # seconds for which an idle connection is used again; as its keeper tells
 
     def get(self, worker: str) -> WorkerTraffic:
         """The worker's traffic; made at first use."""
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -287,6 +287,8 @@
         finally:
             traffic.in_flight -= 1
             now = self._now()
+            if result in (Outcome.OK, Outcome.LATE):
+                traffic.answered = now
             if request.key is not None:
                 self._demand.used(request.key, now - began, now)
                 self._router.tables.record(request.key, worker.id, now - began, result, now)
@@ -303,6 +305,7 @@
         async with self._watch(request, progress, traffic):
             outcome = await sending
             traffic.heard = self._now()
+        self._pool.idle_limit = self._client.idle_limit
         return outcome
 
     def _watch(
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -152,6 +152,7 @@
             prefill=self.prefill_seconds(traffic, request),
             utilisation=traffic.backlog.utilisation(now),
             streams=traffic.backlog.streams(now),
+            connected=traffic.is_connected(now, self._pool.idle_limit),
         )
 
     def prefill_seconds(self, traffic: WorkerTraffic, request: RoutedRequest) -> float:
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -73,6 +73,7 @@
             connect_limit=CONNECT_LIMIT,
         )
         self._told_idle = math.inf  # seconds; the shortest that any worker told
+        self.idle_limit = IDLE_CONNECTION  # seconds for which a kept connection is used again
 
     async def close(self) -> None:
         """Close all connections."""
@@ -98,7 +99,8 @@
         told = read_idle_limit(keep_alive)
         if told is not None and told < self._told_idle:
             self._told_idle = told
-            self._http.limit_idle(max(LEAST_IDLE, told - IDLE_MARGIN))
+            self.idle_limit = max(LEAST_IDLE, told - IDLE_MARGIN)
+            self._http.limit_idle(self.idle_limit)
 
     async def _receive(self, answer: Answer, request: UpstreamRequest) -> UpstreamOutcome:
         flaw = find_flaw(answer, request)
--- a/rookwood/modelplacement/selection.py
+++ b/rookwood/modelplacement/selection.py
@@ -5,6 +5,7 @@
 first token: the prompts that the worker still has to read, this prompt's uncached part, and a little for
 each request that is there. To that come the streams that reading this prompt would hold up, and the reading
 by which this request's own stream is likely to be held up: so long prompts and long streams part ways.
+A worker to which a kept connection is free joins them too, and goes before an equal one without.
 A tie goes to the worker in the same zone, then to the one drawn first.
 """
 
@@ -22,6 +23,7 @@
 READ_COST = 0.08
 UTILISATION_COST = 0.8  # seconds; a stream is disturbed by the prompts that come after it
 FULL_PENALTY = 2.0  # a worker without a free slot is taken only when all others are as full
+CONNECTION_COST = 0.02  # seconds; a new connection takes a round trip, and the worker's time for a handshake
 QUEUE_WEIGHT = 4.0  # a waiting request tells of more than a running one: its worker has no room
 
 
@@ -39,6 +41,7 @@
     prefill: float = 0.0  # reading this request's prompt there, without what is cached
     utilisation: float = 0.0  # share of recent time that the worker spent reading prompts
     streams: float = 0.0  # requests of all dispatchers that run there, about
+    connected: bool = False  # a kept connection to the worker is likely to be free
 
     @property
     def load(self) -> float:
@@ -53,7 +56,8 @@
         long_read = self.backlog + self.prefill > LONG_READ
         disturbing = (LONG_READ_COST if long_read else READ_COST) * self.prefill * self.streams
         disturbed = UTILISATION_COST * self.utilisation
-        return first_token + disturbing + disturbed
+        connecting = 0.0 if self.connected else CONNECTION_COST
+        return first_token + disturbing + disturbed + connecting
 
 
 def choose_worker(
@@ -73,6 +77,9 @@
     contenders = _two_draws(weighted, random) if weighted else []
     contenders += _two_draws([(c, 1.0) for c in candidates], random)
     contenders.append(min(candidates, key=lambda c: c.prefill))
+    connected = [candidate for candidate in candidates if candidate.connected]
+    if connected:
+        contenders.append(min(connected, key=lambda c: c.cost))
     return min(contenders, key=lambda c: (c.cost, not c.same_zone)).worker
 
 
--- a/tests/test_dataplane_parts.py
+++ b/tests/test_dataplane_parts.py
@@ -322,6 +322,18 @@
         traffic.succeeded()
         self.assertLess(traffic.avoided_until, 0.0)
 
+    def test_a_kept_connection_is_free_for_a_while_after_a_whole_answer(self) -> None:
+        traffic = WorkerTraffic()
+        self.assertFalse(traffic.is_connected(100.0, 8.5))
+        traffic.answered = 100.0
+        self.assertTrue(traffic.is_connected(108.0, 8.5))
+        self.assertFalse(traffic.is_connected(109.0, 8.5))
+        traffic.in_flight = 1
+        self.assertFalse(traffic.is_connected(101.0, 8.5))
+        traffic.in_flight = 0
+        traffic.failed(101.0)
+        self.assertFalse(traffic.is_connected(102.0, 8.5))
+
     def test_missing_weights_are_remembered_for_a_moment(self) -> None:
         traffic = WorkerTraffic()
         traffic.lacks("small", "a1", 0.0)
--- a/tests/test_modelplacement_table.py
+++ b/tests/test_modelplacement_table.py
@@ -250,6 +250,17 @@
         random = Random(1)
         return [choose_worker(self.key, candidates, fractions, random) for _ in range(400)]
 
+    def test_a_worker_with_a_free_connection_goes_before_an_equal_one(self) -> None:
+        kept = Candidate("kept", 0, 0, 0, 64, True, connected=True)
+        others = [Candidate(f"w{number}", 0, 0, 0, 64, True) for number in range(8)]
+        self.assertEqual({"kept"}, set(self.choose([*others, kept], ())))
+
+    def test_a_free_connection_is_not_worth_a_queue(self) -> None:
+        kept = Candidate("kept", 0, 0, 0, 64, True, backlog=0.2, connected=True)
+        other = Candidate("other", 0, 0, 0, 64, True)
+        chosen = self.choose([kept, other], ())
+        self.assertGreater(chosen.count("other"), 0.6 * len(chosen))
+
     def test_nobody_holds_the_weights(self) -> None:
         self.assertIsNone(choose_worker(self.key, [], (("a", 1.0),), Random(1)))
 
