--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -26,7 +26,7 @@
 )
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.lab.free_ports import find_free_port
-from tests.fake_worker import HOST, within
+from tests.fake_worker import HOST, WAIT_LIMIT, within
 
 HELLO = Hello("10.0.0.7", "edge", "z1")
 STATUS = Status("10.0.0.1", 3, "10.0.0.1", True, True, 3, 7, 4, ("10.0.0.1",))
@@ -212,6 +212,9 @@
         self.assertEqual(frozenset({connection}), self.server.connections)
 
     async def test_a_slow_subscriber_gets_the_newest_state_of_all(self) -> None:
+        self.enterContext(
+            mock.patch.object(connection_module, "SILENCE_LIMIT", WAIT_LIMIT)
+        )  # it sends nothing
         reader, writer = await self.subscribe_raw()
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         for sequence in range(64):
