Name the mechanisms in one typed place, with an argument that leaves one out

An ablation needs programs that differ in nothing but one mechanism. Both programs take `--without NAME[,NAME...]` (rookwood/mechanisms.py, rookwood/cluster/options.py); with none named nothing changes. An unknown name is one line and exit 2. Mechanisms that keep a rule have no switch.

--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -28,6 +28,7 @@
 )
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
+from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
 from rookwood.modelplacement.types import WeightsKey, WorkerWeights
 
@@ -76,7 +77,9 @@
         view: ClusterView,
         table: WorkerTable,
         tenure: Tenure,
+        mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
+        self._mechanisms = mechanisms
         self._owner = owner
         self._bounds = bounds
         self._group = group
@@ -152,7 +155,11 @@
     def _new_planner(self, engine: Engine) -> LoadPlanner:
         bounds = self._bounds
         return LoadPlanner(
-            model_specs(engine), engine.loads_per_s, window_s=bounds.load_window, over=bounds.load_over
+            model_specs(engine),
+            engine.loads_per_s,
+            window_s=bounds.load_window,
+            over=bounds.load_over,
+            mechanisms=self._mechanisms,
         )
 
     def _begin(self, epoch: int) -> None:
@@ -206,7 +213,8 @@
         if status.reading or status.executing:
             return
         busy = status.report is not None and status.report.busy
-        pause = BUSY_POLL_INTERVAL if busy else IDLE_REPORT_AGE
+        hastens = busy and self._mechanisms.has(Mechanism.BUSY_REPORTS)
+        pause = BUSY_POLL_INTERVAL if hastens else IDLE_REPORT_AGE
         if not status.due and now - status.read_at < pause:
             return
         status.reading = True
@@ -260,7 +268,7 @@
         now = self._now()
         plan.planner.ordered(now, order)
         status.executing = True
-        if not order.place:
+        if not order.place and self._mechanisms.has(Mechanism.UNLOAD_NOTICE):
             status.leaving = order.key
             self._tell_holding(order.worker, status)
         call = OrderCall(
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -52,6 +52,7 @@
     Role,
     Snapshot,
 )
+from rookwood.mechanisms import ALL_MECHANISMS, Mechanisms
 from rookwood.metrics.server import MetricsServer
 
 if TYPE_CHECKING:
@@ -82,7 +83,7 @@
 class ControlPlane:
     """Wires the parts of a control machine together."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, mechanisms: Mechanisms = ALL_MECHANISMS) -> None:
         self._settings = settings
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
@@ -101,7 +102,13 @@
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
         self._scheduler = LoadScheduler(
-            settings.hostname, settings.bounds, self.group, self._view, self._table, self._tenure
+            settings.hostname,
+            settings.bounds,
+            self.group,
+            self._view,
+            self._table,
+            self._tenure,
+            mechanisms,
         )
         self._presence = PresenceQuorum(settings.ip, self.group.members)
         self._told_status: Status | None = None
--- a/rookwood/dataplane/attempt_limits.py
+++ b/rookwood/dataplane/attempt_limits.py
@@ -13,7 +13,8 @@
 class AttemptLimits:
     """Knows how long attempts take, and when the process ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, wait_share: float = WAIT_SHARE) -> None:
+        self._wait_share = wait_share
         self.durations = DurationMeter()
         self.closing = ClosingTime()
 
@@ -23,7 +24,7 @@
 
     def wait_limit(self, request: RoutedRequest, now: float) -> float:
         """Until when a request may wait for its weights; its attempt must end before this process does."""
-        patience = WAIT_SHARE * (request.deadline - request.arrived)
+        patience = self._wait_share * (request.deadline - request.arrived)
         until = min(request.deadline - MINIMUM_ATTEMPT, request.arrived + patience)
         if self.closing.at is None:
             return until
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -14,6 +14,7 @@
 from rookwood.cluster.connection import Connection
 from rookwood.cluster.feed import LinkSet
 from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice, WorkNotices
+from rookwood.cluster.options import Options
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
@@ -23,11 +24,11 @@
 from rookwood.dataplane.closing import INGRESS_NOTICE
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
 from rookwood.dataplane.loss_log import LossLog
-from rookwood.dataplane.options import Options
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.proxy import Proxy
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
+from rookwood.mechanisms import Mechanism
 from rookwood.metrics.server import MetricsServer
 
 if TYPE_CHECKING:
@@ -56,7 +57,8 @@
         self._file = SettingsFile(settings_path(), settings)
         self._stopping = asyncio.Event()
         self._pool = WorkerPool()
-        self._router = Router(settings.ip, settings.zone, self._pool)
+        self._mechanisms = self._options.mechanisms
+        self._router = Router(settings.ip, settings.zone, self._pool, self._mechanisms)
         self._demand = DemandMeter(self._weights_wanted)
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
@@ -74,7 +76,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._keep_house)
-        client = UpstreamClient(self._settings.descriptors)
+        client = UpstreamClient(self._settings.descriptors, self._mechanisms.has(Mechanism.KEEP_ALIVE))
         self._proxy = Proxy(
             self._router,
             self._pool,
@@ -84,6 +86,7 @@
             self._tell_work,
             self._is_level,
             LossLog(self._options.log_losses),
+            self._mechanisms,
         )
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
         self._links = LinkSet(
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -52,6 +52,7 @@
 )
 from rookwood.dataplane.upstream_requests import MILLISECONDS, build_upstream_request, choose_urgency
 from rookwood.httpclient.outcomes import Broken, NotSent
+from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
 from rookwood.modelplacement.types import Outcome
 
 logger = logging.getLogger("rookwood")
@@ -77,7 +78,9 @@
         on_work: Callable[[WorkNotice], None],
         is_level: Callable[[], bool],
         losses: LossLog | None = None,
+        mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
+        self._mechanisms = mechanisms
         self._losses = losses or LossLog(enabled=False)
         self._is_level = is_level
         self._router = router
@@ -88,7 +91,7 @@
         self._on_work = on_work
         self.in_flight = 0
         self.counts = RequestCounts()
-        self._limits = AttemptLimits()
+        self._limits = AttemptLimits(WAIT_SHARE if mechanisms.has(Mechanism.WAIT_SHARE) else 1.0)
         self._returns = ReturnTimes()
         self._repeats = RepeatRules(router, budget)
         self._splitter = RouteSplitter()
@@ -276,7 +279,7 @@
             progress.broken = outcome.why if isinstance(outcome, Broken) else ""
             if isinstance(outcome, Streaming):
                 if quiet and request.key is not None:
-                    self._router.speed.observe(request.key.model, tokens, self._now() - began)
+                    self._router.observe_reading(request.key.model, tokens, self._now() - began)
                 relayed = await self._relay(client, request, worker, outcome, progress)
                 self._limits.durations.observe(request, answered - began, self._now() - answered, self._now())
                 return relayed
@@ -311,10 +314,11 @@
     def _watch(
         self, request: RoutedRequest, progress: RequestProgress, traffic: WorkerTraffic
     ) -> SilenceWatch:
+        leaves = self._mechanisms.has(Mechanism.LEAVE_SILENT)
+
         def should_leave(since: float) -> bool:
-            return traffic.silent(self._now(), since) and self._repeats.may_move(
-                request, progress, self._now()
-            )
+            silent = leaves and traffic.silent(self._now(), since)
+            return silent and self._repeats.may_move(request, progress, self._now())
 
         return SilenceWatch(should_leave)
 
@@ -338,7 +342,7 @@
     ) -> UpstreamRequest:
         now = self._now()
         prefill = self._router.prefill_seconds(traffic, request)
-        urgency = choose_urgency(request, worker, traffic, prefill, now)
+        urgency = choose_urgency(request, worker, traffic, prefill, now, self._mechanisms)
         return build_upstream_request(request, worker, urgency, progress.last_event, now)
 
     def _learn(self, request: RoutedRequest, worker: WorkerRecord, outcome: UpstreamOutcome) -> None:
@@ -348,7 +352,7 @@
         if isinstance(outcome, Complete | Streaming):
             traffic.succeeded()
             load = read_load(outcome.headers)
-            if load is not None:
+            if load is not None and self._mechanisms.has(Mechanism.TOLD_LOAD):
                 traffic.tell_load(load.running, load.waiting, load.slots, now)
         elif isinstance(outcome, Rejected):
             if outcome.status == MISDIRECTED and request.key is not None:
@@ -423,6 +427,8 @@
         key = request.key
         if key is None or request.told_left is None or not progress.first_try:
             return None
+        if not self._mechanisms.has(Mechanism.RETURN_TIMES):
+            return None
         if progress.sends or self._router.holders_exist(replace(key, adapter=""), request.service):
             return None
         model = self._router.model(key)
--- a/rookwood/dataplane/router.py
+++ b/rookwood/dataplane/router.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections import defaultdict
+from collections.abc import Sequence
 
 from rookwood.cluster.messages import WorkNotice
 from rookwood.cluster.workers import WorkerRecord, WorkerState
@@ -17,6 +18,7 @@
 from rookwood.dataplane.pool import WorkerPool, WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest
 from rookwood.dataplane.tables import TableKeeper
+from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
 from rookwood.modelplacement.selection import Candidate, choose_worker
 from rookwood.modelplacement.types import WeightsKey
 
@@ -28,7 +30,10 @@
 class Router:
     """The configuration in force and the workers of each service."""
 
-    def __init__(self, identity: str, zone: str, pool: WorkerPool) -> None:
+    def __init__(
+        self, identity: str, zone: str, pool: WorkerPool, mechanisms: Mechanisms = ALL_MECHANISMS
+    ) -> None:
+        self._mechanisms = mechanisms
         self._identity = identity
         self._zone = zone
         self._pool = pool
@@ -114,10 +119,15 @@
             return None
         candidates = [self._candidate(record, request, now) for record in records]
         key = WeightsKey(request.key.model, request.key.adapter) if request.key else NO_KEY
-        fractions = self.tables.fractions(request.key) if request.key else ()
+        fractions = self._fractions(request)
         chosen = choose_worker(key, candidates, fractions, self._random)
         return self._workers[request.service].get(chosen) if chosen else None
 
+    def _fractions(self, request: RoutedRequest) -> Sequence[tuple[str, float]]:
+        if request.key is None or not self._mechanisms.has(Mechanism.TABLE_DRAWS):
+            return ()
+        return self.tables.fractions(request.key)
+
     def _eligible(self, request: RoutedRequest, excluded: set[str], now: float) -> list[WorkerRecord]:
         records = []
         for record in self._workers[request.service].values():
@@ -126,10 +136,14 @@
             if request.key and self._lacks(record, request.key, now):
                 continue
             records.append(record)
+        if not self._mechanisms.has(Mechanism.AVOID_FAILED):
+            return records
         trusted = [record for record in records if self._pool.get(record.id).avoided_until <= now]
         return trusted or records
 
     def _lacks(self, record: WorkerRecord, key: ServiceKey, now: float) -> bool:
+        if not self._mechanisms.has(Mechanism.LACKING_WEIGHTS):
+            return False
         return self._pool.get(record.id).known_to_lack(key.model, key.adapter, now)
 
     @staticmethod
@@ -141,6 +155,8 @@
     def _candidate(self, record: WorkerRecord, request: RoutedRequest, now: float) -> Candidate:
         traffic = self._pool.get(record.id)
         fresh = traffic.load(now) > traffic.in_flight
+        compares_reading = self._mechanisms.has(Mechanism.READING_COSTS)
+        prefers_connected = self._mechanisms.has(Mechanism.PREFER_CONNECTED)
         return Candidate(
             worker=record.id,
             in_flight=traffic.in_flight,
@@ -150,18 +166,28 @@
             same_zone=record.zone == self._zone,
             backlog=traffic.backlog.remaining(now),
             prefill=self.prefill_seconds(traffic, request),
-            utilisation=traffic.backlog.utilisation(now),
-            streams=traffic.backlog.streams(now),
-            connected=traffic.is_connected(now, self._pool.idle_limit),
+            utilisation=traffic.backlog.utilisation(now) if compares_reading else 0.0,
+            streams=traffic.backlog.streams(now) if compares_reading else 0.0,
+            connected=prefers_connected and traffic.is_connected(now, self._pool.idle_limit),
         )
 
     def prefill_seconds(self, traffic: WorkerTraffic, request: RoutedRequest) -> float:
         """How long the worker would read the request's prompt."""
         if request.key is None or not request.parts:
             return 0.0
-        tokens = uncached_tokens(traffic.backlog, request)
+        tokens = self._tokens_to_read(traffic, request)
         return tokens * self.speed.seconds_per_token(request.key.model)
 
+    def _tokens_to_read(self, traffic: WorkerTraffic, request: RoutedRequest) -> int:
+        if self._mechanisms.has(Mechanism.CACHED_PREFIXES):
+            return uncached_tokens(traffic.backlog, request)
+        return sum(part.tokens for part in request.parts)
+
+    def observe_reading(self, model: str, tokens: int, seconds: float) -> None:
+        """Learn the reading speed from a prompt that a worker with nothing before it began to answer."""
+        if self._mechanisms.has(Mechanism.READING_SPEED):
+            self.speed.observe(model, tokens, seconds)
+
     def note_sent(self, request: RoutedRequest, record: WorkerRecord, now: float) -> WorkNotice | None:
         """Count a prompt as sent to a worker; returns what to tell the other dispatchers."""
         if request.key is None or not request.parts:
@@ -170,6 +196,8 @@
         seconds = self.prefill_seconds(traffic, request)
         parts = tuple(part.identity for part in request.parts)
         traffic.backlog.add(seconds, parts, now)
+        if not self._mechanisms.has(Mechanism.SHARED_BACKLOG):
+            return None
         return WorkNotice(self._identity, record.id, seconds, parts)
 
     def note_told(self, notice: WorkNotice, now: float) -> None:
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -66,7 +66,8 @@
 class UpstreamClient:
     """HTTP connections to workers."""
 
-    def __init__(self, descriptors: int) -> None:
+    def __init__(self, descriptors: int, heeds_keep_alive: bool = True) -> None:
+        self._heeds_keep_alive = heeds_keep_alive
         self._http = HttpClient(
             connections=max(64, descriptors // 3),
             idle_limit=IDLE_CONNECTION,
@@ -96,7 +97,7 @@
 
     def _learn_idle(self, keep_alive: str) -> None:
         """Keep idle connections for as long as the workers do: each new one costs them a handshake."""
-        told = read_idle_limit(keep_alive)
+        told = read_idle_limit(keep_alive) if self._heeds_keep_alive else None
         if told is not None and told < self._told_idle:
             self._told_idle = told
             self.idle_limit = max(LEAST_IDLE, told - IDLE_MARGIN)
--- a/rookwood/dataplane/upstream_requests.py
+++ b/rookwood/dataplane/upstream_requests.py
@@ -7,6 +7,7 @@
 from rookwood.dataplane.pool import WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest
 from rookwood.dataplane.upstream import UpstreamRequest
+from rookwood.mechanisms import Mechanism, Mechanisms
 
 MILLISECONDS = 1000.0
 SHORT_READ = 0.05  # seconds; a prompt that is read faster hardly delays others
@@ -31,7 +32,12 @@
 
 
 def choose_urgency(
-    request: RoutedRequest, worker: WorkerRecord, traffic: WorkerTraffic, prefill: float, now: float
+    request: RoutedRequest,
+    worker: WorkerRecord,
+    traffic: WorkerTraffic,
+    prefill: float,
+    now: float,
+    mechanisms: Mechanisms,
 ) -> int:
     """The request's place in the worker's order of admission, 0 first.
 
@@ -39,7 +45,8 @@
     there is room: it delays the others by next to nothing and would otherwise wait for all of them.
     """
     has_room = traffic.load(now) < ROOM_SHARE * worker.slots
-    if has_room and prefill < SHORT_READ:
+    if has_room and prefill < SHORT_READ and mechanisms.has(Mechanism.SHORT_FIRST):
         return SHORT_URGENCY
-    rank = max(0, min(LAST_RANK, request.route.priority))
+    ranked = mechanisms.has(Mechanism.ROUTE_RANK)
+    rank = max(0, min(LAST_RANK, request.route.priority)) if ranked else 0
     return rank + RANK_OFFSET
--- a/rookwood/modelplacement/loads.py
+++ b/rookwood/modelplacement/loads.py
@@ -23,6 +23,7 @@
 from heapq import nsmallest
 from statistics import median
 
+from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
 from rookwood.modelplacement.bucket import TokenBucket
 from rookwood.modelplacement.orders import Holdings, LoadOrder, OrderBook
 from rookwood.modelplacement.sites import BLOCKED_COST_PER_S, Fleet, Site, Wanted
@@ -70,21 +71,23 @@
         window_s: float = 5.0,
         over: float = 1.1,
         simultaneous: int | None = None,
+        mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
+        self._mechanisms = mechanisms
         self._bucket = TokenBucket(0.0, BURST)
         self._book = OrderBook(models)
-        self._demand = DemandBook()
+        self._demand = DemandBook(mechanisms.has(Mechanism.POPULARITY))
         self._fleet = Fleet(models, self._book, self._demand)
         self._intents: dict[str, _Intent] = {}
         self._loading: dict[tuple[str, str], float] = {}  # worker, model -> when its load was ordered
         self._missed = MovingRate(MISS_SMOOTHING_S)
-        self._steps = (
-            self._intended,
-            self._waiting,
-            self._unplaced_adapters,
-            self._more_copies,
-            self._spare_room,
-        )
+        self._steps = [self._intended, self._waiting]
+        if mechanisms.has(Mechanism.UNPLACED_ADAPTERS):
+            self._steps.append(self._unplaced_adapters)
+        if mechanisms.has(Mechanism.MORE_COPIES):
+            self._steps.append(self._more_copies)
+        if mechanisms.has(Mechanism.SPARE_ROOM):
+            self._steps.append(self._spare_room)
         self.reconfigure(models, loads_per_s, window_s, over, simultaneous)
 
     def reconfigure(
@@ -227,7 +230,8 @@
         intended = sum(not intent.key.adapter for intent in self._intents.values())
         if len(self._loading) + intended >= self.simultaneous:
             return False
-        coming = self._bucket.rate * EVICTION_S
+        looks_ahead = self._mechanisms.has(Mechanism.ROOM_DURING_EVICTIONS)
+        coming = self._bucket.rate * EVICTION_S if looks_ahead else 0.0
         return self._bucket.available(now) + coming - intended >= 1.0
 
     def _is_ready(self, view: Holdings) -> bool:
--- a/rookwood/modelplacement/value.py
+++ b/rookwood/modelplacement/value.py
@@ -87,7 +87,8 @@
 class DemandBook:
     """Demand per model over time."""
 
-    def __init__(self) -> None:
+    def __init__(self, remembers_popularity: bool = True) -> None:
+        self._popularity_s = POPULARITY_S if remembers_popularity else 0.0
         self._models: dict[str, ModelDemand] = {}
         self._adapter_asked: dict[WeightsKey, float] = {}
         self._rates: dict[WeightsKey, float] = {}
@@ -124,7 +125,7 @@
                 if key.adapter:
                     self._adapter_asked[key] = now
         self._rates = {key: amount.rate for key, amount in demand.items()}
-        decay = math.exp(-elapsed / POPULARITY_S)
+        decay = math.exp(-elapsed / self._popularity_s) if self._popularity_s else 0.0
         for model in self._models.values():
             model.popularity = model.rate + (model.popularity - model.rate) * decay
 
--- a/rookwood_controlplane.py
+++ b/rookwood_controlplane.py
@@ -11,16 +11,18 @@
     import asyncio
 
     from rookwood.cluster.logs import configure_logging
+    from rookwood.cluster.options import CONTROL_PLANE_ARGUMENTS, OptionsError
     from rookwood.cluster.settings import SettingsError, load_settings, settings_path
     from rookwood.controlplane.program import ControlPlane
 
     try:
+        options = CONTROL_PLANE_ARGUMENTS.read(sys.argv[1:])
         settings = load_settings(settings_path())
-    except SettingsError as error:
+    except (OptionsError, SettingsError) as error:
         print(error, file=sys.stderr)
         return 2
     configure_logging(settings.hostname)
-    asyncio.run(ControlPlane(settings).run())
+    asyncio.run(ControlPlane(settings, options.mechanisms).run())
     return 0
 
 
--- a/rookwood_dataplane.py
+++ b/rookwood_dataplane.py
@@ -11,12 +11,12 @@
     import asyncio
 
     from rookwood.cluster.logs import configure_logging
+    from rookwood.cluster.options import DATA_PLANE_ARGUMENTS, OptionsError
     from rookwood.cluster.settings import SettingsError, load_settings, settings_path
-    from rookwood.dataplane.options import OptionsError, read_options
     from rookwood.dataplane.program import DataPlane
 
     try:
-        options = read_options(sys.argv[1:])
+        options = DATA_PLANE_ARGUMENTS.read(sys.argv[1:])
         settings = load_settings(settings_path())
     except (OptionsError, SettingsError) as error:
         print(error, file=sys.stderr)
--- a/tests/test_ground.py
+++ b/tests/test_ground.py
@@ -208,7 +208,7 @@
             holder = next(d["holder"] for d in told["m0"]["duties"] if d["duty"] == "trial")
             assert not told[holder]["held_back"]
             others = [name for name in g.names if name != holder]
-            before = dict(sick.came)
+            before = {name: sick.came[name] for name in g.names}  # 0 for one that never tried it
             for _ in range(40):
                 await held_back(2)
             # Its stand may have ended for a moment, by age alone; not within a play of this length.
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -15,6 +15,7 @@
 
 from rookwood.cli import explain
 from rookwood.cli.exit_codes import DONE, FAULTY
+from rookwood.cluster.options import DATA_PLANE_ARGUMENTS, Options, OptionsError
 from rookwood.clusterconfig.document import Route, RouteKind
 from rookwood.dataplane.loss_log import (
     LOSS_MESSAGE,
@@ -24,7 +25,6 @@
     find_lateness,
     find_stage,
 )
-from rookwood.dataplane.options import Options, OptionsError, read_options
 from rookwood.dataplane.request_counts import RequestOutcome
 from rookwood.dataplane.request_trace import ChosenWorker, RequestTrace
 from rookwood.dataplane.requests import RoutedRequest
@@ -82,9 +82,9 @@
         self.assertEqual(("i-1", 250.0), (record.__dict__["worker"], record.__dict__["worker_backlog_ms"]))
 
     def test_an_unknown_argument_ends_the_program_with_one_line(self) -> None:
-        self.assertEqual(Options(log_losses=True), read_options(["--log-losses"]))
+        self.assertEqual(Options(log_losses=True), DATA_PLANE_ARGUMENTS.read(["--log-losses"]))
         with self.assertRaises(OptionsError):
-            read_options(["--log-loses"])
+            DATA_PLANE_ARGUMENTS.read(["--log-loses"])
         command = [sys.executable, "rookwood_dataplane.py", "--log-loses"]
         run = subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
         self.assertEqual(2, run.returncode)
