Leave time for stalls as long as those of late before a dispatcher ends

Cause: a dispatcher that ends takes a short request until 0.2 s before the end (STALL_RESERVE). Ruled out: the durations learned, which the tests set.

The loop's stalls are measured, and twice the longest one lately (halved every 10 s) is left where that exceeds 0.2 s. The new test fails without the change.

--- a/rookwood/dataplane/attempt_limits.py
+++ b/rookwood/dataplane/attempt_limits.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from rookwood.dataplane.closing import STALL_RESERVE, ClosingTime
+from rookwood.dataplane.closing import ClosingTime
 from rookwood.dataplane.durations import DurationMeter
+from rookwood.dataplane.loop_stalls import StallMeter
 from rookwood.dataplane.repeats import MINIMUM_ATTEMPT
 from rookwood.dataplane.requests import RoutedRequest
 
@@ -17,6 +18,7 @@
         self._wait_share = wait_share
         self.durations = DurationMeter()
         self.closing = ClosingTime()
+        self.stalls = StallMeter()
 
     def ends_in_time(self, request: RoutedRequest, now: float) -> bool:
         """Whether an attempt that begins now can be expected to end before this process."""
@@ -38,4 +40,5 @@
         """
         if self.closing.unnoticed(request.arrived):
             return self.durations.likely(request, now)
-        return self.durations.upper(request, now) + STALL_RESERVE
+        reserve = self.closing.stall_reserve(self.stalls.longest(now))
+        return self.durations.upper(request, now) + reserve
--- a/rookwood/dataplane/closing.py
+++ b/rookwood/dataplane/closing.py
@@ -7,7 +7,8 @@
 from contextlib import contextmanager
 
 INGRESS_NOTICE = 2.5  # seconds after which the platform sends no new connections to a machine not ready
-STALL_RESERVE = 0.2  # seconds for which this process may be held up, by its machine or by its own work
+STALL_RESERVE = 0.2  # seconds for which this process may be held up, though it was not lately
+STALL_SAFETY = 2.0  # a stall may last so many times as long as the longest one lately
 
 
 class ClosingTime:
@@ -39,6 +40,11 @@
         """Whether something that takes so long ends in time."""
         return self.at is None or now + duration <= self.at
 
+    @staticmethod
+    def stall_reserve(longest_stall: float) -> float:
+        """Seconds to leave for stalls before the process ends."""
+        return max(STALL_RESERVE, STALL_SAFETY * longest_stall)
+
     @contextmanager
     def register(self, scope: asyncio.Timeout) -> Iterator[None]:
         """End an entered scope at the closing time, also if that becomes known only later."""
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -18,6 +18,7 @@
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
 from rookwood.cluster.view import ClusterView
+from rookwood.dataplane.attempt_limits import WAIT_SHARE, AttemptLimits
 from rookwood.dataplane.budget import RetryBudget
 from rookwood.dataplane.client_listener import ClientListener, turn_loop
 from rookwood.dataplane.client_server import ClientServer
@@ -76,6 +77,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._keep_house)
+        limits = AttemptLimits(WAIT_SHARE if self._mechanisms.has(Mechanism.WAIT_SHARE) else 1.0)
+        limits.stalls.start()
         client = UpstreamClient(self._settings.descriptors, self._mechanisms.has(Mechanism.KEEP_ALIVE))
         self._proxy = Proxy(
             self._router,
@@ -87,6 +90,7 @@
             self._is_level,
             LossLog(self._options.log_losses),
             self._mechanisms,
+            limits,
         )
         hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
         self._links = LinkSet(
@@ -105,6 +109,7 @@
         logger.info("data plane started")
         await run_until(self._stopping, [keeper])
         await self._finish(self._proxy, clients, listener)
+        limits.stalls.stop()
         await cancel_tasks([keeper])
         await metrics.stop()
         self._links.close()
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -79,6 +79,7 @@
         is_level: Callable[[], bool],
         losses: LossLog | None = None,
         mechanisms: Mechanisms = ALL_MECHANISMS,
+        limits: AttemptLimits | None = None,
     ) -> None:
         self._mechanisms = mechanisms
         self._losses = losses or LossLog(enabled=False)
@@ -91,7 +92,7 @@
         self._on_work = on_work
         self.in_flight = 0
         self.counts = RequestCounts()
-        self._limits = AttemptLimits(WAIT_SHARE if mechanisms.has(Mechanism.WAIT_SHARE) else 1.0)
+        self._limits = limits or AttemptLimits()
         self._returns = ReturnTimes()
         self._repeats = RepeatRules(router, budget)
         self._splitter = RouteSplitter()
--- a/tests/test_dataplane_end.py
+++ b/tests/test_dataplane_end.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
@@ -48,6 +49,7 @@
 LESSONS = 12
 UNTOLD = b"a request"
 INTENDED = {STREAM: (STREAM_TIME / EVENTS, STREAM_TIME * (EVENTS - 1) / EVENTS), MUTATING: (0.0, 0.0)}
+HELD_UP = 0.6  # seconds; several times the reserve of a process that was not held up
 MEASURED_SHARE = 0.9  # clocks of two ends
 
 
@@ -315,6 +317,19 @@
         self.assertEqual([], worker.requests_of("late"))
         await within(self.running)
 
+    async def test_a_process_that_was_held_up_lately_leaves_more_time_for_the_next_stall(self) -> None:
+        worker = await self.prepare(MUTATING, answering())
+        time.sleep(HELD_UP)  # the loop gets no processor
+        holding = await self.connect()
+        holding.write(request_bytes(MUTATING, "held")[:-1])
+        self.addAsyncCleanup(holding.rest)
+        closes_at = self.stop() + GRACE - program.CLOSING_MARGIN
+        late = await self.send_new(MUTATING, "late", closes_at - HELD_UP)
+        assert late is not None
+        self.assertEqual((503, True), (late.status, late.whole))
+        self.assertEqual([], worker.requests_of("late"))
+        await within(self.running)
+
     async def test_idle_connections_are_closed_once_the_platform_noticed(self) -> None:
         await self.prepare(MUTATING, answering())
         idle = [await self.connect() for _ in range(5)]
