--- a/rookwood/dataplane/attempt_limits.py
+++ b/rookwood/dataplane/attempt_limits.py
@@ -4,9 +4,9 @@
 
 from rookwood.dataplane.closing import ClosingTime
 from rookwood.dataplane.durations import DurationMeter
-from rookwood.dataplane.loop_stalls import StallMeter
 from rookwood.dataplane.repeats import MINIMUM_ATTEMPT
 from rookwood.dataplane.requests import RoutedRequest
+from rookwood.metrics.loop_lag import LoopLag
 
 WAIT_SHARE = 0.45  # of the time that a request has; who is held longer and refused then loses more
 
@@ -14,11 +14,11 @@
 class AttemptLimits:
     """Knows how long attempts take, and when the process ends."""
 
-    def __init__(self, wait_share: float = WAIT_SHARE) -> None:
+    def __init__(self, wait_share: float = WAIT_SHARE, lag: LoopLag | None = None) -> None:
         self._wait_share = wait_share
         self.durations = DurationMeter()
         self.closing = ClosingTime()
-        self.stalls = StallMeter()
+        self._lag = lag or LoopLag()
 
     def ends_in_time(self, request: RoutedRequest, now: float) -> bool:
         """Whether an attempt that begins now can be expected to end before this process."""
@@ -40,5 +40,5 @@
         """
         if self.closing.unnoticed(request.arrived):
             return self.durations.likely(request, now)
-        reserve = self.closing.stall_reserve(self.stalls.longest(now))
+        reserve = self.closing.stall_reserve(self._lag.recent_maximum)
         return self.durations.upper(request, now) + reserve
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -30,6 +30,7 @@
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
 from rookwood.mechanisms import Mechanism
+from rookwood.metrics.loop_lag import LoopLag
 from rookwood.metrics.server import MetricsServer
 
 if TYPE_CHECKING:
@@ -77,8 +78,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._keep_house)
-        limits = AttemptLimits(WAIT_SHARE if self._mechanisms.has(Mechanism.WAIT_SHARE) else 1.0)
-        limits.stalls.start()
+        lag = LoopLag()
+        limits = AttemptLimits(WAIT_SHARE if self._mechanisms.has(Mechanism.WAIT_SHARE) else 1.0, lag)
         client = UpstreamClient(self._settings.descriptors, self._mechanisms.has(Mechanism.KEEP_ALIVE))
         self._proxy = Proxy(
             self._router,
@@ -102,14 +103,13 @@
         listener = await self._serve_clients(client_runner)
         runners = [client_runner, await self._serve_readiness()]
         metrics = MetricsServer(
-            self._settings.ip, partial(self._load_metrics, self._proxy, self._links, clients)
+            self._settings.ip, partial(self._load_metrics, self._proxy, self._links, clients), lag=lag
         )
         await metrics.start()
         keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
         logger.info("data plane started")
         await run_until(self._stopping, [keeper])
         await self._finish(self._proxy, clients, listener)
-        limits.stalls.stop()
         await cancel_tasks([keeper])
         await metrics.stop()
         self._links.close()
--- a/rookwood/metrics/server.py
+++ b/rookwood/metrics/server.py
@@ -35,10 +35,12 @@
     `load_sources` is called once, at the first scrape.
     """
 
-    def __init__(self, ip: str, load_sources: LoadSources, port: int = METRICS_PORT) -> None:
+    def __init__(
+        self, ip: str, load_sources: LoadSources, port: int = METRICS_PORT, lag: LoopLag | None = None
+    ) -> None:
         self._ip = ip
         self._port = port
-        self._lag = LoopLag()
+        self._lag = lag or LoopLag()
         self._load_sources = load_sources
         self._sources: tuple[FamilySource, ...] = ()
         self._runner: web.ServerRunner | None = None
