Let control machines that are no members refer operators to the primary that they hear

Cause: with more control machines than members (nine and five) four of nine answered every operator and every worker's heartbeat with 503, "no primary is known", for good: a process that is no member had no role but Unattached, though the primary sends it all documents and heartbeats. So had a member that was cut off and replaced.

A process that is no member and is in touch with a primary is a Learner now: it redirects operators (307), takes heartbeats, and counts as fresh once it holds what is committed. Ruled out by reading: quorums over changes of members, confirmed reads, the digests of changes taken.

Two tests asserted Unattached for such a process; they assert the learner's role in full now.

--- a/rookwood/cluster/control_status.py
+++ b/rookwood/cluster/control_status.py
@@ -24,6 +24,7 @@
 
     PRIMARY = "primary"
     BACKUP = "backup"
+    LEARNER = "learner"  # follows the primary without being a member
     UNATTACHED = "unattached"
 
 
--- a/rookwood/controlplane/control_api.py
+++ b/rookwood/controlplane/control_api.py
@@ -23,6 +23,8 @@
 from rookwood.coordination.group import (
     Backup,
     ControlGroup,
+    Following,
+    Learner,
     NoSuccessor,
     NotPrimary,
     Primary,
@@ -89,7 +91,7 @@
             reason=role.reason if isinstance(role, Unattached) else "",
             primary=self._primary_of(role),
             epoch=0 if isinstance(role, Unattached) else role.epoch,
-            fresh=isinstance(role, Primary) or (isinstance(role, Backup) and role.fresh),
+            fresh=isinstance(role, Primary) or (isinstance(role, Following) and role.fresh),
             holds_copy=group.holds_copy(),
             members=group.members(),
             reachable=tuple(sorted(group.reachable())),
@@ -103,7 +105,7 @@
     def _primary_of(self, role: Role) -> str:
         if isinstance(role, Primary):
             return self._ip
-        return role.primary if isinstance(role, Backup) else ""
+        return role.primary if isinstance(role, Following) else ""
 
 
 def dispatcher_overview(dispatchers: DispatcherProgress) -> DispatcherOverview:
@@ -121,6 +123,8 @@
     """The role without its particulars."""
     if isinstance(role, Primary):
         return ControlRole.PRIMARY
+    if isinstance(role, Learner):
+        return ControlRole.LEARNER
     return ControlRole.BACKUP if isinstance(role, Backup) else ControlRole.UNATTACHED
 
 
--- a/rookwood/controlplane/operator_api.py
+++ b/rookwood/controlplane/operator_api.py
@@ -24,11 +24,11 @@
 from rookwood.controlplane.payload import read_payload
 from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
-    Backup,
     Committed,
     Confirmed,
     ControlGroup,
     Declined,
+    Following,
     Overloaded,
     PayloadTooLarge,
     Primary,
@@ -140,7 +140,7 @@
             role = self._group.role()
             if isinstance(role, Primary):
                 return Here()
-            if isinstance(role, Backup) and role.in_touch:
+            if isinstance(role, Following) and role.in_touch:
                 return Elsewhere(role.primary)
             if asyncio.get_running_loop().time() > deadline:
                 return Nowhere()
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -45,8 +45,8 @@
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
-    Backup,
     ControlGroup,
+    Following,
     GroupSettings,
     Primary,
     Role,
@@ -190,7 +190,7 @@
         role = self.group.role()
         if isinstance(role, Primary):
             return KnownPrimary(self._settings.ip, role.epoch, in_touch=True, fresh=True)
-        if isinstance(role, Backup):
+        if isinstance(role, Following):
             return KnownPrimary(role.primary, role.epoch, role.in_touch, role.fresh)
         return KnownPrimary("", 0, in_touch=False, fresh=False)
 
@@ -263,7 +263,7 @@
         now = asyncio.get_running_loop().time()
         if isinstance(role, Primary):
             self._tenure.primary_seen(self._settings.ip, role.epoch, now)
-        elif isinstance(role, Backup):
+        elif isinstance(role, Following):
             self._tenure.primary_seen(role.primary, role.epoch, now)
         self._send_status()
 
--- a/rookwood/controlplane/worker_api.py
+++ b/rookwood/controlplane/worker_api.py
@@ -12,7 +12,7 @@
 from rookwood.cluster.workers import MalformedHeartbeatError, WorkerState, parse_heartbeat
 from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.worker_table import WorkerTable
-from rookwood.coordination.group import Backup, ControlGroup, Primary
+from rookwood.coordination.group import ControlGroup, Following, Primary
 
 logger = logging.getLogger("rookwood")
 
@@ -71,6 +71,6 @@
     def _cut_off(self) -> bool:
         """Whether this machine may be cut off: what it hears then may not reach all dispatchers."""
         role = self._group.role()
-        if isinstance(role, Backup):
+        if isinstance(role, Following):
             return not role.in_touch
         return not isinstance(role, Primary)
--- a/rookwood/coordination/following.py
+++ b/rookwood/coordination/following.py
@@ -11,7 +11,7 @@
     WriteAck,
     WriteFailed,
 )
-from rookwood.coordination.outcomes import Backup
+from rookwood.coordination.outcomes import Backup, Learner
 
 
 class Follower:
@@ -36,12 +36,22 @@
         return self._heard_at + self._context.timing.lease
 
     def role(self, now: float) -> Backup | None:
-        """Return the role towards the primary, None if none is known or it is this process."""
+        """Return a member's role towards the primary, None if none is known or it is this process."""
         if self.primary is None or self.primary == self._context.ip:
             return None
-        in_touch = now - self._heard_at <= self._context.timing.lease
-        level = self._context.applied >= self._committed
-        return Backup(self.primary, self._epoch, in_touch, level)
+        return Backup(self.primary, self._epoch, self._is_in_touch(now), self._is_level())
+
+    def learner_role(self, now: float) -> Learner | None:
+        """Return the role of a process that is no member, None where it hears no primary."""
+        if self.primary is None or self.primary == self._context.ip or not self._is_in_touch(now):
+            return None
+        return Learner(self.primary, self._epoch, True, self._is_level())
+
+    def _is_in_touch(self, now: float) -> bool:
+        return now - self._heard_at <= self._context.timing.lease
+
+    def _is_level(self) -> bool:
+        return self._context.applied >= self._committed
 
     def follow(self, primary: str, epoch: int) -> None:
         """Note that a primary is heard."""
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -21,6 +21,8 @@
     Confirmed,
     ConfirmOutcome,
     Declined,
+    Following,
+    Learner,
     NotPrimary,
     Overloaded,
     PayloadTooLarge,
@@ -43,6 +45,8 @@
     "Confirmed",
     "ControlGroup",
     "Declined",
+    "Following",
+    "Learner",
     "GroupSettings",
     "NoSuccessor",
     "NotPrimary",
@@ -213,7 +217,7 @@
         """Hand the leadership to the most up-to-date member that is heard, and go on as its backup."""
         role = self.role()
         if self._replica is None or not isinstance(role, Primary):
-            return NotPrimary(role.primary if isinstance(role, Backup) else None)
+            return NotPrimary(role.primary if isinstance(role, Following) else None)
         if self.reachable() <= {self._settings.ip}:
             return NoSuccessor()
         await self._transfer(self._replica)
--- a/rookwood/coordination/outcomes.py
+++ b/rookwood/coordination/outcomes.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True)
-class Backup:
+class Following:
     """This process follows a primary.
 
     `in_touch` tells whether it heard from the primary lately, `level` whether it holds the document of every
@@ -40,6 +40,19 @@
         return self.in_touch and self.level
 
 
+@dataclass(frozen=True)
+class Backup(Following):
+    """A member that follows a primary."""
+
+
+@dataclass(frozen=True)
+class Learner(Following):
+    """A process that is no member, and is in touch with a primary that sends it all documents.
+
+    It has no vote and counts as no copy. There is one wherever there are more machines than members.
+    """
+
+
 @dataclass(frozen=True)
 class Unattached:
     """This process knows no primary, or takes no part yet."""
@@ -47,7 +60,7 @@
     reason: str
 
 
-Role = Primary | Backup | Unattached
+Role = Primary | Backup | Learner | Unattached
 
 
 @dataclass(frozen=True)
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -403,7 +403,9 @@
     def _compute_role(self, now: float) -> Role:
         context = self._context
         if not context.is_member():
-            return Unattached("recovering" if context.is_recovering() else "joining")
+            if context.is_recovering():
+                return Unattached("recovering")
+            return self._follower.learner_role(now) or Unattached("joining")
         leadership = self._leadership
         if leadership is not None and leadership.established_at is not None and leadership.has_lease(now):
             return Primary(leadership.epoch, leadership.established_at)
--- a/rookwood/lab/controlsimulation/operators.py
+++ b/rookwood/lab/controlsimulation/operators.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from rookwood.coordination.outcomes import Backup, Primary
+from rookwood.coordination.outcomes import Following, Primary
 from rookwood.lab.controlsimulation.calls import Call, Calls, Operation
 from rookwood.lab.controlsimulation.changes import make_change, read_payload
 from rookwood.lab.controlsimulation.steps import SEED_BITS, OperationStep
@@ -130,7 +130,7 @@
             call = Call(attempt.operation, lambda is_clear: self._on_answered(attempt, is_clear))
             attempt.operation.open_requests -= 1
             self._calls.begin(machine, call)
-        elif isinstance(role, Backup) and role.in_touch:
+        elif isinstance(role, Following) and role.in_touch:
             self._redirect(attempt, role.primary)
         elif self._world.now > attempt.began + ATTACH_PATIENCE:
             self._end_without_call(attempt)
--- a/tests/test_controlplane_operator.py
+++ b/tests/test_controlplane_operator.py
@@ -23,6 +23,7 @@
     Confirmed,
     ControlGroup,
     Declined,
+    Learner,
     Overloaded,
     PayloadTooLarge,
     Primary,
@@ -232,6 +233,12 @@
             self.assertEqual(f"http://{PEER}:{CONTROL_PORT}/config", answer.headers["Location"])
         self.assertEqual(b"", self.group.payload)
 
+    async def test_a_machine_that_is_no_member_sends_the_operator_to_the_primary_that_it_hears(self) -> None:
+        self.group.current = Learner(PEER, 2, True)
+        answer = await self.call("PUT", CONFIGURATION, 0)
+        self.assertEqual(307, answer.status)
+        self.assertEqual(f"http://{PEER}:{CONTROL_PORT}/config", answer.headers["Location"])
+
     async def test_without_a_primary_there_is_no_clear_answer(self) -> None:
         for role in (Unattached("alone"), Backup(PEER, 2, False)):
             self.group.current = role
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -37,7 +37,7 @@
     WorkerReport,
 )
 from rookwood.controlplane.worker_table import WorkerTable
-from rookwood.coordination.group import Backup, ControlGroup, Primary, Role, Unattached
+from rookwood.coordination.group import Backup, ControlGroup, Learner, Primary, Role, Unattached
 from rookwood.modelplacement.types import WeightsKey
 from tests.fake_worker import (
     HOST,
@@ -217,6 +217,10 @@
         self.group.current = Backup(PEER, 1, True)
         self.assertEqual(200, await self.beat(state="draining"))
 
+    async def test_a_machine_that_is_no_member_acknowledges_while_it_hears_the_primary(self) -> None:
+        self.group.current = Learner(PEER, 1, True)
+        self.assertEqual(200, await self.beat())
+
     async def test_a_machine_without_a_primary_sends_the_worker_elsewhere(self) -> None:
         self.assertEqual(200, await self.beat())
         self.group.current = Unattached("no primary")
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -23,6 +23,7 @@
     Committed,
     Confirmed,
     Declined,
+    Learner,
     NotPrimary,
     Primary,
     Unattached,
@@ -607,6 +608,14 @@
         self.harness.start(D, None)
         self.harness.pass_time(4.0)
         self.assertEqual(self.harness.replicas[A].members(), MEMBERS)
+        self.assertEqual(self.harness.replicas[D].role(self.harness.now), Learner(A, 1, True))
+
+    def test_learner_that_hears_the_primary_no_more_knows_none(self) -> None:
+        self.harness.start(D, None)
+        self.harness.pass_time(1.0)
+        self.assertEqual(self.harness.replicas[D].role(self.harness.now), Learner(A, 1, True))
+        self.harness.down.add(D)
+        self.harness.pass_time(2.0)
         self.assertEqual(self.harness.replicas[D].role(self.harness.now), Unattached("joining"))
 
     def test_removed_member_is_told_and_joins_anew(self) -> None:
@@ -617,7 +626,7 @@
         self.harness.receive(B, C, VoteRequest(50, Position()))
         self.assertEqual(len(self.harness.take(MembershipNotice, C)), 1)
         self.harness.pass_time(2.0)
-        self.assertEqual(self.harness.replicas[C].role(self.harness.now), Unattached("joining"))
+        self.assertEqual(self.harness.replicas[C].role(self.harness.now), Learner(A, 1, True))
         self.assertLess(self.harness.replicas[A].record().promised, 50)
 
     def test_member_wiped_and_taken_in_by_a_deposed_primary_does_not_count(self) -> None:
