Send workers from learners to members again: the primary does not hear of them there

A worker that called a learner was unknown to the primary, which placed nothing there.

Learners answer workers with 503 as before; operators are still referred to the primary.

--- a/rookwood/controlplane/worker_api.py
+++ b/rookwood/controlplane/worker_api.py
@@ -12,7 +12,7 @@
 from rookwood.cluster.workers import MalformedHeartbeatError, WorkerState, parse_heartbeat
 from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.worker_table import WorkerTable
-from rookwood.coordination.group import ControlGroup, Following, Primary
+from rookwood.coordination.group import Backup, ControlGroup, Primary
 
 logger = logging.getLogger("rookwood")
 
@@ -69,8 +69,11 @@
         return await self._presence.confirm(news)
 
     def _cut_off(self) -> bool:
-        """Whether this machine may be cut off: what it hears then may not reach all dispatchers."""
+        """Whether what this machine hears may not reach all others: it may be cut off, or is no member.
+
+        Members subscribe to members. A worker that calls a learner alone would be unknown to the primary.
+        """
         role = self._group.role()
-        if isinstance(role, Following):
+        if isinstance(role, Backup):
             return not role.in_touch
         return not isinstance(role, Primary)
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -217,9 +217,11 @@
         self.group.current = Backup(PEER, 1, True)
         self.assertEqual(200, await self.beat(state="draining"))
 
-    async def test_a_machine_that_is_no_member_acknowledges_while_it_hears_the_primary(self) -> None:
+    async def test_a_machine_that_is_no_member_sends_the_worker_elsewhere(self) -> None:
+        """Members subscribe to members: the primary would never hear of the worker."""
         self.group.current = Learner(PEER, 1, True)
-        self.assertEqual(200, await self.beat())
+        self.assertEqual(503, await self.beat())
+        self.assertEqual(503, await self.beat(state="draining"))
 
     async def test_a_machine_without_a_primary_sends_the_worker_elsewhere(self) -> None:
         self.assertEqual(200, await self.beat())
