--- a/rookwood/cli/control.py
+++ b/rookwood/cli/control.py
@@ -20,13 +20,14 @@
 )
 from rookwood.cli.control_dispatchers import find_farthest_behind
 from rookwood.cli.control_recover import recover
-from rookwood.cli.control_text import history_text, status_text
+from rookwood.cli.control_text import AgedStatus, history_text, status_text
 from rookwood.cli.exit_codes import BROKEN, DONE, FAILED
 from rookwood.cluster.control_status import MachineHistory
 from rookwood.cluster.settings import settings_path
 
 HTTP_OK = 200
 ALL_CHANGES = 100_000
+AGE_DIGITS = 3
 
 Addresses = Annotated[
     list[str],
@@ -47,7 +48,7 @@
         """Run the command and return the exit code."""
         view = look_at_group(self.addresses)
         violations = find_violations(view.machines.values())
-        print(_as_json(view, violations) if self.json else status_text(list(view.machines.values())))
+        print(_as_json(view, violations) if self.json else status_text(_aged(view)))
         return _finish(view, violations)
 
 
@@ -100,7 +101,10 @@
 @cappa.command(name="verify")
 @dataclass
 class VerifyCommand:
-    """Check that no epoch has two primaries, and that copies and histories agree."""
+    """Check that no epoch has two primaries, and that copies and histories agree.
+
+    It fails where a machine could not be asked: what that one holds was not compared.
+    """
 
     addresses: Addresses
     json: Json = False
@@ -120,7 +124,8 @@
             print(_as_json(view, violations))
         else:
             print(f"{len(view.machines)} machines compared, {len(violations)} broken rules")
-        return _finish(view, violations)
+        code = _finish(view, violations)
+        return FAILED if code == DONE and view.unreachable else code
 
 
 @cappa.command(name="recover")
@@ -168,6 +173,10 @@
     return exit_code
 
 
+def _aged(view: GroupView) -> list[AgedStatus]:
+    return [AgedStatus(answer.status, view.age(address)) for address, answer in view.answers.items()]
+
+
 def _finish(view: GroupView, violations: list[Violation]) -> int:
     for missing in view.unreachable:
         _complain(f"{missing.address}: {missing.reason}")
@@ -182,6 +191,7 @@
     farthest_behind = find_farthest_behind(view.machines.values())
     document: dict[str, Any] = {
         "machines": {address: status.to_json() for address, status in view.machines.items()},
+        "ages": {address: round(view.age(address), AGE_DIGITS) for address in view.answers},
         "unreachable": [asdict(missing) for missing in view.unreachable],
         "violations": [asdict(violation) for violation in violations],
         "farthest_behind": asdict(farthest_behind) if farthest_behind is not None else None,
--- a/rookwood/cli/control_client.py
+++ b/rookwood/cli/control_client.py
@@ -4,7 +4,9 @@
 
 import http.client
 import json
+import time
 from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from rookwood.cluster.control_status import (
@@ -17,7 +19,9 @@
 )
 
 CALL_LIMIT = 2.0  # seconds
+CALL_ATTEMPTS = 2  # of a machine that gives no sound answer in time
 TRANSFER_CALL_LIMIT = 5.0
+MOST_CALLS_AT_ONCE = 16
 
 
 @dataclass(frozen=True)
@@ -36,36 +40,87 @@
     body: object
 
 
+@dataclass(frozen=True)
+class TimedStatus:
+    """A machine's status, and when it was asked for and came, on this process's steady clock in seconds.
+
+    What it tells held at some moment between the two.
+    """
+
+    status: MachineStatus
+    asked_at: float
+    answered_at: float
+
+
 @dataclass
 class GroupView:
     """The control machines that answered, by their `ctl` address, and those that did not."""
 
-    machines: dict[str, MachineStatus] = field(default_factory=dict)
+    answers: dict[str, TimedStatus] = field(default_factory=dict)
     unreachable: list[Unreachable] = field(default_factory=list)
+    completed_at: float = 0.0
+
+    @property
+    def machines(self) -> dict[str, MachineStatus]:
+        """The newest status of each machine."""
+        return {address: answer.status for address, answer in self.answers.items()}
+
+    def age(self, address: str) -> float:
+        """For how many seconds at the most a machine's status is old."""
+        return self.completed_at - self.answers[address].asked_at
 
     def primaries(self) -> list[str]:
-        """The addresses of the machines that take themselves for the primary."""
-        return [address for address, status in self.machines.items() if status.primary == status.machine]
+        """The addresses of the machines that take themselves for the primary of the newest epoch."""
+        claims = {address: status for address, status in self.machines.items() if status.leads}
+        newest = max((status.epoch for status in claims.values()), default=0)
+        return [address for address, status in claims.items() if status.epoch == newest]
+
+    def take(self, address: str, answer: TimedStatus | Unreachable) -> None:
+        """Keep a machine's newest answer."""
+        if isinstance(answer, TimedStatus):
+            self.answers[address] = answer
+        elif address not in self.answers:
+            self.unreachable.append(answer)
 
 
 def look_at_group(addresses: Iterable[str]) -> GroupView:
-    """Ask these machines, and all members that they name, at the same port."""
+    """Ask these machines, and all members that they name, at the same port, all at one time.
+
+    The leadership may pass on between two answers. Where several machines say to lead, all are asked once
+    more, and what they said before counts for nothing.
+    """
     view = GroupView()
+    _ask(view, addresses)
+    if sum(status.leads for status in view.machines.values()) > 1:
+        _ask(view, list(view.answers))
+    view.completed_at = time.monotonic()
+    return view
+
+
+def _ask(view: GroupView, addresses: Iterable[str]) -> None:
     pending = list(dict.fromkeys(addresses))
     asked: set[str] = set()
-    while pending:
-        address = pending.pop(0)
-        if address in asked:
-            continue
-        asked.add(address)
+    with ThreadPoolExecutor(MOST_CALLS_AT_ONCE) as calls:
+        while pending:
+            asked.update(pending)
+            named: dict[str, None] = {}
+            for address, answer in zip(pending, calls.map(fetch_timed_status, pending), strict=True):
+                view.take(address, answer)
+                if isinstance(answer, TimedStatus):
+                    port = address.rpartition(":")[2]
+                    named.update((f"{member}:{port}", None) for member in answer.status.members)
+            pending = [address for address in named if address not in asked]
+
+
+def fetch_timed_status(address: str) -> TimedStatus | Unreachable:
+    """The status of one machine, and when it was told; asked again where no sound answer came in time."""
+    for _ in range(CALL_ATTEMPTS):
+        asked_at = time.monotonic()
         status = fetch_status(address)
-        if isinstance(status, Unreachable):
-            view.unreachable.append(status)
-            continue
-        view.machines[address] = status
-        port = address.rpartition(":")[2]
-        pending += [f"{member}:{port}" for member in status.members]
-    return view
+        if not isinstance(status, Unreachable):
+            return TimedStatus(status, asked_at, time.monotonic())
+        failure = status
+    return failure
 
 
 def fetch_status(address: str) -> MachineStatus | Unreachable:
--- a/rookwood/cli/control_text.py
+++ b/rookwood/cli/control_text.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from rookwood.cli.control_dispatchers import find_farthest_behind
 from rookwood.cluster.control_status import MachineHistory, MachineStatus, StatePosition
@@ -10,21 +11,31 @@
 
 COLUMNS = (
     *("machine", "role", "epoch", "committed", "stored", "version", "lag", "copy", "dispatchers"),
-    "digest",
+    *("digest", "age"),
 )
 WITHOUT_CONFIGURATION = StatePosition(NO_CONFIGURATION.epoch, NO_CONFIGURATION.sequence)
 
 
-def status_text(statuses: Sequence[MachineStatus]) -> str:
+@dataclass(frozen=True)
+class AgedStatus:
+    """A machine's status, and for how many seconds at the most it is old."""
+
+    status: MachineStatus
+    age: float
+
+
+def status_text(told: Sequence[AgedStatus]) -> str:
     """A table of the machines, and what follows from all of them together."""
+    statuses = [aged.status for aged in told]
     newest = max((status.committed for status in statuses), default=None)
+    newest_epoch = max((status.epoch for status in statuses), default=0)
     rows = [COLUMNS]
-    for status in statuses:
+    for status, age in ((aged.status, aged.age) for aged in told):
         behind = newest is not None and status.committed < newest
         rows.append(
             (
                 status.machine,
-                status.role.value + (f" ({status.reason})" if status.reason else ""),
+                _role(status, newest_epoch),
                 str(status.epoch or "-"),
                 str(status.committed),
                 str(status.stored),
@@ -33,6 +44,7 @@
                 "yes" if status.holds_copy else "no",
                 "-" if status.dispatchers is None else str(status.dispatchers.reporting),
                 status.digest,
+                f"{age:.2f} s",
             )
         )
     widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
@@ -40,6 +52,13 @@
     return "\n".join(line.rstrip() for line in [*lines, *_summary(statuses)])
 
 
+def _role(status: MachineStatus, newest_epoch: int) -> str:
+    """The role; who says to lead an older epoch than another machine knows has been replaced."""
+    if status.leads and status.epoch < newest_epoch:
+        return f"{status.role.value} until epoch {newest_epoch}"
+    return status.role.value + (f" ({status.reason})" if status.reason else "")
+
+
 def _summary(statuses: Sequence[MachineStatus]) -> list[str]:
     """Members, how many machines have synced the newest committed document, and the last dispatcher."""
     if not statuses:
--- a/rookwood/cluster/configuration_follower.py
+++ b/rookwood/cluster/configuration_follower.py
@@ -132,13 +132,15 @@
             self.take_delta(peer, message, now)
 
     def announced(self, peer: str, status: Status, now: float) -> None:
-        """A control machine told its newest position."""
-        position = status.position
-        if status.config_sequence <= 0:
-            self._announcements.pop(peer, None)
+        """A control machine told its newest position; over one link, positions only rise.
+
+        A status may have been made before an answer that came sooner, so it takes nothing back.
+        """
+        known = self._announcements.get(peer)
+        if status.config_sequence <= 0 and known is None:
             return
+        position = max(status.position, known.position) if known is not None else status.position
         announcement = Announcement(position, status.claims_primary, status.fresh, since=now)
-        known = self._announcements.get(peer)
         if known is not None:
             announcement.confirmed_at = known.confirmed_at
             if known.position > self.position:
--- a/rookwood/cluster/control_status.py
+++ b/rookwood/cluster/control_status.py
@@ -84,6 +84,11 @@
     digest: str
     dispatchers: DispatcherOverview | None
 
+    @property
+    def leads(self) -> bool:
+        """Whether the machine takes itself for the primary."""
+        return self.primary == self.machine
+
     def to_json(self) -> dict[str, Any]:
         """The status as JSON values."""
         return {**asdict(self), "role": self.role.value}
--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -16,7 +16,10 @@
 from rookwood.cluster.messages import (
     ConfigurationBody,
     ConfigurationDelta,
+    ControlMachine,
+    CountedWeights,
     DemandReport,
+    DemandSummary,
     FetchConfiguration,
     Heartbeat,
     HeartbeatAnswer,
@@ -48,6 +51,10 @@
 COMPRESSION_LEVEL = 1  # configurations repeat themselves; higher levels gain little
 
 
+READ_ERRORS = (EOFError, ValueError, IndexError, KeyError, StopIteration, struct.error)
+"""What reading a record raises where its bytes are not one."""
+
+
 class FrameError(Exception):
     """The peer sent something that is not a frame of this protocol."""
 
@@ -92,6 +99,14 @@
     ("model", "string"),
     ("adapter", "string"),
 )
+_COUNTED = _record(
+    "CountedWeights",
+    ("service", "string"),
+    ("worker", "string"),
+    ("model", "string"),
+    ("adapter", "string"),
+    ("count", "int"),
+)
 _WORK_NOTICE = _record(
     "WorkNotice",
     ("origin", "string"),
@@ -101,7 +116,14 @@
 )
 _DIGEST = {"type": "fixed", "name": "ItemsDigest", "size": DIGEST_BYTES}
 _SCHEMAS: dict[type, Any] = {
-    Hello: _record("Hello", ("identity", "string"), ("tier", "string"), ("zone", "string")),
+    Hello: _record(
+        "Hello",
+        ("identity", "string"),
+        ("tier", "string"),
+        ("zone", "string"),
+        ("release", "int"),
+        ("subscribes", "boolean"),
+    ),
     Status: _record(
         "Status",
         ("identity", "string"),
@@ -113,6 +135,9 @@
         ("config_sequence", "long"),
         ("dispatchers", "int"),
         ("members", _array("string")),
+        ("release", "int"),
+        ("attached", "int"),
+        ("roots", _array(_record("ControlMachine", ("ip", "string"), ("zone", "string")))),
     ),
     FetchConfiguration: _record(
         "FetchConfiguration",
@@ -149,6 +174,7 @@
         ("config_epoch", "long"),
         ("config_sequence", "long"),
         ("sent_at", "double"),
+        ("stalled", "float"),
     ),
     ConfigurationDelta: _record(
         "ConfigurationDelta",
@@ -168,8 +194,27 @@
         ("fresh", "boolean"),
     ),
     PresenceAck: _record("PresenceAck", ("worker", "string"), ("deleted", "boolean")),
+    DemandSummary: _record(
+        "DemandSummary",
+        ("identity", "string"),
+        ("dispatchers", "int"),
+        ("keys", _array(_KEY_DEMAND)),
+        ("wanted", _array(_COUNTED)),
+        ("complete", "boolean"),
+    ),
 }
+_ADDED_FIELDS = {Hello: 2, Status: 3, Heartbeat: 1}
+"""How many fields at the end of a message programs of release 0 do not send."""
+
+
+def _without_last(schema: Any, count: int) -> Any:
+    return {**schema, "fields": schema["fields"][:-count]}
+
+
 _PARSED = {kind: parse_schema(schema) for kind, schema in _SCHEMAS.items()}
+_RELEASE_0 = {
+    kind: parse_schema(_without_last(_SCHEMAS[kind], count)) for kind, count in _ADDED_FIELDS.items()
+}
 _TYPES: tuple[type, ...] = tuple(_SCHEMAS)
 _NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
 _TYPE_FIELD = 4  # offset of the message type in a frame
@@ -283,8 +328,13 @@
             "wanted": wanted,
             "complete": message.complete,
         }
+    if isinstance(message, DemandSummary):
+        keys = [_plain(key) for key in message.keys]
+        return {**_plain(message), "keys": keys, "wanted": [_plain(item) for item in message.wanted]}
     if isinstance(message, WorkNotices):
         return {"notices": [_plain(notice) for notice in message.notices]}
+    if isinstance(message, Status):
+        return {**_plain(message), "roots": [_plain(root) for root in message.roots]}
     return _plain(message)
 
 
@@ -304,6 +354,12 @@
         keys = tuple(KeyDemand(**key) for key in value["keys"])
         wanted = tuple(WantedWeights(**item) for item in value["wanted"])
         return DemandReport(value["identity"], keys, wanted, value["complete"])
+    if kind is DemandSummary:
+        keys = tuple(KeyDemand(**key) for key in value["keys"])
+        counted = tuple(CountedWeights(**item) for item in value["wanted"])
+        return DemandSummary(value["identity"], value["dispatchers"], keys, counted, value["complete"])
+    if kind is Status:
+        value["roots"] = [ControlMachine(**root) for root in value.get("roots", ())]
     if kind is WorkNotices:
         return WorkNotices(tuple(_work_notice(notice) for notice in value["notices"]))
     for name, item in value.items():
@@ -335,13 +391,32 @@
     if number >= len(_TYPES):
         raise FrameError(f"unknown message type {number}")
     kind = _TYPES[number]
+    return _from_avro(kind, _read_record(kind, body))
+
+
+def _read_record(kind: type, body: bytes) -> dict[str, Any]:
+    """The fields of a record; one of release 0 ends before those that were added."""
     try:
         value = schemaless_reader(io.BytesIO(body), _PARSED[kind], None)
-    except (EOFError, ValueError, IndexError, KeyError, StopIteration) as error:
-        raise FrameError(f"{kind.__name__}: {error!r}") from error
+    except READ_ERRORS as error:
+        value = _read_release_0(kind, body)
+        if value is None:
+            raise FrameError(f"{kind.__name__}: {error!r}") from error
     if not isinstance(value, dict):
         raise FrameError(f"{kind.__name__}: not a record")
-    return _from_avro(kind, value)
+    return value
+
+
+def _read_release_0(kind: type, body: bytes) -> Any:
+    """The fields of a whole record of release 0; None where it is none."""
+    if kind not in _RELEASE_0:
+        return None
+    buffer = io.BytesIO(body)
+    try:
+        value = schemaless_reader(buffer, _RELEASE_0[kind], None)
+    except READ_ERRORS:
+        return None
+    return value if buffer.tell() == len(body) else None
 
 
 def read_header(header: bytes) -> tuple[int, int]:
--- a/rookwood/cluster/messages.py
+++ b/rookwood/cluster/messages.py
@@ -8,19 +8,46 @@
 from rookwood.cluster.workers import WorkerRecord
 from rookwood.clusterconfig.items import ItemChanges
 
+RELEASE = 1
+"""Of the protocol of these links. 0 is that of programs which do not tell it.
+
+Fields are only ever added at the end of a message, and have a default here: a program of the release before
+passes over them, and what it sends is read with the defaults. A new kind of message is sent to programs of a
+release that knows it alone.
+"""
+
+RELEASE_WITH_ONE_FEED = 1  # from this on control machines pass on what dispatchers report, to one another
+
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message of a link, from the side that opened it."""
+    """First message of a link, from the side that opened it.
+
+    `subscribes`: it wants the feed of workers and work notices. Without that it hears statuses and answers.
+    """
 
     identity: str
     tier: str
     zone: str
+    release: int = 0
+    subscribes: bool = True
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ControlMachine:
+    """A control machine that dispatchers may subscribe to."""
+
+    ip: str
+    zone: str
 
 
 @dataclass(frozen=True, slots=True)
 class Status:
-    """A control machine's view: who leads, and which configuration is committed. Also the heartbeat."""
+    """A control machine's view: who leads, and which configuration is committed. Also the heartbeat.
+
+    `dispatchers` is how many there are in the whole system, `attached` how many subscribe to this machine.
+    `roots` are the control machines that it is in touch with, itself among them.
+    """
 
     identity: str
     epoch: int
@@ -31,6 +58,9 @@
     config_sequence: int
     dispatchers: int
     members: tuple[str, ...]
+    release: int = 0
+    attached: int = 0
+    roots: tuple[ControlMachine, ...] = ()
 
     @property
     def position(self) -> ConfigurationPosition:
@@ -171,6 +201,31 @@
     complete: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CountedWeights:
+    """So many dispatchers' placement tables want these weights on this worker."""
+
+    service: str
+    worker: str
+    model: str
+    adapter: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class DemandSummary:
+    """The sum of what the dispatchers report that are attached to one control machine, for the primary.
+
+    As with a report, a `complete` one replaces what was told before; others only add to it.
+    """
+
+    identity: str
+    dispatchers: int
+    keys: tuple[KeyDemand, ...]
+    wanted: tuple[CountedWeights, ...]
+    complete: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WorkNotice:
     """A dispatcher sent a prompt to a worker: how long its prefill takes, and which parts are cached then.
@@ -195,13 +250,15 @@
 class Heartbeat:
     """Keeps a link known to be alive, and tells by which configuration its sender serves.
 
-    `sent_at` is the time by the sender's own clock, in seconds; the answer repeats it.
+    `sent_at` is the time by the sender's own clock, in seconds; the answer repeats it. `stalled` is for how
+    many seconds in all the sender's process has stood still since its start.
     """
 
     identity: str
     config_epoch: int = NO_CONFIGURATION.epoch
     config_sequence: int = NO_CONFIGURATION.sequence
     sent_at: float = 0.0
+    stalled: float = 0.0
 
     @property
     def position(self) -> ConfigurationPosition:
@@ -241,4 +298,5 @@
     | Heartbeat
     | HeartbeatAnswer
     | PresenceAck
+    | DemandSummary
 )
--- a/rookwood/cluster/outbox.py
+++ b/rookwood/cluster/outbox.py
@@ -15,6 +15,7 @@
     ConfigurationBody,
     ConfigurationDelta,
     DemandReport,
+    DemandSummary,
     FetchConfiguration,
     Heartbeat,
     HeartbeatAnswer,
@@ -77,7 +78,7 @@
             return PresenceSubject(message.worker, final=message.deleted)
         case PresenceAck():
             return AcknowledgedSubject(message)
-        case DemandReport():
+        case DemandReport() | DemandSummary():
             return Subject.DEMAND if message.complete else None
         case WorkNotices():
             return Never.QUEUED
--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -6,15 +6,19 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rookwood.cluster.invariants import INVARIANTS, Invariant, InvariantCounter
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
 from rookwood.coordination.monitoring import PauseDetector
+from rookwood.metrics.loop_lag import INTERVAL as LOOP_LAG_INTERVAL
 
 Clock = Callable[[], float]
 
 REMEMBERED_COMMITS = 4096
+REMEMBERED_HEARTBEATS = 32  # of a dispatcher; some 13 s
+NOTABLE_STALL = 0.05  # seconds; less is how late timers are anyway
+STALL_RESOLUTION = LOOP_LAG_INTERVAL  # seconds of a stall that its meter may not see
 LONGEST_CHECK_INTERVAL = 1.5  # seconds between two checks of a process that runs
 MOST_AWAITED = 256  # announced positions whose times are kept
 
@@ -98,10 +102,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """When a position was committed, as far as this machine knows."""
+    """When a position was committed, as far as this machine knows, and its stalls until then."""
 
     position: ConfigurationPosition
     at: float
+    stalled: float
+
+
+@dataclass(frozen=True, slots=True)
+class HeardHeartbeat:
+    """When a heartbeat came, and for how many seconds its sender's process had stood still by then."""
+
+    at: float
+    stalled: float
 
 
 @dataclass(slots=True)
@@ -111,6 +124,18 @@
     position: ConfigurationPosition
     take_up: float | None
     linked_at: float  # when it first reported over its link
+    heartbeats: deque[HeardHeartbeat] = field(default_factory=lambda: deque(maxlen=REMEMBERED_HEARTBEATS))
+
+    def stalled_since(self, moment: float) -> float:
+        """For how long its process stood still from a moment to its newest heartbeat, at the most."""
+        before = [heard.stalled for heard in self.heartbeats if heard.at <= moment]
+        first = before[-1] if before else self.heartbeats[0].stalled
+        return at_most_stalled(self.heartbeats[-1].stalled - first)
+
+
+def at_most_stalled(seen: float) -> float:
+    """The longest stall of which a meter may have seen so much, in seconds."""
+    return seen + STALL_RESOLUTION if seen > NOTABLE_STALL else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,10 +154,20 @@
 
 
 class DispatcherProgress:
-    """Compares what dispatchers report with the commits known here."""
+    """Compares what dispatchers report with the commits known here.
 
-    def __init__(self, clock: Clock = time.monotonic, invariants: InvariantCounter = INVARIANTS) -> None:
+    `stalled` tells for how many seconds in all this process has stood still; dispatchers tell theirs in their
+    heartbeats. Neither is time that a dispatcher took.
+    """
+
+    def __init__(
+        self,
+        clock: Clock = time.monotonic,
+        invariants: InvariantCounter = INVARIANTS,
+        stalled: Clock = lambda: 0.0,
+    ) -> None:
         self._clock = clock
+        self._stalled = stalled
         self._invariants = invariants
         self._commits: deque[Commit] = deque(maxlen=REMEMBERED_COMMITS)
         self._reports: dict[str, DispatcherReport] = {}
@@ -141,16 +176,17 @@
     def committed(self, position: ConfigurationPosition) -> None:
         """A position is committed; positions only rise."""
         if not self._commits or position > self._commits[-1].position:
-            self._commits.append(Commit(position, self._clock()))
+            self._commits.append(Commit(position, self._clock(), self._stalled()))
 
-    def reported(self, dispatcher: str, position: ConfigurationPosition) -> None:
+    def reported(self, dispatcher: str, position: ConfigurationPosition, stalled: float = 0.0) -> None:
         """A dispatcher has this position in force; called for each of its heartbeats."""
         report = self._reports.get(dispatcher)
-        if report is not None and report.position == position:
-            return
-        take_up = None if report is None else self._take_up(position)
-        linked_at = self._clock() if report is None else report.linked_at
-        self._reports[dispatcher] = DispatcherReport(position, take_up, linked_at)
+        if report is None:
+            report = self._reports[dispatcher] = DispatcherReport(position, None, self._clock())
+        elif report.position != position:
+            report.take_up = self._take_up(position)
+            report.position = position
+        report.heartbeats.append(HeardHeartbeat(self._clock(), stalled))
 
     def lost(self, dispatcher: str) -> None:
         """A dispatcher's link ended; it is counted again once it reports."""
@@ -171,15 +207,26 @@
     def check(self, limit: float) -> None:
         """Count dispatchers that lack a commit for longer than the limit, in seconds, as violations.
 
-        One that has just linked has the whole limit from then on.
+        One that has just linked has the whole limit from then on. What counts is the time up to its newest
+        heartbeat, without that in which its process or this one stood still: one that says nothing more is
+        found by the silence of its link.
         """
         if not self._periodic.has_run_for(limit):
             return
         for lag in self.lags():
-            linked_for = self._clock() - self._reports[lag.dispatcher].linked_at
+            taken = self._time_taken(self._reports[lag.dispatcher])
             detail = f"{lag.dispatcher} has {lag.position}, {lag.behind:.1f} s after a newer commit"
-            in_time = min(lag.behind, linked_for) <= limit
-            self._invariants.check(in_time, Invariant.DISPATCHERS_IN_TIME, detail)
+            self._invariants.check(taken <= limit, Invariant.DISPATCHERS_IN_TIME, detail)
+
+    def _time_taken(self, report: DispatcherReport) -> float:
+        """Seconds of its own for which a dispatcher has lacked the oldest commit that it has not reported."""
+        index = self._first_after(report.position)
+        if index == len(self._commits):
+            return 0.0
+        missing = self._commits[index]
+        begin = max(missing.at, report.linked_at)
+        own_stall = at_most_stalled(self._stalled() - missing.stalled)
+        return report.heartbeats[-1].at - begin - report.stalled_since(begin) - own_stall
 
     def _first_after(self, position: ConfigurationPosition) -> int:
         return bisect.bisect_right(self._commits, position, key=lambda commit: commit.position)
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -19,6 +19,7 @@
 from rookwood.controlplane.demand import DemandSum
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_client import (
+    HIGHER_FENCE_SEEN,
     OrderCall,
     OrderRefused,
     OrderTaken,
@@ -55,6 +56,7 @@
     executing: bool = False
     failures: int = 0
     leaving: WeightsKey | None = None  # weights that the order under way unloads
+    refused_epoch: int | None = None  # under which the worker has seen a higher fence than ours
 
 
 @dataclass(slots=True)
@@ -200,6 +202,8 @@
             present.add(record.id)
             status = plan.workers.setdefault(record.id, WorkerStatus(started=now))
             self._refresh(plan, record, status, now)
+            if status.refused_epoch == epoch:
+                continue  # another holder orders there under a higher fence
             if status.report is not None and status.failures == 0:
                 workers.append(describe(plan.engine, record, status, status.report))
         for worker in plan.workers.keys() - present:
@@ -282,6 +286,8 @@
                     await self._follow(record, status, order.if_sequence, poll_interval(plan, order))
             elif isinstance(outcome, OrderRefused):
                 logger.info("order refused", extra={"worker": order.worker, "status": outcome.status})
+                if outcome.status == HIGHER_FENCE_SEEN:
+                    status.refused_epoch = epoch
                 plan.planner.outcome(self._now(), order, False)
             else:
                 plan.planner.outcome(self._now(), order, None)
--- a/rookwood/controlplane/presence_quorum.py
+++ b/rookwood/controlplane/presence_quorum.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import cachetools
 
@@ -19,14 +20,22 @@
 REMEMBERED_FOR = 600.0  # seconds; workers end within seconds after they drain
 
 
+@dataclass(slots=True)
+class AwaitedNews:
+    """One piece of news that calls wait for: who has taken it, and how many calls there are."""
+
+    taken_by: set[str]
+    settled: asyncio.Event = field(default_factory=asyncio.Event)
+    calls: int = 0
+
+
 class PresenceQuorum:
     """Collects the acknowledgements of the other control machines."""
 
     def __init__(self, own_ip: str, members: Callable[[], tuple[str, ...]]) -> None:
         self._own_ip = own_ip
         self._members = members
-        self._acknowledged: dict[PresenceAck, set[str]] = {}
-        self._settled: dict[PresenceAck, asyncio.Event] = {}
+        self._awaited: dict[PresenceAck, AwaitedNews] = {}
         self._confirmed: cachetools.TTLCache[PresenceAck, bool] = cachetools.TTLCache(
             REMEMBERED, REMEMBERED_FOR
         )
@@ -36,29 +45,33 @@
         return news in self._confirmed
 
     async def confirm(self, news: PresenceAck) -> bool:
-        """Wait until a majority has taken the news that was just told; false where that takes too long."""
-        settled = self._settled.setdefault(news, asyncio.Event())
-        self._acknowledged.setdefault(news, {self._own_ip})
-        self._count(news)
+        """Wait until a majority has taken the news that was just told; false where that takes too long.
+
+        Several calls may wait for one piece of news: workers send again what was not answered in time.
+        """
+        awaited = self._awaited.setdefault(news, AwaitedNews({self._own_ip}))
+        awaited.calls += 1
+        self._count(news, awaited)
         try:
             async with asyncio.timeout(CONFIRMATION_LIMIT):
-                await settled.wait()
+                await awaited.settled.wait()
         except TimeoutError:
             return False
         finally:
-            self._settled.pop(news, None)
-            self._acknowledged.pop(news, None)
+            awaited.calls -= 1
+            if not awaited.calls:
+                del self._awaited[news]
         return True
 
     def acknowledged(self, machine: str, news: PresenceAck) -> None:
         """Another control machine has taken the news."""
-        if news in self._acknowledged:
-            self._acknowledged[news].add(machine)
-            self._count(news)
+        awaited = self._awaited.get(news)
+        if awaited is not None:
+            awaited.taken_by.add(machine)
+            self._count(news, awaited)
 
-    def _count(self, news: PresenceAck) -> None:
+    def _count(self, news: PresenceAck, awaited: AwaitedNews) -> None:
         members = self._members()
-        taken = self._acknowledged[news].intersection(members)
-        if 2 * len(taken) > len(members):
+        if 2 * len(awaited.taken_by.intersection(members)) > len(members):
             self._confirmed[news] = True
-            self._settled[news].set()
+            awaited.settled.set()
--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -22,6 +22,7 @@
 REQUEST_ID_HEADER = "X-Try-Id"  # only requests of clients have one, and their answers
 REPORTED = 200
 MISDIRECTED = 421
+HIGHER_FENCE_SEEN = 412  # the worker was given an order under a higher fence before
 HOLDS_ALREADY = 200
 TAKEN_STATUSES = (HOLDS_ALREADY, 202)
 
--- a/rookwood/coordination/document.py
+++ b/rookwood/coordination/document.py
@@ -60,10 +60,14 @@
         return all(_count(members, voters) >= vote_quorum(len(members)) for members in self._sets())
 
     def has_copies(self, holders: Voices, tolerate: int) -> bool:
-        """Tell whether the holders form a copy quorum of each member set in force."""
-        return all(
-            _count(members, holders) >= copy_quorum(len(members), tolerate) for members in self._sets()
-        )
+        """Tell whether the holders form a copy quorum of the members, and a vote quorum of outgoing ones.
+
+        Copies of the new members make the document durable. Of the outgoing set a majority suffices: whoever
+        is elected by that set meets one of them, and so learns of the new members.
+        """
+        if _count(self.members, holders) < copy_quorum(len(self.members), tolerate):
+            return False
+        return _count(self.outgoing, holders) >= vote_quorum(len(self.outgoing)) if self.outgoing else True
 
     def _sets(self) -> tuple[tuple[Member, ...], ...]:
         return (self.members, self.outgoing) if self.outgoing else (self.members,)
--- a/rookwood/coordination/following.py
+++ b/rookwood/coordination/following.py
@@ -23,6 +23,7 @@
         self._epoch = 0
         self._heard_at = float("-inf")
         self._expected_until = float("-inf")
+        self._distrusted_until = float("-inf")
         self._committed = Position()
 
     # What is known of the primary
@@ -33,25 +34,35 @@
 
     def lease_end(self) -> float:
         """Return until when what the primary told counts as fresh."""
+        if self._distrusted_until > self._context.now:
+            return self._distrusted_until
         return self._heard_at + self._context.timing.lease
 
-    def role(self, now: float) -> Backup | None:
-        """Return a member's role towards the primary, None if none is known or it is this process."""
+    def role(self, now: float, is_member: bool) -> Backup | Learner | None:
+        """Return the role towards the primary, None if none is known or it is this process.
+
+        A process that is no member has a role only as long as it hears the primary.
+        """
         if self.primary is None or self.primary == self._context.ip:
             return None
-        return Backup(self.primary, self._epoch, self._is_in_touch(now), self._is_level())
+        in_touch = self._is_in_touch(now)
+        if is_member:
+            return Backup(self.primary, self._epoch, in_touch, self._is_level())
+        return Learner(self.primary, self._epoch, in_touch, self._is_level()) if in_touch else None
 
-    def learner_role(self, now: float) -> Learner | None:
-        """Return the role of a process that is no member, None where it hears no primary."""
-        if self.primary is None or self.primary == self._context.ip or not self._is_in_touch(now):
-            return None
-        return Learner(self.primary, self._epoch, True, self._is_level())
+    def distrust(self, until: float) -> None:
+        """Count nothing heard until a moment as news: it waited while this process stood still."""
+        self._distrusted_until = until
 
     def _is_in_touch(self, now: float) -> bool:
-        return now - self._heard_at <= self._context.timing.lease
+        return now >= self._distrusted_until and now - self._heard_at <= self._context.timing.lease
 
     def _is_level(self) -> bool:
-        return self._context.applied >= self._committed
+        """Tell whether this process holds every commit of a primary that is established.
+
+        Before its first commit a primary tells of none, and what others committed may be missing here.
+        """
+        return self._committed.epoch == self._epoch and self._context.applied >= self._committed
 
     def follow(self, primary: str, epoch: int) -> None:
         """Note that a primary is heard."""
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -6,7 +6,6 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, fields
 from random import Random
@@ -36,6 +35,7 @@
 from rookwood.coordination.proposals import Change
 from rookwood.coordination.replication import Replica
 from rookwood.coordination.storage import Empty, Found, Inaccessible, LoadOutcome, Storage
+from rookwood.coordination.storage_thread import StorageThread
 from rookwood.coordination.timing import Timing
 from rookwood.coordination.transport import Transport
 
@@ -67,6 +67,7 @@
 READ_PAUSE = 0.25
 TRANSFER_LIMIT = 1.0
 DRAIN_LIMIT = 0.2
+CLOSE_LIMIT = 1.0  # seconds for which a process that ends waits for its disk
 INCARNATION_BITS = 62
 
 
@@ -113,7 +114,7 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._storage = storage or Storage(settings.directory, settings.disk_mb)
         self._stop_reading = threading.Event()
-        self._executor = ThreadPoolExecutor(1, thread_name_prefix="control-storage")
+        self._storage_thread = StorageThread("control-storage")
         self._transport = Transport(
             settings.ip,
             self._incarnation,
@@ -137,7 +138,7 @@
     async def start(self) -> None:
         """Open the storage and listen; returns without waiting for other members."""
         loop = asyncio.get_running_loop()
-        record = await loop.run_in_executor(self._executor, self._load)
+        record = await self._storage_thread.run(self._load)
         self._replica = Replica(
             ip=self._settings.ip,
             incarnation=self._incarnation,
@@ -163,10 +164,17 @@
             if not future.done():
                 future.set_result(Uncertain("stopped"))
         self._stop_reading.set()
-        await asyncio.gather(*self._writes)  # one that has not begun would open the storage again
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._executor, self._storage.close)
-        self._executor.shutdown(wait=False)
+        await self._close_storage()
+
+    async def _close_storage(self) -> None:
+        """Close the storage behind the writes under way; where the disk hangs, leave it to the end."""
+        try:
+            async with asyncio.timeout(CLOSE_LIMIT):
+                await asyncio.gather(*self._writes)  # one that has not begun would open the storage again
+                await self._storage_thread.run(self._storage.close)
+        except TimeoutError:
+            logger.error("storage not closed", extra={"writes_under_way": len(self._writes)})
+        self._storage_thread.close()
 
     def role(self) -> Role:
         """Return the present role; a primary whose lease ran out while it was frozen has lost it."""
@@ -368,8 +376,7 @@
         task.add_done_callback(self._writes.discard)
 
     async def _write(self, effect: Persist) -> None:
-        loop = asyncio.get_running_loop()
-        stored = await loop.run_in_executor(self._executor, self._save, effect.record)
+        stored = await self._storage_thread.run(self._save, effect.record)
         if self._replica is not None and not self._stopped:
             succeeded = stored is effect.record
             self._apply(self._replica.persisted(effect.ticket, stored, succeeded, self._now()))
--- a/rookwood/coordination/leadership.py
+++ b/rookwood/coordination/leadership.py
@@ -54,6 +54,7 @@
         self._waiters: list[Waiter] = []
         self._in_flight: int | None = None
         self._writing = False
+        self._written_at = context.now
         self._patience_until: float | None = None
         self._committed = Position()
         self._round = 0
@@ -160,7 +161,7 @@
 
     def on_join_request(self, sender: str, incarnation: int, token: int) -> None:
         """Send the document to a machine that asks to be admitted with the storage of this token."""
-        if not self.established or self._document.configuration.admits(Member(sender, token)):
+        if self._document.configuration.admits(Member(sender, token)):
             return
         self._membership.ask(Member(sender, token))
         self._send_newest(sender, self._progress_of(sender, incarnation, token))
@@ -173,6 +174,7 @@
             self._start_round()
         self._membership.drop_silent(self._document.configuration)
         self._check_commit()
+        self._replace_lost_members()
         self._advance()
 
     def next_wakeup(self) -> float:
@@ -205,6 +207,7 @@
         position = Position(self.epoch, self._document.position.sequence + 1)
         self._document = Document(position, configuration, payload)
         self._writing = True
+        self._written_at = self._context.now
         journal = self._context.journal
         self._context.offer(self._document)
         journal.update(journal.latest.with_document(self._document), OwnWriteStep(position))
@@ -235,7 +238,8 @@
     def _awaits_another_copy(self) -> bool:
         """Tell whether to wait for healthy members beyond the quorum; one that is late is not again."""
         now = self._context.now
-        missing = [state for state in self._healthy_members() if state.stored < self._document.position]
+        awaited = [*self._healthy_members(), *self._healthy_candidates()]
+        missing = [state for state in awaited if state.stored < self._document.position]
         if not missing:
             return False
         if self._patience_until is None:
@@ -248,16 +252,25 @@
 
     def _healthy_members(self) -> list[MemberProgress]:
         """Return the other members that answer, and whose disks keep up."""
-        limit = self._context.now - HEALTHY_BEATS * self._context.timing.heartbeat
         return [
             state
             for ip, state in self._progress.items()
-            if self._is_member(ip, state.token)
-            and not state.disk_failed
-            and not state.lagging
-            and state.round_started_at >= limit
+            if self._is_member(ip, state.token) and self._keeps_up(state)
         ]
 
+    def _healthy_candidates(self) -> list[MemberProgress]:
+        """Return the learners that are to be admitted: while changes never rest, they need the newest too."""
+        configuration = self._document.configuration
+        return [
+            state
+            for ip, state in self._progress.items()
+            if self._keeps_up(state) and self._membership.has_place(ip, state.token, configuration)
+        ]
+
+    def _keeps_up(self, state: MemberProgress) -> bool:
+        limit = self._context.now - HEALTHY_BEATS * self._context.timing.heartbeat
+        return not state.disk_failed and not state.lagging and state.round_started_at >= limit
+
     def _commit(self) -> None:
         self._writing = False
         self._patience_until = None
@@ -273,10 +286,11 @@
         self._advance()
 
     def _advance(self) -> None:
-        while self.established and not self._writing and self._proposals:
-            self._start_proposal(self._proposals.take())
+        """Start what is due: a change of members before others, which may never rest."""
         if self.established and not self._writing and not self.leaving:
             self._advance_membership()
+        while self.established and not self._writing and self._proposals:
+            self._start_proposal(self._proposals.take())
 
     def _start_proposal(self, proposal: Proposal) -> None:
         result = proposal.change(self._document.payload)
@@ -327,6 +341,24 @@
         if configuration is not None:
             self._write(configuration, self._document.payload)
 
+    def _replace_lost_members(self) -> None:
+        """Go on with other members where a document waits for copies of members that are lost.
+
+        While the members are fewer than `2 * tolerate + 1`, a copy quorum is more than a majority. One lost
+        disk is then enough to stop every commit, that of its replacement as well. The same payload is
+        written again under members that can commit it. Why nothing is lost: docs/control-state.md.
+        """
+        position = self._document.position
+        waited = self._context.now - self._written_at
+        if not self._writing or waited < self._context.timing.replace_after:
+            return
+        holders = self._voices(lambda state: state.stored >= position)
+        if not self._document.configuration.has_votes(holders):
+            return
+        configuration = self._membership.replacing_configuration(self._document, self._progress)
+        if configuration is not None:
+            self._write(configuration, self._document.payload)
+
     def _receivers(self) -> tuple[str, ...]:
         everyone = (*self._document.configuration.everyone(), *self._membership.learners())
         return tuple(ip for ip in dict.fromkeys(everyone) if ip != self._context.ip)
--- a/rookwood/coordination/membership.py
+++ b/rookwood/coordination/membership.py
@@ -53,11 +53,52 @@
         configuration = document.configuration
         if configuration.outgoing:
             return Configuration(configuration.members)
+        members = self._next_members(document, progress)
+        return None if members is None else Configuration(members, configuration.members)
+
+    def replacing_configuration(
+        self, document: Document, progress: Mapping[str, MemberProgress]
+    ) -> Configuration | None:
+        """Return members under which a document can be committed that lacks copies of lost members.
+
+        The outgoing set stays the one that was in force before, since every other machine that may be elected
+        needs a majority of it.
+        """
+        members = self._next_members(document, progress)
+        if members is None:
+            return None
+        return Configuration(members, document.configuration.outgoing or document.configuration.members)
+
+    def has_place(self, ip: str, token: int | None, configuration: Configuration) -> bool:
+        """Tell whether a machine asks to be admitted and would be, once its copy is current."""
+        learner = self._learners.get(ip)
+        if learner is None or learner.token != token or configuration.outgoing:
+            return False
+        return self._members_with(Member(ip, learner.token), configuration.members) is not None
+
+    def _next_members(
+        self, document: Document, progress: Mapping[str, MemberProgress]
+    ) -> tuple[Member, ...] | None:
+        """Return the members with those that are to be admitted now, None if none is."""
+        members = document.configuration.members
+        admitted = 0
         for learner in self._ready_learners(document, progress):
-            members = self._members_with(learner, configuration)
-            if members is not None:
-                return Configuration(members, configuration.members)
-        return None
+            enlarged = self._members_with(learner, members)
+            if enlarged is None:
+                continue
+            if len(enlarged) == len(members) and not admitted:
+                return enlarged  # takes the place of a lost member: one at a time
+            if len(enlarged) > len(members):
+                members = enlarged
+                admitted += 1
+        return members if admitted and self._may_grow_to(len(members)) else None
+
+    def _may_grow_to(self, count: int) -> bool:
+        """Tell whether the members may become so many: an even set bears no more losses than one fewer.
+
+        One more alone is admitted when no other machine has asked for a while.
+        """
+        return count % 2 == 1 or self._context.now - self._started_at >= self._context.timing.replace_after
 
     def _ready_learners(self, document: Document, progress: Mapping[str, MemberProgress]) -> list[Member]:
         """Return the learners whose copy is current and synced, emptied members first.
@@ -77,10 +118,9 @@
         ]
         return sorted(ready, key=lambda member: not configuration.has_address(member.ip))
 
-    def _members_with(self, learner: Member, configuration: Configuration) -> tuple[Member, ...] | None:
+    def _members_with(self, learner: Member, members: tuple[Member, ...]) -> tuple[Member, ...] | None:
         """Return the members once this learner is one of them, None if there is no place for it."""
-        members = configuration.members
-        if configuration.has_address(learner.ip):
+        if any(member.ip == learner.ip for member in members):
             return tuple(learner if member.ip == learner.ip else member for member in members)
         if len(members) < 2 * self._context.tolerate + 1:
             return (*members, learner)
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -95,7 +95,7 @@
 
     def reachable(self, now: float) -> frozenset[str]:
         """Return the members heard within the lease time, this one included."""
-        self._context.now = now
+        self._enter(now)
         lease = self._context.timing.lease
         members = self.members()
         heard = {ip for ip in members if self._context.heard_within(ip, lease)}
@@ -130,7 +130,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Do what is due."""
-        self._context.now = now
+        self._enter(now)
         self._check_disk()
         if self._context.is_member():
             self._admission = None
@@ -141,14 +141,14 @@
 
     def receive(self, sender: str, incarnation: int, message: Message, now: float) -> list[Effect]:
         """Take a message."""
-        self._context.now = now
+        self._enter(now)
         self._context.hear(sender, incarnation)
         self._dispatch(sender, incarnation, message)
         return self._finish()
 
     def persisted(self, ticket: int, stored: Record | None, succeeded: bool, now: float) -> list[Effect]:
         """Take the result of a durable write; `stored` is what the disk holds after a failure."""
-        self._context.now = now
+        self._enter(now)
         journal = self._context.journal
         retry_at = now + self._context.timing.disk_retry
         flushed = journal.succeed(ticket) if succeeded else journal.fail(ticket, stored, retry_at)
@@ -158,7 +158,7 @@
 
     def disconnected(self, peer: str, now: float) -> list[Effect]:
         """Take the hint that a peer closed its connection: an ended primary is suspected sooner."""
-        self._context.now = now
+        self._enter(now)
         follows = peer == self._follower.primary and self._leadership is None
         if follows and self._follower.suspect():
             self._campaign.wait(self._context.timing.disconnect_silence)
@@ -168,7 +168,7 @@
 
     def propose(self, ticket: int, change: Change, now: float, size: int = 0) -> list[Effect]:
         """Start a call that changes the document; `size` is what it keeps in memory while it waits."""
-        self._context.now = now
+        self._enter(now)
         leadership = self._acting_for(ticket)
         if leadership is not None:
             leadership.propose(Proposal(ticket, change, size))
@@ -176,7 +176,7 @@
 
     def confirm(self, ticket: int, now: float) -> list[Effect]:
         """Start a call that confirms leadership."""
-        self._context.now = now
+        self._enter(now)
         leadership = self._acting_for(ticket)
         if leadership is not None:
             leadership.confirm(ticket)
@@ -184,20 +184,27 @@
 
     def abandon(self, ticket: int, now: float) -> list[Effect]:
         """Forget a call whose limit is over."""
-        self._context.now = now
+        self._enter(now)
         if self._leadership is not None:
             self._leadership.abandon(ticket)
         return self._finish()
 
     def transfer(self, now: float) -> list[Effect]:
         """Hand the leadership to another member once the write under way is done."""
-        self._context.now = now
+        self._enter(now)
         if self._leadership is not None:
             self._leadership.leave()
         return self._finish()
 
     # Time
 
+    def _enter(self, now: float) -> None:
+        """Begin an input. After a pause of this process, what it reads next may have been sent long ago."""
+        lease = self._context.timing.lease
+        if now - self._context.now > lease:
+            self._follower.distrust(now + lease)
+        self._context.now = now
+
     def _check_disk(self) -> None:
         context = self._context
         if context.journal.stalled_for(context.now) > context.timing.disk_limit:
@@ -405,8 +412,8 @@
         if not context.is_member():
             if context.is_recovering():
                 return Unattached("recovering")
-            return self._follower.learner_role(now) or Unattached("joining")
+            return self._follower.role(now, is_member=False) or Unattached("joining")
         leadership = self._leadership
         if leadership is not None and leadership.established_at is not None and leadership.has_lease(now):
             return Primary(leadership.epoch, leadership.established_at)
-        return self._follower.role(now) or Unattached("no primary is known")
+        return self._follower.role(now, is_member=True) or Unattached("no primary is known")
--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -24,6 +24,7 @@
 MAX_QUEUE_FRAMES = 64
 CONNECT_LIMIT = 0.5
 RECONNECT_PAUSE = 0.2
+DOCUMENTS_PAUSE = 1.0  # seconds between two attempts to open a connection for documents
 SILENCE_LIMIT = 1.5
 UNACKNOWLEDGED_LIMIT_MS = 1000
 UNSENT_KERNEL_BYTES = 64 * 1024  # of a document that the kernel may hold beyond what is on its way
@@ -113,6 +114,7 @@
         frame = self._encode(message)
         if link.writer is not None:
             self._write(link, frame, now)
+            self._start_opening_documents(to, now)
             return
         link.queue = [*link.queue, frame][-MAX_QUEUE_FRAMES:]
         self._start_opening(to, link, now)
@@ -239,10 +241,14 @@
             self._start_opening_documents(to, loop.time())
 
     def _start_opening_documents(self, to: str, now: float) -> None:
-        """Open the connection for documents as well, which tells the peer that this member takes them."""
+        """Open the connection for documents as well, which tells the peer that this member takes them.
+
+        One that ended alone is opened again a while later; a member of the version before ends each.
+        """
         link = self._link(to, Lane.DOCUMENTS)
-        if link.writer is None:
+        if link.writer is None and link.opening is None and now >= link.blocked_until:
             self._start_opening(to, link, now)
+            link.blocked_until = now + DOCUMENTS_PAUSE
 
     async def _watch(self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError):
--- a/rookwood/lab/controlsimulation/checks.py
+++ b/rookwood/lab/controlsimulation/checks.py
@@ -1,5 +1,6 @@
 """The promises of the protocol, checked while a history is played and at its end."""
 
+from bisect import bisect_left
 from typing import NoReturn
 
 from rookwood.coordination.effects import RoleChanged
@@ -28,6 +29,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._acknowledged: list[bytes] = []
+        self._acknowledged_at: list[float] = []
         self._refused: set[bytes] = set()
         self._primaries: dict[int, tuple[str, int]] = {}
 
@@ -40,6 +42,7 @@
     def acknowledge(self, digest: bytes) -> None:
         """Take a change that was acknowledged: it must be in force from now on."""
         self._acknowledged.append(digest)
+        self._acknowledged_at.append(self._world.now)
 
     def refuse(self, digest: bytes) -> None:
         """Take a change that was refused: it must never be in force."""
@@ -53,6 +56,16 @@
         if missing:
             self.fail(f"an answer lacks {len(missing)} acknowledged changes")
 
+    def check_holds_acknowledged_before(self, machine: Machine, moment: float) -> None:
+        """Check that a machine's newest document holds the changes acknowledged before a moment."""
+        count = bisect_left(self._acknowledged_at, moment)
+        if not count or self._acknowledged[count - 1] in taken_digests(machine.snapshot.payload):
+            return
+        present = set(taken_digests(machine.snapshot.payload))
+        missing = [digest for digest in self._acknowledged[:count] if digest not in present]
+        if missing:
+            self.fail(f"{machine.ip} claims to be fresh and lacks {len(missing)} acknowledged changes")
+
     def _check_not_refused(self, payload: bytes) -> None:
         if not self._refused.isdisjoint(taken_digests(payload)):
             self.fail("a refused change is in force")
--- a/rookwood/lab/controlsimulation/engine.py
+++ b/rookwood/lab/controlsimulation/engine.py
@@ -18,6 +18,7 @@
     confirmed: int = 0
     calls_in_order: int = 0
     undecided: int = 0
+    fresh_claims: int = 0
     primaries: int = 0
     highest_epoch: int = 0
     events: int = 0
--- a/rookwood/lab/controlsimulation/network.py
+++ b/rookwood/lab/controlsimulation/network.py
@@ -4,6 +4,7 @@
 
 from rookwood.coordination.codec import decode_message, encode_message
 from rookwood.coordination.messages import Message
+from rookwood.coordination.transport import SILENCE_LIMIT
 from rookwood.lab.controlsimulation.processes import Processes
 from rookwood.lab.controlsimulation.world import Machine, World
 
@@ -67,11 +68,19 @@
     def _is_cut(self, sender: str, receiver: str) -> bool:
         return self._cut_until.get((sender, receiver), 0.0) > self._world.now
 
+    def _has_left(self, receiver: Machine) -> bool:
+        """Tell whether senders have ended their links to a machine, which has stood still for too long.
+
+        What they sent before waits for it, and is read when it goes on.
+        """
+        stands_still = receiver.frozen_until > self._world.now
+        return stands_still and self._world.now - receiver.frozen_since > SILENCE_LIMIT
+
     def _deliver_after(self, delay: float, machine: Machine, to: str, message: Message) -> None:
         sender, incarnation = machine.ip, machine.incarnation
 
         def deliver() -> None:
-            if self._is_cut(sender, to):
+            if self._is_cut(sender, to) or self._has_left(self._world.machines[to]):
                 return
             self._processes.input(
                 to,
--- a/rookwood/lab/controlsimulation/simulation.py
+++ b/rookwood/lab/controlsimulation/simulation.py
@@ -10,6 +10,7 @@
 from rookwood.lab.controlsimulation.disks import Disks
 from rookwood.lab.controlsimulation.engine import Report
 from rookwood.lab.controlsimulation.faults import EARLIEST_RESTART, Faults
+from rookwood.lab.controlsimulation.freshness import FreshnessWatch
 from rookwood.lab.controlsimulation.injector import Injector
 from rookwood.lab.controlsimulation.network import Network
 from rookwood.lab.controlsimulation.operators import Operators
@@ -49,6 +50,7 @@
         self._checks = Checks(self.world)
         self._calls = Calls(self.world, self.processes, self._checks, self._injector)
         self._operators = Operators(seed, self.world, self._calls)
+        self._freshness = FreshnessWatch(self.world, self._checks)
 
     @property
     def report(self) -> Report:
@@ -69,6 +71,7 @@
         """Play the history; raises `InvariantError` where a promise is broken."""
         engine = self.world.engine
         self.processes.start_all()
+        self._freshness.start()
         end_of_trouble = START + self.plan.troubled
         if self._schedule is None:
             self._injector.schedule(end_of_trouble)
--- a/rookwood/lab/controlsimulation/world.py
+++ b/rookwood/lab/controlsimulation/world.py
@@ -38,6 +38,7 @@
     removed: bool = False
     lost_storage: bool = False
     frozen_until: float = 0.0
+    frozen_since: float = 0.0
     tick_at: float = float("inf")
     snapshot: Snapshot = NO_SNAPSHOT
 
--- a/tests/test_configuration_follower.py
+++ b/tests/test_configuration_follower.py
@@ -234,6 +234,16 @@
         self.receive(FIRST, self.delta(7, 8))
         self.assertTrue(self.follower.is_level(START))
 
+    def test_a_status_that_was_made_before_an_answer_takes_nothing_back(self) -> None:
+        """It may come later than the answer; the position that was told stays the one to be fetched."""
+        self.start_at(6)
+        self.receive(FIRST, replace(STATUS, config_sequence=6))
+        self.receive(FIRST, replace(ANSWER, config_sequence=8))
+        self.receive(FIRST, replace(STATUS, config_sequence=7))
+        self.assertEqual(ConfigurationPosition(3, 8), self.follower.newest)
+        self.receive(FIRST, self.delta(6, 7))
+        self.assertFalse(self.follower.is_level(START))
+
     def test_a_status_after_the_answer_keeps_what_the_answer_confirmed(self) -> None:
         self.start_at(7)
         self.receive(FIRST, STATUS)
--- a/tests/test_coordination_disk.py
+++ b/tests/test_coordination_disk.py
@@ -6,10 +6,13 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
+from rookwood.coordination import group
 from rookwood.coordination.document import Record
 from rookwood.coordination.group import Backup, Committed, Primary
 from rookwood.coordination.storage import MARKER, Empty, Found
+from rookwood.coordination.storage_thread import StorageThread
 from rookwood.lab.faulty_disk import FaultyStorage, tear_slot_in_turn
 from rookwood.lab.systemstage.waiting import eventually
 from tests.test_coordination_group import FIRST_MEMBERS, Cluster
@@ -65,6 +68,45 @@
 """
 
 
+STALLED_AT_END_SCRIPT = """
+import asyncio, sys, threading
+from rookwood.coordination.storage_thread import StorageThread
+
+async def main():
+    thread = StorageThread("storage")
+    hanging = asyncio.ensure_future(thread.run(threading.Event().wait))
+    await asyncio.wait([hanging], timeout=0.05)
+    thread.close()
+    hanging.cancel()
+
+asyncio.run(main())
+print("ended", flush=True)
+"""
+
+
+class StorageThreadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_jobs_run_in_their_order_and_raise_to_whoever_gave_them(self) -> None:
+        thread = StorageThread("test")
+        self.addCleanup(thread.close)
+        done: list[int] = []
+        await asyncio.gather(*(thread.run(done.append, number) for number in range(5)))
+        self.assertEqual([0, 1, 2, 3, 4], done)
+        with self.assertRaises(ZeroDivisionError):
+            await thread.run(lambda: 1 // 0)
+        self.assertEqual(7, await thread.run(int, "7"))
+
+    async def test_a_process_ends_while_its_disk_hangs(self) -> None:
+        done = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-c", STALLED_AT_END_SCRIPT],
+            cwd=REPOSITORY,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        self.assertEqual((0, "ended"), (done.returncode, done.stdout.strip()))
+
+
 class FullDiskTest(unittest.TestCase):
     def run_script(self, script: str) -> str:
         """Run a script in a process of its own, with an empty folder as its argument."""
@@ -166,6 +208,16 @@
         disk.resume()
         await self.until_all_hold(b"ab")
 
+    async def test_machine_that_stops_does_not_wait_for_a_disk_that_hangs(self) -> None:
+        """The process ends all the same; a write under way is in doubt, as after a kill."""
+        self.enterContext(patch.object(group, "CLOSE_LIMIT", 0.05))
+        primary, disk = await self.begin()
+        disk.stall()
+        await self.commit_anywhere(b"b")
+        async with asyncio.timeout(10):
+            await self.cluster.groups[primary].stop()
+        disk.resume()
+
     async def test_slow_disks_take_changes(self) -> None:
         await self.begin()
         for disk in self.cluster.disks.values():
--- /dev/null
+++ b/tests/test_release_before.py
@@ -0,0 +1,125 @@
+"""Programs of two releases on one link: what release 0 sent is read, and what is sent now it can read."""
+
+from __future__ import annotations
+
+import io
+import unittest
+from typing import Any
+
+from fastavro import parse_schema, schemaless_reader
+
+from rookwood.cluster.frames import HEADER, decode_message, encode_frame
+from rookwood.cluster.messages import (
+    RELEASE,
+    ControlMachine,
+    DemandReport,
+    FetchConfiguration,
+    Heartbeat,
+    HeartbeatAnswer,
+    Hello,
+    KeyDemand,
+    Message,
+    PresenceAck,
+    Status,
+    WantedWeights,
+    WorkerGone,
+    WorkNotice,
+    WorkNotices,
+)
+
+MEMBERS = ("10.0.0.1", "10.0.0.2")
+
+# Written by the codec of the last landed edition of release 0, before release 1 added fields.
+RELEASE_0: dict[str, Message] = {  # a frame as hexadecimal digits
+    "00000011001031302e302e302e390865646765047a31": Hello("10.0.0.9", "edge", "z1"),
+    "0000002c011031302e302e302e31061031302e302e302e320100"
+    "06120e041031302e302e302e311031302e302e302e3200": Status(
+        "10.0.0.1", 3, "10.0.0.2", True, False, 3, 9, 7, MEMBERS
+    ),
+    "00000013081031302e302e302e3906120000000000002940": Heartbeat("10.0.0.9", 3, 9, 12.5),
+    "0000000b0a0000000000002940061201": HeartbeatAnswer(12.5, 3, 9, True),
+    "000000040212010610": FetchConfiguration(9, True, 3, 8),
+    "000000040b04773101": PresenceAck("w1", True),
+    "000000040504773100": WorkerGone("w1", False),
+    "0000002a061031302e302e302e39020273026d0461310000003f0000803e04"
+    "0000c03f00020273047731026d000001": DemandReport(
+        "10.0.0.9",
+        (KeyDemand("s", "m", "a1", 0.5, 0.25, 2, 1.5),),
+        (WantedWeights("s", "w1", "m", ""),),
+        True,
+    ),
+    "0000001607021031302e302e302e390477310000803e0402030000": WorkNotices(
+        (WorkNotice("10.0.0.9", "w1", 0.25, (1, -2)),)
+    ),
+}
+
+
+def record(name: str, fields: dict[str, Any]) -> Any:
+    """A schema as release 0 has it."""
+    described = [{"name": field, "type": kind} for field, kind in fields.items()]
+    return parse_schema({"type": "record", "name": f"Release0{name}", "fields": described})
+
+
+HELLO = record("Hello", {"identity": "string", "tier": "string", "zone": "string"})
+HEARTBEAT = record(
+    "Heartbeat",
+    {"identity": "string", "config_epoch": "long", "config_sequence": "long", "sent_at": "double"},
+)
+STATUS = record(
+    "Status",
+    {
+        "identity": "string",
+        "epoch": "long",
+        "primary": "string",
+        "fresh": "boolean",
+        "settled": "boolean",
+        "config_epoch": "long",
+        "config_sequence": "long",
+        "dispatchers": "int",
+        "members": {"type": "array", "items": "string"},
+    },
+)
+
+
+class ReleaseBeforeTest(unittest.TestCase):
+    def test_what_release_0_sent_is_read(self) -> None:
+        for frame, message in RELEASE_0.items():
+            with self.subTest(message=message):
+                data = bytes.fromhex(frame)
+                _, number = HEADER.unpack(data[: HEADER.size])
+                self.assertEqual(message, decode_message(number, data[HEADER.size :]))
+
+    def test_release_0_reads_what_is_sent_now(self) -> None:
+        status = Status("10.0.0.1", 3, "10.0.0.2", True, False, 3, 9, 7, MEMBERS, RELEASE, 4)
+        machines = (ControlMachine("10.0.0.1", "z1"), ControlMachine("10.0.0.2", "z2"))
+        for message, schema in (
+            (Hello("10.0.0.9", "edge", "z1", RELEASE, False), HELLO),
+            (Heartbeat("10.0.0.9", 3, 9, 12.5, 0.75), HEARTBEAT),
+            (status, STATUS),
+            (Status(**{**fields_of(status), "roots": machines}), STATUS),
+        ):
+            with self.subTest(message=message):
+                body = encode_frame(message)[HEADER.size :]
+                read = schemaless_reader(io.BytesIO(body), schema, None)
+                assert isinstance(read, dict)
+                sent = fields_of(message)
+                self.assertEqual({name: sent[name] for name in read}, {**read, **as_tuples(read)})
+
+    def test_kinds_of_messages_of_release_0_keep_their_numbers(self) -> None:
+        for frame, message in RELEASE_0.items():
+            sent_now = encode_frame(message)
+            self.assertEqual(bytes.fromhex(frame)[HEADER.size - 1], sent_now[HEADER.size - 1], message)
+
+
+def fields_of(message: Any) -> dict[str, Any]:
+    """The fields of a message."""
+    return {name: getattr(message, name) for name in type(message).__slots__}
+
+
+def as_tuples(read: dict[str, Any]) -> dict[str, Any]:
+    """The lists among the fields, as tuples."""
+    return {name: tuple(value) for name, value in read.items() if isinstance(value, list)}
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_worker_presence.py
+++ b/tests/test_worker_presence.py
@@ -5,11 +5,14 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from unittest import mock
 
-from rookwood.cluster.messages import Status, WorkerGone, WorkerUpdates
+from rookwood.cluster.messages import PresenceAck, Status, WorkerGone, WorkerUpdates
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import WorkerRecord, WorkerState
+from rookwood.controlplane import presence_quorum
 from rookwood.controlplane.peer_feed import PeerFeed
+from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_table import TOLD_ENDS, WorkerTable
 
@@ -158,5 +161,30 @@
         self.assertEqual(f"i-{TOLD_ENDS + 9}", ended[-1])
 
 
+class PresenceQuorumTest(unittest.IsolatedAsyncioTestCase):
+    NEWS = PresenceAck(WORKER.id, deleted=False)
+
+    async def test_calls_that_wait_for_one_piece_of_news_do_not_take_it_from_each_other(self) -> None:
+        """A worker calls again after a second; the first call must not end what the second one waits for."""
+        self.enterContext(mock.patch.object(presence_quorum, "CONFIRMATION_LIMIT", 0.2))
+        quorum = PresenceQuorum(IPS[0], lambda: IPS)
+        first = asyncio.create_task(quorum.confirm(self.NEWS))
+        await asyncio.wait([first], timeout=0.1)
+        second = asyncio.create_task(quorum.confirm(self.NEWS))
+        self.assertFalse(await first)
+        quorum.acknowledged(IPS[1], self.NEWS)
+        self.assertTrue(await second)
+        self.assertTrue(quorum.is_confirmed(self.NEWS))
+
+    async def test_a_majority_is_waited_for_and_strangers_do_not_count(self) -> None:
+        quorum = PresenceQuorum(IPS[0], lambda: IPS)
+        waiting = asyncio.create_task(quorum.confirm(self.NEWS))
+        await asyncio.wait([waiting], timeout=0.01)
+        quorum.acknowledged("10.0.0.99", self.NEWS)
+        self.assertFalse(quorum.is_confirmed(self.NEWS))
+        quorum.acknowledged(IPS[2], self.NEWS)
+        self.assertTrue(await waiting)
+
+
 if __name__ == "__main__":
     unittest.main()
