--- a/rookwood/cluster/configuration_follower.py
+++ b/rookwood/cluster/configuration_follower.py
@@ -209,6 +209,13 @@
         """The machine whose answer is waited for."""
         return self._under_way.peer if self._under_way is not None else None
 
+    def overdue(self, now: float) -> str | None:
+        """The machine whose answer is overdue."""
+        under_way = self._under_way
+        if under_way is None or now - under_way.asked_at <= ANSWER_LIMIT:
+            return None
+        return under_way.peer
+
     def next_request(self, now: float) -> Request | None:
         """The request to send now, if there is one; it counts as sent."""
         self._give_up_overdue(now)
@@ -257,9 +264,9 @@
         return avoided, -weight(f"configuration {self._identity}", peer)
 
     def _give_up_overdue(self, now: float) -> None:
-        under_way = self._under_way
-        if under_way is not None and now - under_way.asked_at > ANSWER_LIMIT:
-            self._avoided_until[under_way.peer] = now + AVOIDANCE
+        peer = self.overdue(now)
+        if peer is not None:
+            self._avoided_until[peer] = now + AVOIDANCE
             self._under_way = None
 
     def _answered(self, peer: str) -> None:
--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -9,6 +9,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from rookwood.cluster.connection import Connection
@@ -55,6 +56,11 @@
         """The subscribers that have said hello."""
         return frozenset(self._connections)
 
+    @property
+    def subscribers(self) -> frozenset[Connection]:
+        """Those of them that want the feed of workers and work notices."""
+        return frozenset(known for known in self._connections if known.hello and known.hello.subscribes)
+
     async def start(self, ip: str, port: int) -> None:
         """Listen at the address."""
         loop = asyncio.get_running_loop()
@@ -135,6 +141,15 @@
     return NO_CONFIGURATION
 
 
+StallReader = Callable[[], float]
+"""Tells for how many seconds in all this process has stood still, for heartbeats."""
+
+
+def read_no_stalls() -> float:
+    """For machines that nobody judges by the time that they take."""
+    return 0.0
+
+
 class FeedLink:
     """Keeps a subscription to one control machine open."""
 
@@ -145,9 +160,11 @@
         hello: Hello,
         handler: LinkHandler,
         position: PositionReader = read_no_position,
+        stalled: StallReader = read_no_stalls,
     ) -> None:
         self.peer = peer
         self._position = position
+        self._stalled = stalled
         self._port = port
         self._hello = hello
         self._handler = handler
@@ -198,7 +215,10 @@
             await asyncio.sleep(time_to_beat(loop.time()))
             position = self._position()
             sent_at = loop.time()
-            connection.send(Heartbeat(self._hello.identity, position.epoch, position.sequence, sent_at))
+            stalled = self._stalled()
+            connection.send(
+                Heartbeat(self._hello.identity, position.epoch, position.sequence, sent_at, stalled)
+            )
 
 
 def time_to_beat(now: float) -> float:
@@ -212,7 +232,7 @@
 
 
 class LinkSet:
-    """The links to all control machines that are known: the seeds and whoever these name."""
+    """The links to control machines: subscriptions, and links on which statuses alone are listened to."""
 
     def __init__(
         self,
@@ -221,21 +241,36 @@
         handler: LinkHandler,
         own_ip: str,
         position: PositionReader = read_no_position,
+        stalled: StallReader = read_no_stalls,
     ) -> None:
         self._position = position
+        self._stalled = stalled
         self._port = port
         self._hello = hello
         self._handler = handler
         self._own_ip = own_ip
         self._links: dict[str, FeedLink] = {}
+        self._subscribed: set[str] = set()
 
-    def want(self, peers: Iterable[str]) -> None:
-        """Open links to these peers and close those to others."""
-        wanted = {peer for peer in peers if peer != self._own_ip}
-        for peer in wanted - self._links.keys():
-            self._links[peer] = FeedLink(peer, self._port, self._hello, self._handler, self._position)
-        for peer in self._links.keys() - wanted:
+    def want(self, peers: Iterable[str], listened: Iterable[str] = ()) -> None:
+        """Subscribe to these peers, listen to those besides, and close the links to all others.
+
+        A link that is to become a subscription, or is one no more, is opened anew.
+        """
+        subscribed = {peer for peer in peers if peer != self._own_ip}
+        wanted = subscribed | {peer for peer in listened if peer != self._own_ip}
+        changed = {peer for peer in wanted & self._links.keys() if self._changes(peer, subscribed)}
+        for peer in (self._links.keys() - wanted) | changed:
             self._links.pop(peer).close()
+        for peer in wanted - self._links.keys():
+            hello = replace(self._hello, subscribes=peer in subscribed)
+            self._links[peer] = FeedLink(
+                peer, self._port, hello, self._handler, self._position, self._stalled
+            )
+        self._subscribed = subscribed
+
+    def _changes(self, peer: str, subscribed: set[str]) -> bool:
+        return (peer in subscribed) != (peer in self._subscribed)
 
     @property
     def peers(self) -> frozenset[str]:
--- a/rookwood/cluster/view.py
+++ b/rookwood/cluster/view.py
@@ -81,6 +81,15 @@
                 named.update(source.status.members)
         return frozenset(named)
 
+    def attached(self) -> int:
+        """How many dispatchers subscribe to the linked machines, all together."""
+        return sum(s.status.attached for s in self._sources.values() if s.status is not None)
+
+    def release(self, peer: str) -> int:
+        """The release of a linked machine; 0 where it is not known."""
+        source = self._sources.get(peer)
+        return source.status.release if source is not None and source.status is not None else 0
+
     def dispatchers(self) -> int:
         """The largest number of dispatchers that a linked machine counts."""
         counts = [s.status.dispatchers for s in self._sources.values() if s.status is not None]
--- a/rookwood/controlplane/demand.py
+++ b/rookwood/controlplane/demand.py
@@ -3,45 +3,50 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from rookwood.cluster.messages import DemandReport, KeyDemand, WantedWeights
+from rookwood.cluster.messages import CountedWeights, DemandReport, DemandSummary, KeyDemand, WantedWeights
 from rookwood.modelplacement.loads import Demand
 from rookwood.modelplacement.types import WeightsKey
 
-REPORT_LIFETIME = 3.0  # seconds after which a silent dispatcher's demand no longer counts
+REPORT_LIFETIME = 3.0  # seconds after which the demand of a reporter that fell silent no longer counts
+
+ServiceWeights = tuple[str, WeightsKey]
+WantedByWorker = Mapping[str, Mapping[WeightsKey, float]]
 
 
 @dataclass(slots=True)
-class DispatcherDemand:
-    """What one dispatcher reported last."""
+class ReportedDemand:
+    """What one reporter told last: a dispatcher, or a control machine for those that it feeds."""
 
+    direct: bool
     told: float = 0.0
-    keys: dict[tuple[str, WeightsKey], KeyDemand] = field(default_factory=dict)
-    wanted: frozenset[WantedWeights] = frozenset()
-
-
-WantedByWorker = Mapping[str, Mapping[WeightsKey, float]]
+    dispatchers: int = 1
+    keys: dict[ServiceWeights, KeyDemand] = field(default_factory=dict)
+    wanted: Counter[WantedWeights] = field(default_factory=Counter)
 
 
 class DemandSum:
-    """Collects the reports of dispatchers and adds them up.
+    """Collects reports and adds them up.
 
     What dispatchers want is counted as their reports change it, since plans ask for it far more often.
     """
 
     def __init__(self) -> None:
-        self._dispatchers: dict[str, DispatcherDemand] = {}
+        self._reporters: dict[str, ReportedDemand] = {}
         self._wants: Counter[WantedWeights] = Counter()
 
-    def take(self, report: DemandReport, now: float) -> None:
-        """Take in a report."""
-        known = self._dispatchers.setdefault(report.identity, DispatcherDemand())
+    def take(self, report: DemandReport | DemandSummary, now: float) -> None:
+        """Take in a dispatcher's report, or another control machine's sum."""
+        direct = isinstance(report, DemandReport)
+        known = self._reporters.setdefault(report.identity, ReportedDemand(direct))
         known.told = now
         if report.complete:
+            known.direct = direct
             known.keys.clear()
-            self._replace_wanted(known, frozenset(report.wanted))
+            known.dispatchers = 1 if isinstance(report, DemandReport) else report.dispatchers
+            self._replace_wanted(known, _count_wanted(report))
         for key in report.keys:
             known.keys[key.service, WeightsKey(key.model, key.adapter)] = key
 
@@ -49,7 +54,7 @@
         """Demand for the weights of one service."""
         self._drop_silent(now)
         sums: dict[WeightsKey, list[KeyDemand]] = defaultdict(list)
-        for known in self._dispatchers.values():
+        for known in self._reporters.values():
             for (name, key), demand in known.keys.items():
                 if name == service:
                     sums[key].append(demand)
@@ -57,27 +62,80 @@
 
     def wanted(self, service: str) -> WantedByWorker:
         """Per worker of a service the weights wanted there, with the share of dispatchers that want them."""
+        dispatchers = sum(known.dispatchers for known in self._reporters.values())
         shares: dict[str, dict[WeightsKey, float]] = defaultdict(dict)
         for item, count in self._wants.items():
             if item.service == service:
-                shares[item.worker][WeightsKey(item.model, item.adapter)] = count / len(self._dispatchers)
+                shares[item.worker][WeightsKey(item.model, item.adapter)] = count / dispatchers
         return shares
 
+    def summary(self, identity: str, now: float) -> DemandSummary | None:
+        """The sum of what dispatchers reported here, for the primary; None where none did."""
+        self._drop_silent(now)
+        direct = [known for known in self._reporters.values() if known.direct]
+        if not direct:
+            return None
+        wanted: Counter[WantedWeights] = Counter()
+        for known in direct:
+            wanted.update(known.wanted)
+        counted = tuple(
+            CountedWeights(item.service, item.worker, item.model, item.adapter, count)
+            for item, count in wanted.items()
+        )
+        names = dict.fromkeys(name for known in direct for name in known.keys)
+        return DemandSummary(identity, len(direct), self._sums(direct, names), counted, complete=True)
+
+    def summary_of(self, identity: str, keys: Iterable[KeyDemand]) -> DemandSummary:
+        """The sum of what dispatchers reported here for some keys alone, which is urgent."""
+        direct = [known for known in self._reporters.values() if known.direct]
+        names = [(key.service, WeightsKey(key.model, key.adapter)) for key in keys]
+        return DemandSummary(identity, len(direct), self._sums(direct, names), (), complete=False)
+
+    @staticmethod
+    def _sums(reporters: list[ReportedDemand], names: Iterable[ServiceWeights]) -> tuple[KeyDemand, ...]:
+        sums = []
+        for service, key in names:
+            demands = [known.keys[service, key] for known in reporters if (service, key) in known.keys]
+            total = add_demands(demands)
+            sums.append(
+                KeyDemand(
+                    service,
+                    key.model,
+                    key.adapter,
+                    total.rate,
+                    total.busy,
+                    total.waiting,
+                    total.oldest_wait_s,
+                )
+            )
+        return tuple(sums)
+
     def _drop_silent(self, now: float) -> None:
-        for identity, known in list(self._dispatchers.items()):
+        for identity, known in list(self._reporters.items()):
             if now - known.told > REPORT_LIFETIME:
-                self._replace_wanted(known, frozenset())
-                del self._dispatchers[identity]
+                self._replace_wanted(known, Counter())
+                del self._reporters[identity]
 
-    def _replace_wanted(self, known: DispatcherDemand, wanted: frozenset[WantedWeights]) -> None:
-        self._wants.update(wanted - known.wanted)
-        for item in known.wanted - wanted:
-            self._wants[item] -= 1
+    def _replace_wanted(self, known: ReportedDemand, wanted: Counter[WantedWeights]) -> None:
+        self._wants.update(wanted)
+        self._wants.subtract(known.wanted)
+        for item in known.wanted:
             if not self._wants[item]:
                 del self._wants[item]
         known.wanted = wanted
 
 
+def _count_wanted(report: DemandReport | DemandSummary) -> Counter[WantedWeights]:
+    if isinstance(report, DemandReport):
+        return Counter(dict.fromkeys(report.wanted, 1))
+    return Counter(
+        {
+            WantedWeights(item.service, item.worker, item.model, item.adapter): item.count
+            for item in report.wanted
+        }
+    )
+
+
 def add_demands(demands: list[KeyDemand]) -> Demand:
     """The sum of several dispatchers' demands for one key."""
     return Demand(
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 
 from rookwood.cluster.engines import model_specs
-from rookwood.cluster.messages import DemandReport
+from rookwood.cluster.messages import DemandReport, DemandSummary
 from rookwood.cluster.settings import Bounds
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import HeldModel, HoldingStamp, WorkerRecord, WorkerState
@@ -89,17 +89,17 @@
         self._table = table
         self._tenure = tenure
         self._client: WorkerClient | None = None
-        self._demand = DemandSum()
+        self.demand = DemandSum()
         self._plans: dict[str, ServicePlan] = {}
         self._wake = asyncio.Event()
         self._counter = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._leading_epoch: int | None = None
 
-    def take_demand(self, report: DemandReport) -> None:
-        """A dispatcher reports demand; waiting requests wake the planner."""
-        self._demand.take(report, self._now())
-        if any(key.waiting for key in report.keys):
+    def take_demand(self, report: DemandReport | DemandSummary) -> None:
+        """Demand was reported, by a dispatcher or for several; waiting requests wake the planner."""
+        self.demand.take(report, self._now())
+        if any(key.waiting for key in report.keys) and isinstance(self._group.role(), Primary):
             self._wake.set()
 
     def configure(self, configuration: Configuration) -> None:
@@ -208,8 +208,8 @@
                 workers.append(describe(plan.engine, record, status, status.report))
         for worker in plan.workers.keys() - present:
             del plan.workers[worker]
-        demand = self._demand.total(name, now)
-        orders = plan.planner.plan(now, workers, demand, self._demand.wanted(name))
+        demand = self.demand.total(name, now)
+        orders = plan.planner.plan(now, workers, demand, self.demand.wanted(name))
         for order in orders:
             self._start(self._execute(plan, order, epoch))
 
--- a/rookwood/controlplane/notice_relay.py
+++ b/rookwood/controlplane/notice_relay.py
@@ -1,4 +1,8 @@
-"""Passes the dispatchers' work notices on to all dispatchers, several in one frame."""
+"""Passes the dispatchers' work notices on, several in one frame, so that each reaches a dispatcher once.
+
+A dispatcher tells the machine that feeds it. That one tells its other dispatchers and the other control
+machines, which tell theirs.
+"""
 
 from __future__ import annotations
 
@@ -7,23 +11,40 @@
 
 from rookwood.cluster.messages import WorkNotice, WorkNotices
 
-COLLECTING_TIME = 0.02  # seconds for which notices are collected
+COLLECTING_TIME = 0.05  # seconds for which notices are collected
+
+SendNotices = Callable[[WorkNotices], None]
 
 
 class NoticeRelay:
     """Collects notices for a moment and sends them together."""
 
-    def __init__(self, send: Callable[[WorkNotices], None]) -> None:
-        self._send = send
+    def __init__(self, to_dispatchers: SendNotices, to_control_machines: SendNotices) -> None:
+        self._to_dispatchers = to_dispatchers
+        self._to_control_machines = to_control_machines
         self._collected: list[WorkNotice] = []
+        self._own: list[WorkNotice] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    def take_own(self, message: WorkNotices) -> None:
+        """A dispatcher that this machine feeds sent notices."""
+        self._own.extend(message.notices)
+        self._collect(message)
 
     def take(self, message: WorkNotices) -> None:
-        """A dispatcher sent notices."""
-        if not self._collected:
-            asyncio.get_running_loop().call_later(COLLECTING_TIME, self._flush)
+        """Another control machine passed on those of its dispatchers."""
+        self._collect(message)
+
+    def _collect(self, message: WorkNotices) -> None:
         self._collected.extend(message.notices)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(COLLECTING_TIME, self._flush)
 
     def _flush(self) -> None:
-        collected = tuple(self._collected)
+        self._timer = None
+        collected, own = tuple(self._collected), tuple(self._own)
         self._collected.clear()
-        self._send(WorkNotices(collected))
+        self._own.clear()
+        self._to_dispatchers(WorkNotices(collected))
+        if own:
+            self._to_control_machines(WorkNotices(own))
--- a/rookwood/controlplane/peer_feed.py
+++ b/rookwood/controlplane/peer_feed.py
@@ -1,27 +1,33 @@
-"""Subscriptions to the other control machines: their workers are passed on to the dispatchers here."""
+"""Subscriptions to the other control machines: what they tell is passed on to the dispatchers here."""
 
 from __future__ import annotations
 
 import asyncio
 
 from rookwood.cluster.connection import Connection
-from rookwood.cluster.messages import Message, PresenceAck, Status, WorkerGone, WorkerUpdates
+from rookwood.cluster.messages import Message, PresenceAck, Status, WorkerGone, WorkerUpdates, WorkNotices
 from rookwood.cluster.view import ClusterView
 from rookwood.cluster.workers import WorkerState
+from rookwood.controlplane.notice_relay import SendNotices
 from rookwood.controlplane.tenure import Tenure
-from rookwood.controlplane.worker_relay import WorkerRelay
-from rookwood.controlplane.worker_table import Publish
+from rookwood.controlplane.worker_table import Audience, Publish
 
 
 class PeerFeed:
     """Takes in the feeds of the other control machines."""
 
-    def __init__(self, view: ClusterView, publish: Publish, tenure: Tenure) -> None:
+    def __init__(
+        self,
+        view: ClusterView,
+        publish: Publish,
+        tenure: Tenure,
+        take_notices: SendNotices = lambda notices: None,
+    ) -> None:
         self._view = view
         self._publish = publish
         self._tenure = tenure
+        self._take_notices = take_notices
         self._connections: dict[str, Connection] = {}
-        self._relay = WorkerRelay(view.registry.get, lambda updates: publish(updates, False))
 
     def linked(self, peer: str, connection: Connection) -> None:
         """A subscription is open."""
@@ -38,13 +44,13 @@
 
     def received(self, peer: str, message: Message) -> None:
         """A message of another control machine."""
+        if isinstance(message, WorkNotices):
+            self._take_notices(message)
         if not isinstance(message, Status | WorkerUpdates | WorkerGone):
             return
         self._view.received(peer, message, asyncio.get_running_loop().time())
-        if isinstance(message, WorkerUpdates):
-            self._relay.take(message)
-        elif isinstance(message, WorkerGone) and message.deleted:
-            self._publish(message, False)
+        if isinstance(message, WorkerUpdates) or isinstance(message, WorkerGone) and message.deleted:
+            self._publish(message, Audience.DISPATCHERS)
         self._acknowledge(peer, message)
 
     def _acknowledge(self, peer: str, message: Message) -> None:
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -7,7 +7,7 @@
 import logging
 import signal
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -16,7 +16,11 @@
 from rookwood.cluster.connection import Connection
 from rookwood.cluster.feed import FeedServer, LinkSet
 from rookwood.cluster.messages import (
+    RELEASE,
+    RELEASE_WITH_ONE_FEED,
+    ControlMachine,
     DemandReport,
+    DemandSummary,
     FetchConfiguration,
     Heartbeat,
     HeartbeatAnswer,
@@ -35,6 +39,8 @@
 from rookwood.cluster.view import ClusterView
 from rookwood.controlplane.configuration_feed import ConfigurationFeed
 from rookwood.controlplane.control_api import ControlApi
+from rookwood.controlplane.demand_relay import SUMMARY_INTERVAL, DemandRelay, PrimaryLink
+from rookwood.controlplane.dispatcher_count import DispatcherCount
 from rookwood.controlplane.load_scheduler import LoadScheduler
 from rookwood.controlplane.notice_relay import NoticeRelay
 from rookwood.controlplane.operator_api import OperatorApi
@@ -42,7 +48,8 @@
 from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.tenure import Tenure
 from rookwood.controlplane.worker_api import WorkerApi
-from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.controlplane.worker_relay import WorkerRelay
+from rookwood.controlplane.worker_table import Audience, WorkerTable
 from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.group import (
     ControlGroup,
@@ -53,6 +60,7 @@
     Snapshot,
 )
 from rookwood.mechanisms import ALL_MECHANISMS, Mechanisms
+from rookwood.metrics.loop_lag import LoopLag
 from rookwood.metrics.server import MetricsServer
 
 if TYPE_CHECKING:
@@ -96,9 +104,12 @@
         self._configuration = ConfigurationFeed(self.group)
         self._view = ClusterView(self._worker_changed, self._worker_gone)
         self._feed = FeedServer(self)
-        self.dispatchers = DispatcherProgress()
+        self._lag = LoopLag()
+        self.dispatchers = DispatcherProgress(stalled=lambda: self._lag.total)
+        self._dispatcher_count = DispatcherCount()
         self._progress = ConfigurationProgress()
-        self._notices = NoticeRelay(self._send_notices)
+        self._notices = NoticeRelay(self._send_notices, self._send_notices_to_core)
+        self._worker_news = WorkerRelay(self._view.registry.get, self._send_to_dispatchers)
         self._table = WorkerTable(self._view, settings.ip, settings.beat, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
         self._scheduler = LoadScheduler(
@@ -110,6 +121,7 @@
             self._tenure,
             mechanisms,
         )
+        self._demand_relay = DemandRelay(settings.ip, self._scheduler.demand, self._primary_link)
         self._presence = PresenceQuorum(settings.ip, self.group.members)
         self._told_status: Status | None = None
         self._told_at = 0.0
@@ -126,14 +138,17 @@
         await self.group.start()
         await self._feed.start(self._settings.ip, self._settings.feed_port)
         await self._serve_http()
-        hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone)
-        peers = PeerFeed(self._view, self._publish, self._tenure)
+        hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone, RELEASE)
+        peers = PeerFeed(self._view, self._publish, self._tenure, self._notices.take)
         self._links = LinkSet(self._settings.feed_port, hello, peers, self._settings.ip)
-        self._metrics = MetricsServer(self._settings.ip, partial(self._load_metrics, self._links))
+        self._metrics = MetricsServer(
+            self._settings.ip, partial(self._load_metrics, self._links), lag=self._lag
+        )
         await self._metrics.start()
         self._tasks = [
             asyncio.create_task(repeat(STATUS_INTERVAL, self._send_status)),
             asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house)),
+            asyncio.create_task(repeat(SUMMARY_INTERVAL, self._tell_demand)),
             asyncio.create_task(self._scheduler.run()),
         ]
         self._keep_house()
@@ -197,20 +212,36 @@
     def _status(self) -> Status:
         known = self._known_primary()
         snapshot = self.group.snapshot()
-        uptime = asyncio.get_running_loop().time() - self._started
-        dispatchers = {c.hello.identity for c in self._feed.connections if c.hello and not is_core(c)}
+        now = asyncio.get_running_loop().time()
+        attached = self._attached()
+        everywhere = attached + self._view.attached()
         return Status(
             identity=self._settings.ip,
             epoch=known.epoch,
             primary=known.address,
             fresh=known.in_touch,
-            settled=uptime > SETTLED_BEATS * self._settings.beat,
+            settled=now - self._started > SETTLED_BEATS * self._settings.beat,
             config_epoch=snapshot.epoch,
             config_sequence=snapshot.sequence,
-            dispatchers=len(dispatchers),
+            dispatchers=self._dispatcher_count.update(everywhere, now),
             members=self.group.members(),
+            release=RELEASE,
+            attached=attached,
+            roots=self._roots(),
         )
 
+    def _attached(self) -> int:
+        """How many dispatchers subscribe here."""
+        hellos = [known.hello for known in self._feed.subscribers if is_dispatcher(known)]
+        return len({hello.identity for hello in hellos if hello is not None})
+
+    def _roots(self) -> tuple[ControlMachine, ...]:
+        """The control machines in touch with this one, which dispatchers may subscribe to as well."""
+        own = ControlMachine(self._settings.ip, self._settings.zone)
+        hellos = [known.hello for known in self._feed.connections if is_core(known)]
+        others = {ControlMachine(hello.identity, hello.zone) for hello in hellos if hello is not None}
+        return tuple(sorted(others | {own}))
+
     def _heartbeat_answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
         snapshot = self.group.snapshot()
         fresh = self._known_primary().fresh
@@ -223,7 +254,7 @@
         """
         now = asyncio.get_running_loop().time()
         status = self._status()
-        self._view.received(self._settings.ip, status, now)
+        self._view.received(self._settings.ip, replace(status, attached=0), now)
         if status == self._told_status and now - self._told_at < STATUS_REPEAT:
             self._feed.send_to([c for c in self._feed.connections if is_core(c)], status)
             return
@@ -231,9 +262,18 @@
         self._told_at = now
         self._feed.broadcast(status)
 
-    def _publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
-        subscribers = self._feed.connections
-        self._feed.send_to([c for c in subscribers if to_core or not is_core(c)], message)
+    def _publish(self, message: WorkerUpdates | WorkerGone, audience: Audience) -> None:
+        if audience is not Audience.DISPATCHERS:
+            self._feed.send_to([known for known in self._feed.subscribers if is_core(known)], message)
+        if audience is Audience.CONTROL_MACHINES:
+            return
+        if isinstance(message, WorkerUpdates):
+            self._worker_news.take(message)
+        else:
+            self._send_to_dispatchers(message)
+
+    def _send_to_dispatchers(self, message: WorkerUpdates | WorkerGone | WorkNotices) -> None:
+        self._feed.send_to([known for known in self._feed.subscribers if is_dispatcher(known)], message)
 
     def _committed(self, snapshot: Snapshot) -> None:
         """Have the newest commit taken in once whoever asked for it is answered.
@@ -265,8 +305,18 @@
             self._tenure.primary_seen(self._settings.ip, role.epoch, now)
         elif isinstance(role, Following):
             self._tenure.primary_seen(role.primary, role.epoch, now)
+        self._tell_demand()
         self._send_status()
 
+    def _primary_link(self) -> PrimaryLink | None:
+        """The link to the primary where that is another machine."""
+        primary = self._known_primary().address
+        connection = self._links.connection(primary) if self._links and primary else None
+        return None if connection is None else PrimaryLink(connection, self._view.release(primary))
+
+    def _tell_demand(self) -> None:
+        self._demand_relay.tell_primary(asyncio.get_running_loop().time())
+
     def _worker_changed(self, record: object) -> None:
         pass
 
@@ -274,7 +324,9 @@
         logger.info("worker gone", extra={"worker": worker})
 
     def greeting(self, connection: Connection) -> Iterable[Message]:
-        """What a new subscriber gets first."""
+        """What whoever opens a link gets first."""
+        if connection.hello is not None and not connection.hello.subscribes:
+            return (self._status(),)
         return (self._status(), self._table.direct() if is_core(connection) else self._table.known())
 
     def received(self, connection: Connection, message: Message) -> None:
@@ -284,17 +336,27 @@
             self._configuration.answer(connection, message)
         elif isinstance(message, Heartbeat):
             if connection.hello is not None and not is_core(connection):
-                self.dispatchers.reported(connection.hello.identity, message.position)
+                self.dispatchers.reported(connection.hello.identity, message.position, message.stalled)
                 connection.send(self._heartbeat_answer(message))
         elif isinstance(message, DemandReport):
             self._scheduler.take_demand(message)
+            self._demand_relay.reported(message)
+        elif isinstance(message, DemandSummary):
+            self._scheduler.take_demand(message)
         elif isinstance(message, WorkNotices):
-            self._notices.take(message)
+            self._notices.take_own(message)
         elif isinstance(message, PresenceAck) and connection.hello is not None:
             self._presence.acknowledged(connection.hello.identity, message)
 
     def _send_notices(self, notices: WorkNotices) -> None:
-        self._feed.send_to([c for c in self._feed.connections if not is_core(c)], notices)
+        """Tell the dispatchers fed here; those of release 0 hear all machines, and the primary tells them."""
+        least = 0 if isinstance(self.group.role(), Primary) else RELEASE_WITH_ONE_FEED
+        dispatchers = [known for known in self._feed.subscribers if is_dispatcher(known)]
+        told = [known for known in dispatchers if known.hello and known.hello.release >= least]
+        self._feed.send_to(told, notices)
+
+    def _send_notices_to_core(self, notices: WorkNotices) -> None:
+        self._feed.send_to([known for known in self._feed.subscribers if is_core(known)], notices)
 
     def lost(self, connection: Connection) -> None:
         """A subscriber is gone."""
@@ -307,6 +369,11 @@
     return connection.hello is not None and connection.hello.tier == TIER_CORE
 
 
+def is_dispatcher(connection: Connection) -> bool:
+    """Whether the subscriber is a dispatcher."""
+    return connection.hello is not None and connection.hello.tier != TIER_CORE
+
+
 def group_settings(settings: NodeSettings) -> GroupSettings:
     """The replication group's settings, derived from the process's settings."""
     return GroupSettings(
--- a/rookwood/controlplane/worker_relay.py
+++ b/rookwood/controlplane/worker_relay.py
@@ -1,9 +1,7 @@
-"""Passes what other control machines tell of workers on to this machine's dispatchers, several at once.
+"""Tells the dispatchers that this machine feeds of changed workers, several at once.
 
-A dispatcher that is in touch hears of each change from the machine that saw it. What is passed on serves
-those that are not linked to that machine, and keeps the worker known where that machine is lost. Neither is
-urgent, so it is collected for a moment: else each change costs a dispatcher as many messages as there are
-control machines. That a worker drains is passed on at once, since it is acknowledged to the worker.
+Changes are heard here or come from the other control machines. Each is told once, encoded once, after it was
+collected for a moment. That a worker drains is told at once, since it is acknowledged to the worker.
 """
 
 from __future__ import annotations
@@ -14,7 +12,7 @@
 from rookwood.cluster.messages import WorkerUpdates
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 
-COLLECTING_TIME = 0.25  # seconds
+COLLECTING_TIME = 0.03  # seconds; requests may wait for the weights that a worker now holds
 
 
 class WorkerRelay:
@@ -29,7 +27,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def take(self, updates: WorkerUpdates) -> None:
-        """Another control machine told of workers."""
+        """Workers changed."""
         self._collected.update((record.id, None) for record in updates.records)
         if any(record.state is WorkerState.DRAINING for record in updates.records):
             self.flush()
--- a/rookwood/controlplane/worker_table.py
+++ b/rookwood/controlplane/worker_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -13,6 +14,14 @@
 TOLD_ENDS = 256  # farewells in a greeting; older ones are known to all that still hear of the worker
 
 
+class Audience(enum.Enum):
+    """Who is told of a worker."""
+
+    DISPATCHERS = enum.auto()  # that this machine feeds
+    CONTROL_MACHINES = enum.auto()
+    ALL = enum.auto()
+
+
 class WorkerTable:
     """Merges direct heartbeats with the feeds of the other control machines.
 
@@ -44,7 +53,7 @@
         if after is None:
             return False
         if news or before is None or replace(after, sequence=before.sequence) != before:
-            self._publish(WorkerUpdates((after,), complete=False), True)
+            self._publish(WorkerUpdates((after,), complete=False), Audience.ALL)
             return True
         return False
 
@@ -55,16 +64,16 @@
             return False
         gone = WorkerGone(worker, deleted=True)
         self._view.received(self._own_ip, gone, now)
-        self._publish(gone, True)
+        self._publish(gone, Audience.ALL)
         return True
 
     def announce(self, worker: str) -> None:
         """Tell all subscribers again what is known of a worker, or that it ended."""
         known = self._view.registry.get(worker)
         if known is not None:
-            self._publish(WorkerUpdates((known,), complete=False), True)
+            self._publish(WorkerUpdates((known,), complete=False), Audience.ALL)
         elif self.was_deleted(worker):
-            self._publish(WorkerGone(worker, deleted=True), True)
+            self._publish(WorkerGone(worker, deleted=True), Audience.ALL)
 
     def set_holding(self, worker: str, models: tuple[HeldModel, ...], stamp: HoldingStamp) -> None:
         """The load scheduler read which weights a worker holds."""
@@ -73,23 +82,22 @@
             return
         changed = self._view.registry.merge(replace(known, models=models, holding=stamp))
         if changed is not None and changed.models != known.models:
-            self._publish(WorkerUpdates((changed,), complete=False), True)
+            self._publish(WorkerUpdates((changed,), complete=False), Audience.ALL)
 
     def expire(self, now: float) -> None:
-        """Forget workers that fell silent, and tell the dispatchers of those that nobody hears any more.
+        """Forget workers that fell silent here, and tell the dispatchers of those that nobody hears any more.
 
-        A dispatcher takes each control machine for a source of its own. Those that never heard the worker
-        have to take back what they passed on, else it stays there for good.
+        A worker may call another control machine next. The other machines are told at once that it is silent
+        here; a dispatcher has one source, and keeps the worker while any machine hears it.
         """
         silent = [worker for worker, heard in self._heard.items() if now - heard > self._silence]
         for worker in silent:
             del self._heard[worker]
             gone = WorkerGone(worker, deleted=False)
             self._view.received(self._own_ip, gone, now)
-            self._publish(gone, True)
+            self._publish(gone, Audience.CONTROL_MACHINES)
         for worker in self._view.drop_silent(now):
-            if worker not in silent:
-                self._publish(WorkerGone(worker, deleted=False), False)
+            self._publish(WorkerGone(worker, deleted=False), Audience.DISPATCHERS)
 
     def known(self) -> WorkerUpdates:
         """All workers, for a dispatcher that subscribes."""
@@ -106,5 +114,5 @@
         return self._view.registry.deleted_lately(TOLD_ENDS)
 
 
-Publish = Callable[[WorkerUpdates | WorkerGone, bool], None]
-"""Sends an update to all subscribers; the flag tells whether control machines get it too."""
+Publish = Callable[[WorkerUpdates | WorkerGone, Audience], None]
+"""Sends an update to subscribers."""
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -12,8 +12,7 @@
 
 from rookwood.cluster.configuration_follower import ANSWER_LIMIT, ConfigurationFollower
 from rookwood.cluster.connection import Connection
-from rookwood.cluster.feed import LinkSet
-from rookwood.cluster.messages import DemandReport, Hello, Message, WorkNotice, WorkNotices
+from rookwood.cluster.messages import DemandReport, Message, Status, WorkNotice, WorkNotices
 from rookwood.cluster.options import Options
 from rookwood.cluster.settings import NodeSettings, SettingsFile, settings_path
 from rookwood.cluster.tasks import cancel_tasks, repeat, run_until
@@ -23,6 +22,7 @@
 from rookwood.dataplane.client_listener import ClientListener, turn_loop
 from rookwood.dataplane.client_server import ClientServer
 from rookwood.dataplane.closing import INGRESS_NOTICE
+from rookwood.dataplane.control_links import TICK_INTERVAL, ControlLinks
 from rookwood.dataplane.demand import DemandMeter, ServiceKey
 from rookwood.dataplane.loss_log import LossLog
 from rookwood.dataplane.pool import WorkerPool
@@ -34,11 +34,11 @@
 from rookwood.metrics.server import MetricsServer
 
 if TYPE_CHECKING:
+    from rookwood.cluster.feed import LinkSet
     from rookwood.metrics.exposition import FamilySource
 
 logger = logging.getLogger("rookwood")
 
-TIER_EDGE = "edge"
 HOUSEKEEPING_INTERVAL = 1.0
 HEADER_LIMIT = 64 * 1024
 CLIENT_KEEPALIVE = 60.0
@@ -69,8 +69,8 @@
             settings.ip, self._router.configure, self._router.change_configuration
         )
         self._wakeup: asyncio.TimerHandle | None = None
-        self._links: LinkSet | None = None
-        self._known_primary: str | None = None
+        self._links: ControlLinks | None = None
+        self._greeted: Connection | None = None
         self._proxy: Proxy | None = None
 
     async def run(self) -> None:
@@ -93,24 +93,31 @@
             self._mechanisms,
             limits,
         )
-        hello = Hello(self._settings.ip, TIER_EDGE, self._settings.zone)
-        self._links = LinkSet(
-            self._settings.feed_port, hello, self, self._settings.ip, lambda: self._follower.position
+        self._links = ControlLinks(
+            self._settings,
+            self,
+            lambda: [seed.ip for seed in self._file.settings.seeds],
+            lambda: self._follower.position,
+            lambda: lag.total,
         )
+        self._keep_links()
         self._keep_house()
         clients = self._client_server(self._proxy)
         client_runner = web.ServerRunner(clients, handle_signals=False, shutdown_timeout=SHUTDOWN_LIMIT)
         listener = await self._serve_clients(client_runner)
         runners = [client_runner, await self._serve_readiness()]
         metrics = MetricsServer(
-            self._settings.ip, partial(self._load_metrics, self._proxy, self._links, clients), lag=lag
+            self._settings.ip, partial(self._load_metrics, self._proxy, self._links.links, clients), lag=lag
         )
         await metrics.start()
-        keeper = asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house))
+        keepers = [
+            asyncio.create_task(repeat(HOUSEKEEPING_INTERVAL, self._keep_house)),
+            asyncio.create_task(repeat(TICK_INTERVAL, self._keep_links)),
+        ]
         logger.info("data plane started")
-        await run_until(self._stopping, [keeper])
+        await run_until(self._stopping, keepers)
         await self._finish(self._proxy, clients, listener)
-        await cancel_tasks([keeper])
+        await cancel_tasks(keepers)
         await metrics.stop()
         self._links.close()
         if self._wakeup is not None:
@@ -188,21 +195,24 @@
         self._view.drop_silent(now)
         self._follower.progress.check(self._settings.bounds.apply)
         self._budget.dispatchers = self._view.dispatchers()
-        if self._links is None:
-            return
-        self._links.want({seed.ip for seed in self._file.settings.seeds} | self._view.members())
         self._router.step_tables(now)
         self._report_demand(now)
 
+    def _keep_links(self) -> None:
+        """See which control machine feeds this dispatcher, and whether it is to be another one."""
+        if self._links is not None:
+            now = asyncio.get_running_loop().time()
+            self._links.tick(now, self._follower.confirmed, self._view.primary(), self._view.members())
+
     def _report_demand(self, now: float) -> None:
-        """Tell the primary of all demand."""
+        """Tell of all demand."""
         reports = self._demand.reports(now)
         if reports:
             wanted = self._router.tables.wanted()
             self._report(DemandReport(self._settings.ip, reports, wanted, complete=True))
 
     def _weights_wanted(self, key: ServiceKey) -> None:
-        """The first request waits for weights: tell the primary at once."""
+        """The first request waits for weights: tell of it at once."""
         now = asyncio.get_running_loop().time()
         waiting = (self._demand.report(key, now),)
         self._report(DemandReport(self._settings.ip, waiting, (), complete=False))
@@ -211,16 +221,16 @@
         self._report(WorkNotices((notice,)))
 
     def _report(self, message: DemandReport | WorkNotices) -> None:
-        """Send a message to the primary, if it is known and linked."""
-        primary = self._view.primary()
-        if primary is not None:
-            self._send_to(primary, message)
-
-    def _greet_primary(self, now: float) -> None:
-        """A new primary knows of no demand: requests may be waiting already."""
-        primary = self._view.primary()
-        if primary is not None and primary != self._known_primary:
-            self._known_primary = primary
+        """Send a message to whoever passes it on to the primary, or to the primary."""
+        connection = self._links.reporting(self._view.primary()) if self._links is not None else None
+        if connection is not None:
+            connection.send(message)
+
+    def _greet_listener(self, now: float) -> None:
+        """Whoever takes the reports from now on knows of no demand: requests may be waiting already."""
+        connection = self._links.reporting(self._view.primary()) if self._links is not None else None
+        if connection is not None and connection is not self._greeted:
+            self._greeted = connection
             self._report_demand(now)
 
     def linked(self, peer: str, connection: Connection) -> None:
@@ -229,27 +239,42 @@
 
     def unlinked(self, peer: str) -> None:
         """A feed ended."""
-        self._view.unlinked(peer, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._view.unlinked(peer, now)
         self._follower.unlinked(peer)
+        if self._links is not None:
+            self._links.ended(peer, now)
+            self._keep_links()
         self._ask_for_configuration()
 
     def received(self, peer: str, message: Message) -> None:
         """A feed brought a message."""
         now = asyncio.get_running_loop().time()
+        if self._links is not None:
+            self._links.heard(peer, message, now)
         if isinstance(message, WorkNotices):
-            for notice in message.notices:
-                self._router.note_told(notice, now)
+            self._take_notices(peer, message, now)
             return
         self._view.received(peer, message, now)
         self._follower.received(peer, message, now)
-        self._greet_primary(now)
+        if isinstance(message, Status):
+            self._keep_links()
+        self._greet_listener(now)
         self._ask_for_configuration()
 
+    def _take_notices(self, peer: str, message: WorkNotices, now: float) -> None:
+        if self._links is not None and self._links.brings_notices(peer):
+            for notice in message.notices:
+                self._router.note_told(notice, now)
+
     def _ask_for_configuration(self) -> None:
         """Send the request that is due, and come back when the next one may be."""
         loop = asyncio.get_running_loop()
         now = loop.time()
         self._note_answer_under_way(now)
+        overdue = self._follower.overdue(now)
+        if overdue is not None and self._links is not None:
+            self._links.overdue(overdue, now)
         request = self._follower.next_request(now)
         if request is not None:
             self._send_to(request.peer, request.message)
--- a/rookwood/lab/systemstage/feed_relay.py
+++ b/rookwood/lab/systemstage/feed_relay.py
@@ -16,7 +16,7 @@
 
 from rookwood.cluster.feed import CONNECT_LIMIT
 from rookwood.cluster.frames import HEADER, LINK_ERRORS, decode_message, encode_frame
-from rookwood.cluster.messages import Message
+from rookwood.cluster.messages import ControlMachine, Message
 from rookwood.lab.raw_http import reset_connection
 
 CHUNK = 4 * 1024
@@ -295,4 +295,6 @@
             changes[item.name] = translation[value]
         elif isinstance(value, tuple) and any(isinstance(part, str) for part in value):
             changes[item.name] = tuple(translation.get(part, part) for part in value)
+        elif isinstance(value, tuple) and any(isinstance(part, ControlMachine) for part in value):
+            changes[item.name] = tuple(replace(part, ip=translation.get(part.ip, part.ip)) for part in value)
     return replace(message, **changes)
--- a/tests/test_cli_control.py
+++ b/tests/test_cli_control.py
@@ -50,7 +50,7 @@
 )
 from rookwood.coordination.document import Configuration, Document, Member, Position, Record
 from rookwood.coordination.storage import Empty, Found, Storage
-from rookwood.dataplane.program import TIER_EDGE
+from rookwood.dataplane.control_links import TIER_EDGE
 from rookwood.lab.systemstage.configuration import RouteKind, RouteSpec, small_configuration
 from rookwood.lab.systemstage.machines import SystemProcess
 from rookwood.lab.systemstage.stage import SystemStage
--- a/tests/test_controlplane_notices.py
+++ b/tests/test_controlplane_notices.py
@@ -10,18 +10,34 @@
 from rookwood.dataplane.pool import WorkerPool
 from rookwood.dataplane.router import Router
 
+FIRST = WorkNotice("e1", "w1", 0.1, (1,))
+SECOND = WorkNotice("e2", "w1", 0.2, ())
+
 
 class NoticeRelayTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.to_dispatchers: asyncio.Queue[WorkNotices] = asyncio.Queue()
+        self.to_control_machines: asyncio.Queue[WorkNotices] = asyncio.Queue()
+        self.relay = NoticeRelay(self.to_dispatchers.put_nowait, self.to_control_machines.put_nowait)
+
     async def test_notices_of_a_moment_go_together_and_each_once(self) -> None:
-        sent: asyncio.Queue[WorkNotices] = asyncio.Queue()
-        relay = NoticeRelay(sent.put_nowait)
-        first = WorkNotice("e1", "w1", 0.1, (1,))
-        second = WorkNotice("e2", "w1", 0.2, ())
-        relay.take(WorkNotices((first,)))
-        relay.take(WorkNotices((second,)))
-        self.assertEqual(WorkNotices((first, second)), await sent.get())
-        relay.take(WorkNotices((second,)))
-        self.assertEqual(WorkNotices((second,)), await sent.get())
+        self.relay.take_own(WorkNotices((FIRST,)))
+        self.relay.take_own(WorkNotices((SECOND,)))
+        both = WorkNotices((FIRST, SECOND))
+        self.assertEqual(both, await self.to_dispatchers.get())
+        self.assertEqual(both, await self.to_control_machines.get())
+        self.relay.take_own(WorkNotices((SECOND,)))
+        self.assertEqual(WorkNotices((SECOND,)), await self.to_dispatchers.get())
+
+    async def test_what_other_control_machines_pass_on_goes_to_dispatchers_alone(self) -> None:
+        """They all tell one another of their own dispatchers' notices; each reaches a machine once."""
+        self.relay.take(WorkNotices((FIRST,)))
+        self.relay.take_own(WorkNotices((SECOND,)))
+        self.assertEqual(WorkNotices((FIRST, SECOND)), await self.to_dispatchers.get())
+        self.assertEqual(WorkNotices((SECOND,)), await self.to_control_machines.get())
+        self.relay.take(WorkNotices((FIRST,)))
+        await self.to_dispatchers.get()
+        self.assertTrue(self.to_control_machines.empty())
 
 
 class CountingTests(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_controlplane_orders.py
+++ b/tests/test_controlplane_orders.py
@@ -181,7 +181,7 @@
     async def asyncSetUp(self) -> None:
         self.changed = asyncio.Event()
         self.view = ClusterView(self.note_change, lambda worker: None)
-        self.table = WorkerTable(self.view, OWN_IP, 1.0, lambda update, to_core: self.changed.set())
+        self.table = WorkerTable(self.view, OWN_IP, 1.0, lambda update, audience: self.changed.set())
         self.worker = ModelWorker(WORKER_SETTINGS)
         await self.worker.start()
         self.addAsyncCleanup(self.worker.stop)
--- a/tests/test_controlplane_workers.py
+++ b/tests/test_controlplane_workers.py
@@ -36,7 +36,7 @@
     WorkerClient,
     WorkerReport,
 )
-from rookwood.controlplane.worker_table import WorkerTable
+from rookwood.controlplane.worker_table import Audience, WorkerTable
 from rookwood.coordination.group import Backup, ControlGroup, Learner, Primary, Role, Unattached
 from rookwood.modelplacement.types import WeightsKey
 from tests.fake_worker import (
@@ -71,20 +71,20 @@
 
     def setUp(self) -> None:
         self.gone: list[str] = []
-        self.published: list[tuple[Update, bool]] = []
+        self.published: list[tuple[Update, Audience]] = []
         self.view = ClusterView(lambda record: None, self.gone.append)
         self.table = WorkerTable(self.view, OWN_IP, BEAT, self.publish)
         self.view.received(OWN_IP, SETTLED, 0.0)
 
-    def publish(self, update: Update, to_core: bool) -> None:
+    def publish(self, update: Update, audience: Audience) -> None:
         """Collect an update."""
-        self.published.append((update, to_core))
+        self.published.append((update, audience))
 
 
 class WorkerTableTests(WorkerTableCase):
     def test_a_new_worker_is_published_to_all(self) -> None:
         self.table.heartbeat(WORKER, 0.0)
-        self.assertEqual([(WorkerUpdates((WORKER,), complete=False), True)], self.published)
+        self.assertEqual([(WorkerUpdates((WORKER,), complete=False), Audience.ALL)], self.published)
 
     def test_a_heartbeat_without_news_is_not_published(self) -> None:
         self.table.heartbeat(WORKER, 0.0)
@@ -95,7 +95,7 @@
         self.table.heartbeat(WORKER, 0.0)
         draining = replace(WORKER, sequence=6, state=WorkerState.DRAINING)
         self.table.heartbeat(draining, 0.1)
-        self.assertEqual((WorkerUpdates((draining,), complete=False), True), self.published[-1])
+        self.assertEqual((WorkerUpdates((draining,), complete=False), Audience.ALL), self.published[-1])
         self.table.heartbeat(replace(WORKER, sequence=7), 0.2)
         known = self.view.registry.get(WORKER.id)
         assert known is not None
@@ -112,7 +112,9 @@
         self.table.heartbeat(WORKER, 0.0)
         self.table.expire(LONG_SILENCE)
         self.assertEqual([WORKER.id], self.gone)
-        self.assertEqual((WorkerGone(WORKER.id, deleted=False), True), self.published[-1])
+        gone = WorkerGone(WORKER.id, deleted=False)
+        told = [(gone, Audience.CONTROL_MACHINES), (gone, Audience.DISPATCHERS)]
+        self.assertEqual(told, self.published[-2:])
         self.table.heartbeat(replace(WORKER, sequence=9), LONG_SILENCE)
         self.assertIsNotNone(self.view.registry.get(WORKER.id))
         self.assertIsInstance(self.published[-1][0], WorkerUpdates)
@@ -128,6 +130,8 @@
         self.view.received(PEER, WorkerUpdates((WORKER,), complete=True), 0.0)
         self.table.expire(LONG_SILENCE)
         self.assertEqual([], self.gone)
+        told = (WorkerGone(WORKER.id, deleted=False), Audience.CONTROL_MACHINES)
+        self.assertEqual(told, self.published[-1], "no dispatcher is told: the other machine hears it")
 
     def test_a_deleted_worker_is_published_once_and_stays_deleted(self) -> None:
         self.table.heartbeat(WORKER, 0.0)
@@ -136,7 +140,7 @@
         self.table.heartbeat(replace(WORKER, sequence=99), 0.1)
         self.assertEqual([WORKER.id], self.gone)
         self.assertEqual(2, len(self.published))
-        self.assertEqual((WorkerGone(WORKER.id, deleted=True), True), self.published[-1])
+        self.assertEqual((WorkerGone(WORKER.id, deleted=True), Audience.ALL), self.published[-1])
         self.assertEqual((), self.table.known().records)
 
     def test_other_control_machines_are_told_only_of_workers_heard_here(self) -> None:
@@ -153,7 +157,7 @@
         self.assertEqual(HELD, self.view.registry.get(WORKER.id).models)  # type: ignore[union-attr]
         self.table.heartbeat(replace(WORKER, sequence=9), 0.1)
         self.assertEqual(HELD, self.view.registry.get(WORKER.id).models)  # type: ignore[union-attr]
-        self.assertTrue(self.published[-1][1])
+        self.assertIs(Audience.ALL, self.published[-1][1])
 
     def test_older_reports_of_holdings_are_ignored(self) -> None:
         self.table.heartbeat(WORKER, 0.0)
@@ -192,7 +196,7 @@
         self.client = ClientSession()
         self.addAsyncCleanup(self.client.close)
 
-    def publish(self, update: Update, to_core: bool) -> None:
+    def publish(self, update: Update, audience: Audience) -> None:
         """The other machines that hear of it acknowledge a moment later."""
         if isinstance(update, WorkerGone):
             news = PresenceAck(update.worker, deleted=True)
--- a/tests/test_worker_presence.py
+++ b/tests/test_worker_presence.py
@@ -14,7 +14,7 @@
 from rookwood.controlplane.peer_feed import PeerFeed
 from rookwood.controlplane.presence_quorum import PresenceQuorum
 from rookwood.controlplane.tenure import Tenure
-from rookwood.controlplane.worker_table import TOLD_ENDS, WorkerTable
+from rookwood.controlplane.worker_table import TOLD_ENDS, Audience, WorkerTable
 
 BEAT = 1.2
 WORKER = WorkerRecord("i-1", "models", "10.0.0.9:80", "z1", 8, WorkerState.UP, 5, ())
@@ -57,12 +57,13 @@
         """Settled."""
         return Status(self.ip, 1, IPS[0], self.fresh, True, 1, 1, 1, IPS)
 
-    def publish(self, message: WorkerUpdates | WorkerGone, to_core: bool) -> None:
+    def publish(self, message: WorkerUpdates | WorkerGone, audience: Audience) -> None:
         """Tell subscribers at once."""
         now = asyncio.get_running_loop().time()
-        for dispatcher in self.dispatchers:
-            dispatcher.view.received(self.ip, message, now)
-        if to_core:
+        if audience is not Audience.CONTROL_MACHINES:
+            for dispatcher in self.dispatchers:
+                dispatcher.view.received(self.ip, message, now)
+        if audience is not Audience.DISPATCHERS:
             for peer in self.peers:
                 peer.peer_feed.received(self.ip, message)
 
@@ -128,6 +129,18 @@
             self.housekeeping(self.now + seconds, starting)
         self.assertIsNone(starting.state(), "4 s after the cut, 3.5 s after the acknowledgement")
 
+    async def test_a_worker_that_calls_another_machine_stays_with_dispatchers_of_the_first(self) -> None:
+        """A dispatcher has one source; that the worker fell silent there says nothing of the others."""
+        first, second, _ = self.machines
+        dispatcher = Dispatcher()
+        dispatcher.link(first, self.now)
+        first.table.heartbeat(WORKER, self.now)
+        for beat in range(1, 12):
+            now = self.now + beat * BEAT
+            second.table.heartbeat(replace(WORKER, sequence=WORKER.sequence + beat), now)
+            self.housekeeping(now, dispatcher)
+            self.assertIs(WorkerState.UP, dispatcher.state(), beat)
+
     async def test_a_drain_outlasts_silence(self) -> None:
         """A worker that drained and fell silent does not serve again by a heartbeat that comes late."""
         first = self.machines[0]
