--- a/rookwood/cli/experiments/group.py
+++ b/rookwood/cli/experiments/group.py
@@ -30,5 +30,6 @@
     programs.rest,
     programs.worker_answers,
     programs.many_changes,
+    programs.ablation,
 ):
     experiment.add_command(command)
--- a/rookwood/controlplane/demand_relay.py
+++ b/rookwood/controlplane/demand_relay.py
@@ -1,4 +1,4 @@
-"""Tells the primary what the dispatchers report that another control machine feeds: their sum, once a second.
+"""Tells the primary what the dispatchers report that another control machine feeds: their sum.
 
 Requests that have begun to wait for weights are told at once.
 """
@@ -12,7 +12,7 @@
 from rookwood.cluster.messages import RELEASE_WITH_ONE_FEED, DemandReport
 from rookwood.controlplane.demand import DemandSum
 
-SUMMARY_INTERVAL = 1.0  # seconds
+SUMMARY_INTERVAL = 0.5  # seconds; dispatchers report once a second
 
 
 @dataclass(frozen=True, slots=True)
--- a/rookwood/controlplane/notice_relay.py
+++ b/rookwood/controlplane/notice_relay.py
@@ -6,25 +6,25 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from rookwood.cluster.messages import WorkNotice, WorkNotices
+from rookwood.cluster.throttle import Throttle
 
-COLLECTING_TIME = 0.05  # seconds for which notices are collected
+LEAST_INTERVAL = 0.05  # seconds between two frames of notices
 
 SendNotices = Callable[[WorkNotices], None]
 
 
 class NoticeRelay:
-    """Collects notices for a moment and sends them together."""
+    """Sends notices at once where they are rare, and collects them where they are many."""
 
     def __init__(self, to_dispatchers: SendNotices, to_control_machines: SendNotices) -> None:
         self._to_dispatchers = to_dispatchers
         self._to_control_machines = to_control_machines
         self._collected: list[WorkNotice] = []
         self._own: list[WorkNotice] = []
-        self._timer: asyncio.TimerHandle | None = None
+        self._throttle = Throttle(LEAST_INTERVAL, self._flush)
 
     def take_own(self, message: WorkNotices) -> None:
         """A dispatcher that this machine feeds sent notices."""
@@ -37,11 +37,9 @@
 
     def _collect(self, message: WorkNotices) -> None:
         self._collected.extend(message.notices)
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(COLLECTING_TIME, self._flush)
+        self._throttle.request()
 
     def _flush(self) -> None:
-        self._timer = None
         collected, own = tuple(self._collected), tuple(self._own)
         self._collected.clear()
         self._own.clear()
--- a/rookwood/controlplane/worker_relay.py
+++ b/rookwood/controlplane/worker_relay.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from rookwood.cluster.messages import WorkerUpdates
+from rookwood.cluster.throttle import Throttle
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 
-COLLECTING_TIME = 0.03  # seconds; requests may wait for the weights that a worker now holds
+LEAST_INTERVAL = 0.05  # seconds between two frames; requests may wait for weights that a worker now holds
 
 
 class WorkerRelay:
@@ -24,21 +24,21 @@
         self._find = find
         self._send = send
         self._collected: dict[str, None] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._throttle = Throttle(LEAST_INTERVAL, self._send_collected)
 
     def take(self, updates: WorkerUpdates) -> None:
         """Workers changed."""
         self._collected.update((record.id, None) for record in updates.records)
         if any(record.state is WorkerState.DRAINING for record in updates.records):
             self.flush()
-        elif self._collected and self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(COLLECTING_TIME, self.flush)
+        elif self._collected:
+            self._throttle.request()
 
     def flush(self) -> None:
-        """Tell of all that were collected and are still known."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        """Tell now of all that were collected and are still known."""
+        self._throttle.run()
+
+    def _send_collected(self) -> None:
         found = [self._find(worker) for worker in self._collected]
         self._collected.clear()
         records = tuple(record for record in found if record is not None)
--- a/tests/test_worker_relay.py
+++ b/tests/test_worker_relay.py
@@ -19,7 +19,7 @@
 
 class WorkerRelayTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.enterContext(mock.patch.object(worker_relay, "COLLECTING_TIME", 0.01))
+        self.enterContext(mock.patch.object(worker_relay, "LEAST_INTERVAL", 0.01))
         self.registry = WorkerRegistry()
         self.sent: asyncio.Queue[WorkerUpdates] = asyncio.Queue()
         self.relay = WorkerRelay(self.registry.get, self.sent.put_nowait)
