--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -236,11 +236,15 @@
         return len({hello.identity for hello in hellos if hello is not None})
 
     def _roots(self) -> tuple[ControlMachine, ...]:
-        """The control machines in touch with this one, which dispatchers may subscribe to as well."""
-        own = ControlMachine(self._settings.ip, self._settings.zone)
+        """The members in touch with this machine, which dispatchers may subscribe to as well.
+
+        Members subscribe to members: what is told to another machine alone does not reach all.
+        """
         hellos = [known.hello for known in self._feed.connections if is_core(known)]
-        others = {ControlMachine(hello.identity, hello.zone) for hello in hellos if hello is not None}
-        return tuple(sorted(others | {own}))
+        linked = {ControlMachine(hello.identity, hello.zone) for hello in hellos if hello is not None}
+        linked.add(ControlMachine(self._settings.ip, self._settings.zone))
+        members = self.group.members()
+        return tuple(sorted(machine for machine in linked if machine.ip in members))
 
     def _heartbeat_answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
         snapshot = self.group.snapshot()
