--- a/rookwood/cluster/progress.py
+++ b/rookwood/cluster/progress.py
@@ -10,7 +10,7 @@
 
 from rookwood.cluster.invariants import INVARIANTS, Invariant, InvariantCounter
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
-from rookwood.coordination.monitoring import PauseDetector
+from rookwood.coordination.pauses import PauseDetector
 from rookwood.metrics.loop_lag import INTERVAL as LOOP_LAG_INTERVAL
 
 Clock = Callable[[], float]
--- a/rookwood/coordination/monitoring.py
+++ b/rookwood/coordination/monitoring.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from rookwood.coordination.pauses import PauseDetector
 from rookwood.coordination.rendezvous import top, weight
 
 DEFAULT_MONITORS = 3
@@ -66,20 +67,6 @@
     pause_limit: float = 0.3
 
 
-class PauseDetector:
-    """Notices that its own process did not run for a while."""
-
-    def __init__(self, limit: float, now: float) -> None:
-        self._limit = limit
-        self._seen_at = now
-
-    def paused(self, now: float) -> bool:
-        """Tell whether the time since the last call exceeds the limit; called at every tick."""
-        gap = now - self._seen_at
-        self._seen_at = now
-        return gap > self._limit
-
-
 class MonitorAssignment:
     """The monitors of every member, kept up to date at a cost linear in the members for each change."""
 
--- a/rookwood/dataplane/control_links.py
+++ b/rookwood/dataplane/control_links.py
@@ -25,7 +25,7 @@
     Status,
 )
 from rookwood.cluster.settings import NodeSettings
-from rookwood.coordination.relay_tree import ParentChoice, ParentTiming
+from rookwood.coordination.parent_choice import ParentChoice, ParentTiming
 from rookwood.coordination.rendezvous import weight
 
 TICK_INTERVAL = 0.25  # seconds
--- a/tests/test_relay_tree.py
+++ b/tests/test_relay_tree.py
@@ -10,13 +10,8 @@
 from hypothesis import strategies as st
 
 from rookwood.coordination.document import Position
-from rookwood.coordination.relay_tree import (
-    Dispatcher,
-    ParentChoice,
-    ParentTiming,
-    RelayTree,
-    rank_of,
-)
+from rookwood.coordination.parent_choice import ParentChoice, ParentTiming
+from rookwood.coordination.relay_tree import Dispatcher, RelayTree, rank_of
 
 ROOTS = ("10.9.0.1", "10.9.0.2", "10.9.0.3")
 ZONES = 4
