--- a/rookwood/lab/emulatedworker/answers.py
+++ b/rookwood/lab/emulatedworker/answers.py
@@ -11,6 +11,7 @@
 
 from rookwood.lab.emulatedworker.faults import ExtraAnswer
 from rookwood.lab.emulatedworker.records import Run
+from rookwood.lab.emulatedworker.slots import USUAL_URGENCY
 
 DEFAULT_TIME_LEFT_MS = 60_000
 
@@ -37,6 +38,12 @@
     """The answer ends here, before it is whole."""
 
 
+def urgency_of(request: web.Request) -> int:
+    """The place of a request in the order of admission, from 0 to 9; as usual where it names none."""
+    text = request.headers.get("Priority", "")
+    return int(text) if len(text) == 1 and text.isdecimal() else USUAL_URGENCY
+
+
 def time_left_s(request: web.Request) -> float:
     """How long the caller waits for an answer."""
     return float(request.headers.get("X-Time-Left", DEFAULT_TIME_LEFT_MS)) / 1000
--- a/rookwood/lab/emulatedworker/worker.py
+++ b/rookwood/lab/emulatedworker/worker.py
@@ -26,6 +26,7 @@
     half_of,
     send_extra_answer,
     time_left_s,
+    urgency_of,
     write,
 )
 from rookwood.lab.emulatedworker.execution import PlacementExecutor
@@ -333,7 +334,7 @@
         fault = self._take_fault()
         if isinstance(fault, Full) or self.slots.full:
             return self._refuse(request, Refused(HTTPStatus.SERVICE_UNAVAILABLE, "full"))
-        if not await self.slots.acquire(deadline - time.monotonic()):
+        if not await self.slots.acquire(deadline - time.monotonic(), urgency_of(request)):
             return self._refuse(
                 request, Refused(HTTPStatus.SERVICE_UNAVAILABLE, "deadline passed in the queue")
             )
