--- a/tests/test_cli_control.py
+++ b/tests/test_cli_control.py
@@ -505,7 +505,7 @@
         await eventually(partial(self.says, first, level), "the other one is level")
 
     async def both_report(self, machine: SystemProcess) -> bool:
-        """Whether the late one reports to each control machine, the other to the one that feeds it; all level."""
+        """Whether the late one reports to all machines, the other to the one that feeds it; all level."""
         told = [status.dispatchers for status in await self.statuses(machine)]
         beside, feeding = DispatcherOverview(1, None), DispatcherOverview(2, None)
         return len(told) == 3 and told.count(beside) == 2 and told.count(feeding) == 1
