--- a/rookwood/lab/controlsimulation/processes.py
+++ b/rookwood/lab/controlsimulation/processes.py
@@ -112,6 +112,7 @@
         if world.healed:
             return
         machine = world.machines[ip]
+        machine.frozen_since = world.now
         machine.frozen_until = world.now + world.random.uniform(0.0, world.plan.longest_pause)
         runs_until = machine.frozen_until + world.random.uniform(0.0, world.plan.longest_pause)
         self._engine.at(runs_until, lambda: self.pause_repeatedly(ip))
