--- a/review/harness.py
+++ b/review/harness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import shutil
@@ -25,6 +26,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 RUN_LIMIT = 110.0  # seconds
 BEAT = 1.2  # seconds between two heartbeats of a worker
+PIECE = 64 * 1024  # bytes of a body that are written at once
 HOST = "reader.example"
 BOUNDS = {
     "seed-lag-s": 3,
@@ -272,8 +274,9 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     limit: float = 3.0,
+    pace: float = math.inf,
 ) -> Answer:
-    """Send one request on a new connection and read the whole answer."""
+    """Send one request on a new connection, `pace` bytes of its body a second, and read the whole answer."""
     async with asyncio.timeout(limit):
         reader, writer = await asyncio.open_connection(*address)
         try:
@@ -282,8 +285,12 @@
             if body:
                 sent.setdefault("Content-Type", "application/json")
             lines += [f"{name}: {value}" for name, value in sent.items()]
-            writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-            await writer.drain()
+            writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n")
+            began = time.monotonic()
+            for start in range(0, len(body), PIECE):
+                await sleep_until(began + start / pace)
+                writer.write(body[start : start + PIECE])
+                await writer.drain()
             message = await read_message(reader, is_answer=True)
         finally:
             writer.close()
@@ -304,7 +311,13 @@
     """A stand-in for a worker without models: registers itself, and answers each request after `work` s."""
 
     def __init__(
-        self, deployment: Deployment, number: int, service: str = "pages", work: float = 0.02, slots: int = 64
+        self,
+        deployment: Deployment,
+        number: int,
+        service: str = "pages",
+        work: float = 0.02,
+        slots: int = 64,
+        keeps_bodies: bool = True,
     ) -> None:
         self._deployment = deployment
         self._record = deployment.record
@@ -313,6 +326,7 @@
         self._service = service
         self._work = work
         self._slots = slots
+        self._keeps_bodies = keeps_bodies
         self._sequence = 0
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task | None = None
@@ -413,6 +427,8 @@
             )
             return
         try_id = message.headers.get("x-try-id", "")
+        if not self._keeps_bodies:
+            message.body = b""
         run = Run(try_id, time.monotonic(), message)
         self.runs.append(run)
         self._record.write(f"worker {self.id} runs {try_id}")
@@ -443,6 +459,7 @@
     headers: dict[str, str] | None = None,
     edge: int = 0,
     time_left_ms: int = 4000,
+    pace: float = math.inf,
 ) -> Try:
     """Send one try of a client to a dispatcher, on a new connection."""
     attempt = Try(f"{random.getrandbits(64):016x}", time.monotonic())
@@ -450,7 +467,7 @@
     deployment.record.write(f"client sends {attempt.id} to {deployment.edges[edge].name}")
     try:
         answer = await call(
-            deployment.edge_address(edge), "POST", path, body, sent, limit=time_left_ms / 1000 + 1
+            deployment.edge_address(edge), "POST", path, body, sent, limit=time_left_ms / 1000 + 1, pace=pace
         )
         attempt.status = answer.status
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
