--- a/review/harness.py
+++ b/review/harness.py
@@ -200,17 +200,18 @@
             await process.kill()
         shutil.rmtree(self.directory, ignore_errors=True)
 
-    async def configure(self, configuration: dict) -> None:
-        """Send the first configuration until it is taken."""
+    async def configure(self, configuration: dict, method: str = "PUT", base: int = 0) -> None:
+        """Send a change of the configuration on top of version `base` until it is taken."""
         body = json.dumps(configuration).encode()
+        headers = {"If-Match": str(base)}
         for attempt in range(100):
             with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-                answer = await call(self.control_address(attempt), "PUT", "/config", body, {"If-Match": "0"})
+                answer = await call(self.control_address(attempt), method, "/config", body, headers)
                 if answer.status == 307:
                     host, port = answer.headers["location"].split("/")[2].split(":")
-                    answer = await call((host, int(port)), "PUT", "/config", body, {"If-Match": "0"})
+                    answer = await call((host, int(port)), method, "/config", body, headers)
                 if answer.status == 200:
-                    self.record.write("configuration acknowledged")
+                    self.record.write(f"configuration {configuration['ver']} acknowledged")
                     return
             await asyncio.sleep(0.1)
         raise SetupError("the configuration was not taken")
