Responses of workers end at limits, and what they hold has one owner

Callers saw dispatchers and control machines end: a worker sent bytes without end, in a head or in a body, and its caller kept them. A stated length of any size was granted by the memory budget if nothing else was held, a body without one grew up to all that was free, and control machines read reports with no bound but 0.7 s. Interim responses, chunk extensions and trailers were counted as nothing, so they were read until the deadline.

Every byte since the request now counts, at the connection: the head with its interim responses, the body, and what frames it. Beyond a limit the response is given up, its connection aborted, and the request fails as one whose answer was lost. Bodies that grow wait for more memory for 2 s only, since those that wait for each other's memory would wait until their deadlines. Events that arrive together are written at once, and searched once. The control machine's client has the budget of its process. responses_refused_total tells the forms apart.

The stand-ins of test_controlplane_orders take the budget. check_bounds of the crowds stands once, in tests/crowds/bounds.py.

--- a/rookwood/cluster/metrics.py
+++ b/rookwood/cluster/metrics.py
@@ -10,6 +10,7 @@
 from rookwood.cluster.connection import Connection
 from rookwood.cluster.invariants import InvariantCounter
 from rookwood.cluster.progress import ConfigurationProgress
+from rookwood.httpclient.limits import RefusedResponses
 from rookwood.metrics.families import Sample, counters, gauge, gauges
 from rookwood.metrics.traffic import MessageTraffic, TrafficRecord
 
@@ -75,6 +76,12 @@
     yield counters("invariant_violations", "Violated invariants.", ("invariant",), samples)
 
 
+def refused_response_families(refused: RefusedResponses) -> Iterator[Metric]:
+    """Responses of workers that were given up, by what went beyond its limit."""
+    samples = (Sample({"excess": excess.value}, count) for excess, count in refused.counts().items())
+    yield counters("responses_refused", "Responses of workers beyond a limit.", ("excess",), samples)
+
+
 def _by_peer(name: str, description: str, values: dict[str, int]) -> Metric:
     return gauges(
         name, description, ("peer",), (Sample({"peer": kind}, value) for kind, value in values.items())
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -29,6 +29,7 @@
 )
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
+from rookwood.httpserver.memory_budget import MemoryBudget
 from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
 from rookwood.modelplacement.types import WeightsKey, WorkerWeights
@@ -80,8 +81,11 @@
         table: WorkerTable,
         tenure: Tenure,
         mechanisms: Mechanisms = ALL_MECHANISMS,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """`owner`: under which orders are sent. `budget`: owns the memory of the process."""
         self._mechanisms = mechanisms
+        self._budget = budget
         self._owner = owner
         self._bounds = bounds
         self._group = group
@@ -116,7 +120,7 @@
 
     async def run(self) -> None:
         """Plan repeatedly until cancelled."""
-        self._client = WorkerClient()
+        self._client = WorkerClient(self._budget)
         try:
             while True:
                 await self._wait_for_wake()
--- a/rookwood/controlplane/metrics.py
+++ b/rookwood/controlplane/metrics.py
@@ -14,6 +14,7 @@
     configuration_families,
     invariant_families,
     link_families,
+    refused_response_families,
     traffic_families,
 )
 from rookwood.cluster.progress import ConfigurationProgress, DispatcherLag, DispatcherProgress
@@ -24,6 +25,7 @@
 from rookwood.controlplane.presence_store import PresenceStore
 from rookwood.coordination.activity import GroupActivity, WriteTimes
 from rookwood.coordination.group import ControlGroup, Unattached
+from rookwood.httpclient.limits import REFUSED_RESPONSES
 from rookwood.metrics.families import Sample, counter, counters, gauge, gauges
 from rookwood.metrics.traffic import FEED_TRAFFIC
 
@@ -70,6 +72,7 @@
         )
         yield gauge("workers_known", "Workers in the view.", sum(1 for _ in self._view.registry))
         yield from presence_families(self._presence)
+        yield from refused_response_families(REFUSED_RESPONSES)
         yield from invariant_families(INVARIANTS)
 
     def _traffic_families(self) -> Iterator[Metric]:
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -121,6 +121,7 @@
         self._worker_relay = WorkerRelay(self._view.registry.get, self._send_to_dispatchers)
         self._table = WorkerTable(self._view, settings.ip, settings.heartbeat_interval, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
+        self._memory = MemoryBudget.for_memory(settings.memory_megabytes)
         self._scheduler = LoadScheduler(
             settings.hostname,
             settings.bounds,
@@ -129,6 +130,7 @@
             self._table,
             self._tenure,
             mechanisms,
+            self._memory,
         )
         self._demand_relay = DemandRelay(settings.ip, self._scheduler.demand, self._primary_link)
         self._presence = PresenceQuorum(self.group.members, settings.tolerated_machine_failures)
@@ -147,7 +149,6 @@
         self._links: LinkSet | None = None
         self._metrics: MetricsServer | None = None
         self._server: BoundedServer | None = None
-        self._memory = MemoryBudget.for_memory(settings.memory_megabytes)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -10,13 +10,16 @@
 
 from rookwood.cluster.workers import HeldModel, parse_models
 from rookwood.httpclient.client import HttpClient, Response
+from rookwood.httpclient.limits import ResponseLimits
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
+from rookwood.httpserver.memory_budget import MemoryBudget
 
 CALL_LIMIT = 0.7  # seconds from the start of a call to a worker to the end of the response
 MAX_CONNECTIONS = 100
 IDLE_CONNECTION_LIMIT = 4.0  # seconds until an idle connection is closed; workers close them after 10
+RESPONSE_LIMITS = ResponseLimits(body_bytes=64 * 1024)
 NOT_CONNECTED = 0  # in place of a status, if nothing was sent
-FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+FORMAT_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
 INSTANCE_HEADER = "X-Want-Instance"
 OWN_INSTANCE_HEADER = "X-Instance"  # in the responses of a worker
 REQUEST_ID_HEADER = "X-Try-Id"  # only in clients' requests and the responses to them
@@ -99,9 +102,13 @@
 class WorkerClient:
     """Calls workers over HTTP. Each call is meant for one incarnation of a worker and sent at most once."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
         self._http = HttpClient(
-            connections=MAX_CONNECTIONS, idle_limit=IDLE_CONNECTION_LIMIT, connect_limit=CALL_LIMIT / 2
+            connections=MAX_CONNECTIONS,
+            idle_limit=IDLE_CONNECTION_LIMIT,
+            connect_limit=CALL_LIMIT / 2,
+            limits=RESPONSE_LIMITS,
+            budget=budget,
         )
 
     async def close(self) -> None:
--- a/rookwood/dataplane/events.py
+++ b/rookwood/dataplane/events.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+LONGEST_EVENT_END = 4  # bytes
 MAX_EVENT_SIZE = 1024 * 1024
+MAX_EMPTY_EVENTS = 1024  # of a stream; they are nothing but line ends
 
 
 class OversizedEventError(Exception):
-    """An event does not end within `MAX_EVENT_SIZE` bytes."""
+    """An event does not end within `MAX_EVENT_SIZE` bytes, or too many are empty."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,21 +28,31 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._searched = 0  # bytes of the buffer in which no event ends
+        self._empty_events = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; returns the events that are complete now. Raises OversizedEventError."""
         self._buffer += data
         events = []
-        while True:
-            end = _find_event_end(self._buffer)
-            if end < 0:
-                break
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        for end in EVENT_END.finditer(self._buffer, self._searched):
+            raw = self._buffer[begin : end.end()]
+            begin = end.end()
+            self._count_empty(raw)
             events.append(Event(raw, read_event_id(raw)))
+        self._buffer = self._buffer[begin:]
+        self._searched = max(0, len(self._buffer) - LONGEST_EVENT_END + 1)
         if len(self._buffer) > MAX_EVENT_SIZE:
             raise OversizedEventError
         return events
 
+    def _count_empty(self, raw: bytes) -> None:
+        if raw.isspace():
+            self._empty_events += 1
+            if self._empty_events > MAX_EMPTY_EVENTS:
+                raise OversizedEventError
+
     @property
     def partial_size(self) -> int:
         """The bytes of the event that is not complete."""
@@ -51,11 +64,6 @@
         return bool(self._buffer.strip())
 
 
-def _find_event_end(data: bytes) -> int:
-    ends = [position + len(mark) for mark in EVENT_TERMINATORS if (position := data.find(mark)) >= 0]
-    return min(ends, default=-1)
-
-
 def read_event_id(raw: bytes) -> bytes | None:
     """The value of the event's `id` field, or None."""
     for line in raw.splitlines():
--- a/rookwood/dataplane/metrics.py
+++ b/rookwood/dataplane/metrics.py
@@ -13,6 +13,7 @@
     configuration_families,
     invariant_families,
     link_families,
+    refused_response_families,
     traffic_families,
 )
 from rookwood.cluster.progress import ConfigurationProgress
@@ -22,6 +23,7 @@
 from rookwood.dataplane.proxy import Proxy
 from rookwood.dataplane.request_counts import RequestCounts
 from rookwood.dataplane.router import Router
+from rookwood.httpclient.limits import REFUSED_RESPONSES
 from rookwood.metrics.families import Sample, counter, counters, gauge
 from rookwood.metrics.traffic import FEED_TRAFFIC
 
@@ -55,6 +57,7 @@
         yield from link_families(self._links.connections())
         yield from traffic_families({FEED_CHANNEL: FEED_TRAFFIC})
         yield from request_families(self._proxy.counts)
+        yield from refused_response_families(REFUSED_RESPONSES)
         yield gauge("requests_in_flight", "Requests being handled.", self._proxy.in_flight)
         yield gauge("requests_waiting", "Requests that wait for weights.", self._demand.waiting_count)
         yield gauge("client_connections", "Open client connections.", len(self._clients.connections))
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -87,7 +87,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._run_housekeeping)
         lag = LoopLag()
         limits = AttemptLimits(MAX_WAIT_SHARE if self._mechanisms.has(Mechanism.WAIT_SHARE) else 1.0, lag)
-        client = UpstreamClient(self._descriptors.upstream, self._mechanisms.has(Mechanism.KEEP_ALIVE))
+        client = UpstreamClient(
+            self._descriptors.upstream, self._mechanisms.has(Mechanism.KEEP_ALIVE), self._memory
+        )
         self._proxy = Proxy(
             self._router,
             self._pool,
--- a/rookwood/dataplane/stream_relay.py
+++ b/rookwood/dataplane/stream_relay.py
@@ -11,11 +11,13 @@
 from rookwood.dataplane.responses import RequestProgress, StreamBroke, StreamEnded
 from rookwood.dataplane.silence import WorkerWatch
 from rookwood.dataplane.upstream import Streaming
+from rookwood.httpclient.limits import REFUSED_RESPONSES, Excess
 from rookwood.httpclient.outcomes import ResponseLost
 from rookwood.httpserver.responses import PIECE, write_pieces
 
 UNRESPONSIVE = "silence"
 SMALL_EVENTS = 16 * 1024  # bytes of events for which no memory is asked
+MEMORY_WAIT_SECONDS = 2.0  # for the memory of larger ones; others may wait for what this stream holds
 
 
 async def copy_events(
@@ -47,12 +49,16 @@
                 size = splitter.partial_size + sum(len(event.raw) for event in events)
                 if size > SMALL_EVENTS or holds_events:
                     holds_events = size > SMALL_EVENTS
-                    await progress.response_memory.resize(size if holds_events else 0)
+                    held = size if holds_events else 0
+                    if not await progress.response_memory.resize_within(held, MEMORY_WAIT_SECONDS):
+                        REFUSED_RESPONSES.record(Excess.MEMORY)
+                        return StreamBroke("no memory for an event")
                 await _forward_events(events, progress, response)
             ended = StreamBroke("partial event") if splitter.has_partial_event else StreamEnded()
     except TimeoutError:
         return StreamBroke("deadline")
     except OversizedEventError:
+        REFUSED_RESPONSES.record(Excess.EVENT)
         return StreamBroke("oversized event")
     return ended
 
@@ -60,6 +66,8 @@
 async def _forward_events(
     events: list[Event], progress: RequestProgress, response: web.StreamResponse
 ) -> None:
+    """Write the events that the client doesn't have yet, all at once."""
+    fresh = []
     for event in events:
         if is_already_forwarded(event, progress.last_event_id):
             continue
@@ -67,7 +75,11 @@
             progress.last_event_id = event.id
         elif progress.last_event_id is None:
             progress.forwarded_without_id = True
-        if len(event.raw) <= PIECE:
-            await response.write(event.raw)
-        else:
-            await write_pieces(response, memoryview(event.raw))
+        fresh.append(event.raw)
+    if not fresh:
+        return
+    data = fresh[0] if len(fresh) == 1 else b"".join(fresh)
+    if len(data) <= PIECE:
+        await response.write(data)
+    else:
+        await write_pieces(response, memoryview(data))
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -13,7 +13,7 @@
 from rookwood.dataplane import headers as names
 from rookwood.httpclient.client import HttpClient, Response
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
-from rookwood.httpserver.memory_budget import Holding
+from rookwood.httpserver.memory_budget import Holding, MemoryBudget
 
 CONNECT_LIMIT = 0.6  # seconds
 DEFAULT_IDLE_LIMIT = 4.0  # seconds for which an idle connection is reused if workers state no limit
@@ -68,12 +68,15 @@
 class UpstreamClient:
     """Sends requests to workers over pooled HTTP connections."""
 
-    def __init__(self, connections: int, uses_keep_alive: bool = True) -> None:
+    def __init__(
+        self, connections: int, uses_keep_alive: bool = True, budget: MemoryBudget | None = None
+    ) -> None:
         self._uses_keep_alive = uses_keep_alive
         self._http = HttpClient(
             connections=connections,
             idle_limit=DEFAULT_IDLE_LIMIT,
             connect_limit=CONNECT_LIMIT,
+            budget=budget,
         )
         self._shortest_idle_limit = math.inf  # seconds; the shortest that any worker stated
         self.idle_limit = DEFAULT_IDLE_LIMIT  # seconds for which an idle connection is reused
--- a/rookwood/httpclient/client.py
+++ b/rookwood/httpclient/client.py
@@ -11,10 +11,17 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
+from rookwood.httpclient.body_growth import BodyGrowth
 from rookwood.httpclient.connections import DiscardableResponse, ResponseConnector
+from rookwood.httpclient.limits import (
+    DEFAULT_RESPONSE_LIMITS,
+    REFUSED_RESPONSES,
+    ExcessiveResponseError,
+    ResponseLimits,
+)
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
 from rookwood.httpclient.piecewise import PiecewisePayload
-from rookwood.httpserver.memory_budget import SMALL_BODY, Holding
+from rookwood.httpserver.memory_budget import SMALL_BODY, Holding, MemoryBudget
 from rookwood.httpserver.responses import PIECE
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -32,8 +39,9 @@
 class Response:
     """The head of a response, and its body as far as it is read."""
 
-    def __init__(self, response: DiscardableResponse) -> None:
+    def __init__(self, response: DiscardableResponse, limits: ResponseLimits) -> None:
         self._response = response
+        self._limits = limits
 
     @property
     def status(self) -> int:
@@ -51,14 +59,18 @@
         return self._response.content_type
 
     async def read_all(self, memory: Holding | None = None) -> bytes | bytearray | ResponseLost:
-        """Read the complete body; the connection is closed if that fails.
+        """Read the complete body; the connection is closed if that fails, or if the body is too large.
 
         `memory` holds the bytes of a large body from before they are read.
         """
         try:
-            if memory is None or self._has_small_body():
+            if self._response.content.at_eof() or self._has_small_body():
                 return await self._response.read()
             return await self._read_large(memory)
+        except ExcessiveResponseError as error:
+            REFUSED_RESPONSES.record(error.excess)
+            self.close()
+            return ResponseLost(str(error))
         except (aiohttp.ClientError, OSError) as error:
             self.close()
             return ResponseLost(repr(error))
@@ -68,19 +80,22 @@
 
     def _has_small_body(self) -> bool:
         length = self._response.content_length
-        return length is not None and length <= SMALL_BODY
-
-    async def _read_large(self, memory: Holding) -> bytearray:
-        await memory.add(self._response.content_length or SMALL_BODY)
-        held = self._response.content_length or SMALL_BODY
-        body = bytearray()
-        while data := await self._response.content.readany():
-            if len(body) + len(data) > held:
-                more = max(len(data), held)
-                await memory.add(more)
-                held += more
-            body += data
-        return body
+        return length is not None and length <= min(SMALL_BODY, self._limits.body_bytes)
+
+    async def _read_large(self, memory: Holding | None) -> bytearray:
+        growth = BodyGrowth(self._limits.body_bytes, memory)
+        is_read = False
+        try:
+            await growth.begin(self._response.content_length)
+            body = bytearray()
+            while data := await self._response.content.readany():
+                await growth.make_room(len(body) + len(data))
+                body += data
+            is_read = True
+            return body
+        finally:
+            if not is_read:
+                growth.give_back()
 
     async def read_some(self) -> bytes | ResponseLost:
         """Read what has arrived, waiting for at least one byte; empty at the end of a complete body."""
@@ -105,12 +120,25 @@
     """Sends requests over a pool of connections; failures are returned as values, not raised.
 
     `idle_limit` is how long a connection may be idle and still be reused, `connect_limit` how long it may
-    take to open one, both in seconds.
+    take to open one, both in seconds. `budget` owns the memory of the process.
     """
 
-    def __init__(self, *, connections: int, idle_limit: float, connect_limit: float) -> None:
+    def __init__(
+        self,
+        *,
+        connections: int,
+        idle_limit: float,
+        connect_limit: float,
+        limits: ResponseLimits = DEFAULT_RESPONSE_LIMITS,
+        budget: MemoryBudget | None = None,
+    ) -> None:
+        self._limits = limits
         self._connector = ResponseConnector(
-            limit=connections, keepalive_timeout=idle_limit, socket_factory=new_socket
+            limit=connections,
+            keepalive_timeout=idle_limit,
+            response_limits=limits,
+            budget=budget,
+            socket_factory=new_socket,
         )
         self._session = aiohttp.ClientSession(
             connector=self._connector,
@@ -148,7 +176,7 @@
         if flaw is not None:
             response.discard()
             return ResponseLost(flaw)
-        return Response(response)
+        return Response(response, self._limits)
 
 
 def new_socket(address: aiohttp.AddrInfoType) -> socket.socket:
--- a/rookwood/httpserver/memory_budget.py
+++ b/rookwood/httpserver/memory_budget.py
@@ -152,11 +152,15 @@
         with Holding(self._budget, Purpose.READ_AHEAD) as ahead:
             if not ahead.take(WAITER_BYTES):
                 return False
-            try:
-                async with asyncio.timeout(seconds):
-                    await self.add(size)
-            except TimeoutError:
-                return False
+            return await self.add_within(size, seconds)
+
+    async def add_within(self, size: int, seconds: float) -> bool:
+        """Hold more bytes, waiting for them for some time; returns whether they were granted."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.add(size)
+        except TimeoutError:
+            return False
         return True
 
     async def add(self, size: int) -> None:
@@ -168,12 +172,22 @@
         """Hold exactly so many bytes; waits if these are more than before."""
         if size > self._size:
             await self.add(size - self._size)
-        elif size < self._size:
-            self._budget.release(self._size - size, self._purpose)
-            self._size = size
+        else:
+            self.give_back(self._size - size)
+
+    async def resize_within(self, size: int, seconds: float) -> bool:
+        """As `resize`, with a limit on the wait; returns whether the bytes are held."""
+        if size > self._size:
+            return await self.add_within(size - self._size, seconds)
+        await self.resize(size)
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Give some of the bytes back."""
+        if size:
+            self._budget.release(size, self._purpose)
+            self._size -= size
 
     def release(self) -> None:
         """Give everything back."""
-        if self._size:
-            self._budget.release(self._size, self._purpose)
-            self._size = 0
+        self.give_back(self._size)
--- a/tests/crowds/test_control_crowds.py
+++ b/tests/crowds/test_control_crowds.py
@@ -2,37 +2,27 @@
 
 from __future__ import annotations
 
-import unittest
-
-from rookwood.lab.systemstage.configuration import Configuration, RouteSpec, small_configuration
-from rookwood.lab.systemstage.machines import MachineLimits
-from rookwood.lab.systemstage.stage import SystemStage
+from rookwood.lab.systemstage.configuration import Configuration, RouteSpec
 from rookwood.metrics.server import METRICS_PORT
+from tests.crowds.bounds import CONFIGURATION, SERVED_WITHIN_S, BoundsCase
 from tests.crowds.crowd import Crowd, pieces, request, unfinished_head
-from tests.crowds.footprint import MEBIBYTE, Footprint
+from tests.crowds.footprint import MEBIBYTE
 
-LIMITS = MachineLimits(memory_mb=128, descriptors=600)
-FILE_DESCRIPTORS = 200  # of a process's descriptors, kept for files that are no sockets
-SERVED_WITHIN_S = 60.0
-CONFIGURATION: Configuration = small_configuration()
 BODY_BYTES = 4 * MEBIBYTE  # the largest configuration
 AHEAD_BYTES = 400 * 1024
 EXTRA_ROUTES = 4000
 
 
-class ControlCrowdCase(unittest.IsolatedAsyncioTestCase):
+class ControlCrowdCase(BoundsCase):
     """One control machine with low limits and a configuration."""
 
     configuration = CONFIGURATION
 
     async def asyncSetUp(self) -> None:
-        self.stage = await self.enterAsyncContext(SystemStage(control_planes=1, data_planes=0, limits=LIMITS))
+        await self.start_stage(control_planes=1, data_planes=0)
         self.control = self.stage.control_planes[0]
         await self.stage.configure(self.configuration)
-        process_id = self.control.process_id
-        assert process_id is not None
-        self.process_id = process_id
-        self.footprint = await self.enterAsyncContext(Footprint(process_id, self.control.settings.ip))
+        await self.watch(self.control)
 
     async def crowd(self, port: int | None = None) -> Crowd:
         """A crowd at the port for workers and the operator, or at another one."""
@@ -45,9 +35,7 @@
         self.assertEqual(answer.json(), self.configuration.document())
         worker = await self.stage.add_worker(CONFIGURATION.service("pages"))
         await self.stage.wait_for_workers(worker, within_s=SERVED_WITHIN_S)
-        self.assertEqual(self.control.process_id, self.process_id, "the process ended")
-        self.assertLessEqual(self.footprint.peak_mb, LIMITS.memory_mb)
-        self.assertLessEqual(self.footprint.peak_sockets, LIMITS.descriptors - FILE_DESCRIPTORS)
+        self.check_footprint()
 
 
 class ControlCrowdTest(ControlCrowdCase):
--- a/tests/crowds/test_dispatcher_crowds.py
+++ b/tests/crowds/test_dispatcher_crowds.py
@@ -2,22 +2,15 @@
 
 from __future__ import annotations
 
-import unittest
 from dataclasses import replace
 
 from rookwood.lab.emulatedworker.faults import Hang
 from rookwood.lab.emulatedworker.settings import WorkerSettings
-from rookwood.lab.systemstage.configuration import Configuration, small_configuration
-from rookwood.lab.systemstage.machines import MachineLimits
-from rookwood.lab.systemstage.stage import SystemStage
 from rookwood.metrics.server import METRICS_PORT
+from tests.crowds.bounds import CONFIGURATION, SERVED_WITHIN_S, BoundsCase
 from tests.crowds.crowd import Crowd, chunked_request, pieces, request, unfinished_head
-from tests.crowds.footprint import MEBIBYTE, Footprint
+from tests.crowds.footprint import MEBIBYTE
 
-LIMITS = MachineLimits(memory_mb=128, descriptors=600)
-FILE_DESCRIPTORS = 200  # of a process's descriptors, kept for files that are no sockets
-SERVED_WITHIN_S = 60.0
-CONFIGURATION: Configuration = small_configuration()
 PAGE = CONFIGURATION.route("page")
 STREAM = CONFIGURATION.route("resumable")
 BODY_BYTES = 4 * MEBIBYTE  # `body-bytes` of the configuration
@@ -31,13 +24,13 @@
     return b"".join(request("/resumable/1", b"{}", headers=f"X-Model: {name}\r\n") for name in names)
 
 
-class DispatcherCrowdCase(unittest.IsolatedAsyncioTestCase):
+class DispatcherCrowdCase(BoundsCase):
     """One data plane with low limits; workers with a model, and one for pages."""
 
     page_worker = WorkerSettings("pages", slots=500, queue_limit=500)
 
     async def asyncSetUp(self) -> None:
-        self.stage = await self.enterAsyncContext(SystemStage(control_planes=1, data_planes=1, limits=LIMITS))
+        await self.start_stage(control_planes=1, data_planes=1)
         self.data_plane = self.stage.data_planes[0]
         self.pages = await self.stage.add_worker(CONFIGURATION.service("pages"), settings=self.page_worker)
         self.engine = await self.stage.add_worker(CONFIGURATION.service("engine"), ["alpha"])
@@ -45,10 +38,7 @@
         await self.stage.wait_for_workers()
         await self.stage.wait_until_ready()
         await self.stage.client.send_until_served(self.data_plane, STREAM, "alpha")
-        process_id = self.data_plane.process_id
-        assert process_id is not None
-        self.process_id = process_id
-        self.footprint = await self.enterAsyncContext(Footprint(process_id, self.data_plane.settings.ip))
+        await self.watch(self.data_plane)
 
     async def crowd(self, port: int | None = None) -> Crowd:
         """A crowd at the clients' port of the data plane, or at another one."""
@@ -59,9 +49,7 @@
     async def check_bounds(self) -> None:
         """An ordinary request is served beside the crowd, and no bound was passed until then."""
         await self.stage.client.send_until_served(self.data_plane, STREAM, "alpha", within_s=SERVED_WITHIN_S)
-        self.assertEqual(self.data_plane.process_id, self.process_id, "the process ended")
-        self.assertLessEqual(self.footprint.peak_mb, LIMITS.memory_mb)
-        self.assertLessEqual(self.footprint.peak_sockets, LIMITS.descriptors - FILE_DESCRIPTORS)
+        self.check_footprint()
 
 
 class BodyCrowdTest(DispatcherCrowdCase):
--- a/tests/test_controlplane_orders.py
+++ b/tests/test_controlplane_orders.py
@@ -242,7 +242,7 @@
     ) -> tuple[ScriptedClient, bool]:
         """Let the scheduler read these reports; returns the client and whether the view has "small" held."""
         client = ScriptedClient(list(reports), wait_for_order)
-        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda: client))
+        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda budget: client))
         for pause in ("PLAN_INTERVAL", "MIN_PLAN_PAUSE", "IDLE_POLL_INTERVAL", "BUSY_POLL_INTERVAL"):
             self.enterContext(mock.patch.object(load_scheduler, pause, SHORT_INTERVAL))
         await self.start_scheduler(Primary(1, asyncio.get_running_loop().time()))
@@ -255,7 +255,7 @@
         """The orders sent to a worker that rejects all, while its report is read often after the first."""
         client = ScriptedClient([idle_report(5)], wait_for_order=False)
         client.rejection = status
-        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda: client))
+        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda budget: client))
         for pause in ("PLAN_INTERVAL", "MIN_PLAN_PAUSE", "IDLE_POLL_INTERVAL", "BUSY_POLL_INTERVAL"):
             self.enterContext(mock.patch.object(load_scheduler, pause, SHORT_INTERVAL))
         await self.start_scheduler(Primary(1, asyncio.get_running_loop().time()))
@@ -295,7 +295,7 @@
         runtime["models"].append({**runtime["models"][0], "name": "old"})
         client = ScriptedClient([idle_report(5, "old")], wait_for_order=False)
         self.enterContext(mock.patch.dict(CONFIGURATION, tight))
-        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda: client))
+        self.enterContext(mock.patch.object(load_scheduler, "WorkerClient", lambda budget: client))
         for pause in ("PLAN_INTERVAL", "MIN_PLAN_PAUSE", "IDLE_POLL_INTERVAL", "BUSY_POLL_INTERVAL"):
             self.enterContext(mock.patch.object(load_scheduler, pause, SHORT_INTERVAL))
         await self.start_scheduler(Primary(1, asyncio.get_running_loop().time()))
