Links between machines: frames under way, their number and time have limits

A control machine accepted any number of links and replication connections, and kept up to 16 or 8 MB of a frame on each, for as long as bytes came. With ram-mb 128, 40 links with unfinished frames took it to 683 MB, with a hello or without, 40 replication connections to 373 MB; 700 connections took all its descriptors, and the operator got no answer within 60 s.

The memory budget of the process owns frames over 64 KiB while they arrive, and keeps a quarter more for links than callers and workers may take, so that these can't stop a configuration. A link's first frame is a hello of 4 KiB; messages that don't grow have 64 KiB. Links are a quarter of the sockets, replication has 64 connections, a preamble within 2 s and a frame within 15 s. The budget moves out of httpserver, which isn't its only user any more.

--- a/rookwood/cluster/connection.py
+++ b/rookwood/cluster/connection.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable, Hashable
 from typing import cast
@@ -20,29 +21,40 @@
 from rookwood.cluster.messages import Hello, Message
 from rookwood.cluster.outbox import Outbox, QueuePolicy, conflation_key
 from rookwood.cluster.position import NO_CONFIGURATION
+from rookwood.memory_budget import Holding, MemoryBudget, Purpose
 from rookwood.metrics.traffic import FEED_TRAFFIC, PEER_UNIDENTIFIED
 
 IDLE_TIMEOUT = 1.4  # seconds without a received byte
 MESSAGE_TIMEOUT = 15.0  # seconds for receiving one message, even if its bytes keep coming
+SMALL_PARTIAL_FRAME = 64 * 1024  # bytes of a frame that are received without asking for memory
+KERNEL_RECEIVE_BUFFER = 256 * 1024  # bytes that the kernel keeps unread; Linux doubles it
 WRITE_HIGH_WATER = 64 * 1024  # bytes in the transport above which frames wait in the outbox
 WRITE_LOW_WATER = 16 * 1024  # bytes in the transport below which waiting frames are written
 KERNEL_SEND_BUFFER = 32 * 1024  # bytes; the size of the socket's send buffer, which Linux doubles
 OUTBOX_LIMIT = 1024 * 1024  # bytes in the outbox from which a frame without a conflation key closes the link
 MAX_OUTBOX_SIZE = 4 * OUTBOX_LIMIT  # bytes; one frame of each conflation key and the frames without one
 
+logger = logging.getLogger("rookwood")
+
 MessageHandler = Callable[["Connection", Message], None]
 EndHandler = Callable[["Connection"], None]
 
 
 class Connection(asyncio.Protocol):
-    """One link: sends messages as frames and delivers the received messages to a handler."""
+    """One link: sends messages as frames and delivers the received messages to a handler.
+
+    `budget` owns the memory of the process; a link whose frame finds no room in it is closed. On an
+    `is_incoming` link, the first message must be a hello.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget | None = None, is_incoming: bool = False) -> None:
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._on_message: MessageHandler | None = None
         self._on_end: EndHandler | None = None
         self._frame_buffer = FrameBuffer()
+        self._frame_buffer.expects_hello = is_incoming
+        self._partial_frame = None if budget is None else Holding(budget, Purpose.LINK)
         self._last_received_at = self._loop.time()
         self._message_started_at: float | None = None
         self._watchdog: asyncio.TimerHandle | None = None
@@ -50,6 +62,7 @@
         self._unsent = memoryview(b"")  # the unsent rest of the frame that is being written in pieces
         self._paused = False
         self._closed = False
+        self._is_refused = False
         self.hello: Hello | None = None
         self.position = NO_CONFIGURATION  # of the configuration in force at the peer
         self.peer_kind = PEER_UNIDENTIFIED
@@ -68,17 +81,23 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the socket of the opened link and start its timeouts."""
         self._transport = cast(asyncio.Transport, transport)
+        if self._is_refused:
+            self._transport.abort()
+            return
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER, low=WRITE_LOW_WATER)
         link_socket = transport.get_extra_info("socket")
         if link_socket is not None:
             link_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_SEND_BUFFER)
+            link_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_RECEIVE_BUFFER)
         self._last_received_at = self._loop.time()
         self._check_timeouts()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the link."""
         self._closed = True
+        if self._partial_frame is not None:
+            self._partial_frame.release()
         if self._watchdog is not None:
             self._watchdog.cancel()
         if self._on_end is not None:
@@ -97,6 +116,9 @@
         self._last_received_at = now
         self._frame_buffer.add(data)
         self._deliver_messages()
+        if not self._hold_partial_frame():
+            logger.warning("no memory for a frame", extra={"peer": self.hello and self.hello.identity})
+            self.abort()
 
     def pause_writing(self) -> None:
         """The transport's write buffer is full."""
@@ -155,6 +177,10 @@
             self._unsent = self._unsent[WRITE_HIGH_WATER:]
             self._transport.write(piece)
 
+    def refuse(self) -> None:
+        """Close the link as soon as it is open."""
+        self._is_refused = True
+
     def abort(self) -> None:
         """Close the link and discard queued data."""
         if self._transport is not None:
@@ -183,6 +209,17 @@
             return
         self._update_message_start()
 
+    def _hold_partial_frame(self) -> bool:
+        """Hold the memory of an incomplete frame; returns whether there is room for it."""
+        memory = self._partial_frame
+        if memory is None:
+            return True
+        size = len(self._frame_buffer)
+        if size <= SMALL_PARTIAL_FRAME:
+            memory.release()
+            return True
+        return memory.size >= size or memory.take(size - memory.size)
+
     def _update_message_start(self) -> None:
         if not self._frame_buffer.has_partial_frame():
             self._message_started_at = None
--- a/rookwood/cluster/feed.py
+++ b/rookwood/cluster/feed.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 from typing import Protocol
 
 from rookwood.cluster.connection import Connection
@@ -18,6 +19,7 @@
 from rookwood.cluster.messages import Heartbeat, Hello, Message
 from rookwood.cluster.outbox import conflation_key
 from rookwood.cluster.position import NO_CONFIGURATION, ConfigurationPosition
+from rookwood.memory_budget import MemoryBudget
 from rookwood.metrics.traffic import PEER_CORE, peer_kind
 
 logger = logging.getLogger("rookwood")
@@ -44,11 +46,18 @@
 
 
 class FeedServer:
-    """Accepts links from subscribers and sends them updates."""
+    """Accepts links from subscribers and sends them updates.
 
-    def __init__(self, handler: FeedHandler) -> None:
+    Beyond `max_links`, the link that has waited longest for its hello is closed, or else the new one.
+    """
+
+    def __init__(
+        self, handler: FeedHandler, budget: MemoryBudget | None = None, max_links: int | None = None
+    ) -> None:
         self._handler = handler
-        self._accepted: set[Connection] = set()
+        self._budget = budget
+        self._max_links = max_links
+        self._accepted: dict[Connection, None] = {}  # oldest first
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
 
@@ -71,7 +80,7 @@
         """Stop listening and close all links."""
         if self._server is not None:
             self._server.close()
-        for connection in self._accepted.copy():
+        for connection in list(self._accepted):
             connection.abort()
 
     def broadcast(self, message: Message) -> None:
@@ -89,11 +98,25 @@
             connection.send_frame(frame, key)
 
     def _accept(self) -> Connection:
-        connection = Connection()
-        self._accepted.add(connection)
+        connection = Connection(self._budget, is_incoming=True)
         connection.start(self._receive, self._remove)
+        if self._make_room():
+            self._accepted[connection] = None
+        else:
+            connection.refuse()
         return connection
 
+    def _make_room(self) -> bool:
+        """Make room for a new link; returns False if every link has said hello."""
+        if self._max_links is None or len(self._accepted) < self._max_links:
+            return True
+        waiting = next((link for link in self._accepted if link.hello is None), None)
+        if waiting is None:
+            return False
+        del self._accepted[waiting]
+        waiting.abort()
+        return True
+
     def _receive(self, connection: Connection, message: Message) -> None:
         if connection.hello is None:
             self._handle_hello(connection, message)
@@ -114,7 +137,7 @@
             connection.send(initial_message)
 
     def _remove(self, connection: Connection) -> None:
-        self._accepted.discard(connection)
+        self._accepted.pop(connection, None)
         if connection in self._connections:
             self._connections.discard(connection)
             self._handler.subscriber_lost(connection)
@@ -162,8 +185,10 @@
         handler: LinkHandler,
         read_position: PositionReader = no_position,
         read_stall: StallReader = no_stall,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.peer = peer
+        self._budget = budget
         self._read_position = read_position
         self._read_stall = read_stall
         self._port = port
@@ -188,7 +213,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_LIMIT):
-                _, connection = await loop.create_connection(Connection, self.peer, self._port)
+                _, connection = await loop.create_connection(
+                    partial(Connection, self._budget), self.peer, self._port
+                )
         except (OSError, TimeoutError):
             return
         ended = asyncio.Event()
@@ -246,9 +273,11 @@
         own_ip: str,
         read_position: PositionReader = no_position,
         read_stall: StallReader = no_stall,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._read_position = read_position
         self._read_stall = read_stall
+        self._budget = budget
         self._port = port
         self._hello = hello
         self._handler = handler
@@ -271,7 +300,13 @@
         for peer in linked_peers - self._links.keys():
             hello = replace(self._hello, subscribes=peer in subscribed)
             self._links[peer] = FeedLink(
-                peer, self._port, hello, self._handler, self._read_position, self._read_stall
+                peer,
+                self._port,
+                hello,
+                self._handler,
+                self._read_position,
+                self._read_stall,
+                self._budget,
             )
         self._subscribed = subscribed
 
--- a/rookwood/cluster/frame_buffer.py
+++ b/rookwood/cluster/frame_buffer.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from rookwood.cluster.frames import HEADER, read_header
+from rookwood.cluster.frames import HEADER, FrameError, is_hello, read_header
 
 
 class Frame(NamedTuple):
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self._data = bytearray()
+        self.expects_hello = False  # whether no other frame may come next
 
     def __len__(self) -> int:
         return len(self._data)
@@ -36,9 +37,12 @@
         if len(self._data) < HEADER.size:
             return None
         length, type_number = read_header(bytes(self._data[: HEADER.size]))
+        if self.expects_hello and not is_hello(type_number):
+            raise FrameError("the first frame is no hello")
         end = HEADER.size + length
         if len(self._data) < end:
             return None
         body = bytes(self._data[HEADER.size : end])
         del self._data[:end]
+        self.expects_hello = False
         return Frame(type_number, body)
--- a/rookwood/cluster/frames.py
+++ b/rookwood/cluster/frames.py
@@ -48,6 +48,8 @@
 
 HEADER = struct.Struct(">IB")
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_SMALL_FRAME_BYTES = 64 * 1024  # of messages that don't grow with the configuration or the fleet
+MAX_HELLO_BYTES = 4 * 1024
 MAX_SOURCE_BYTES = 64 * 1024 * 1024  # of a configuration after decompression
 COMPRESSION_LEVEL = 1  # configurations are repetitive; higher levels gain little
 
@@ -229,6 +231,14 @@
 }
 _MESSAGE_TYPES: tuple[type, ...] = tuple(_SCHEMAS)
 _TYPE_NUMBERS = {message_type: type_number for type_number, message_type in enumerate(_MESSAGE_TYPES)}
+_FRAME_LIMITS = {
+    Hello: MAX_HELLO_BYTES,
+    FetchConfiguration: MAX_SMALL_FRAME_BYTES,
+    WorkerGone: MAX_SMALL_FRAME_BYTES,
+    Heartbeat: MAX_SMALL_FRAME_BYTES,
+    HeartbeatAnswer: MAX_SMALL_FRAME_BYTES,
+    PresenceAck: MAX_SMALL_FRAME_BYTES,
+}
 _TYPE_OFFSET = 4  # of the message type in a frame
 
 
@@ -440,11 +450,19 @@
 def read_header(header: bytes) -> tuple[int, int]:
     """Read the record length and the type number from a frame's header; raises FrameError."""
     length, type_number = HEADER.unpack(header)
-    if length > MAX_FRAME_BYTES:
-        raise FrameError(f"frame too large: {length} bytes")
+    if type_number >= len(_MESSAGE_TYPES):
+        raise FrameError(f"unknown message type {type_number}")
+    message_type = _MESSAGE_TYPES[type_number]
+    if length > _FRAME_LIMITS.get(message_type, MAX_FRAME_BYTES):
+        raise FrameError(f"frame too large: {length} bytes of {message_type.__name__}")
     return length, type_number
 
 
+def is_hello(type_number: int) -> bool:
+    """Whether a frame of this type is the first one on a link."""
+    return type_number == _TYPE_NUMBERS[Hello]
+
+
 LINK_ERRORS = (OSError, EOFError, FrameError, asyncio.TimeoutError)
 """What reading messages from a stream raises if the link or the peer fails."""
 
--- a/rookwood/cluster/settings.py
+++ b/rookwood/cluster/settings.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rookwood.httpserver.memory_budget import DEFAULT_MEMORY_MEGABYTES
+from rookwood.memory_budget import DEFAULT_MEMORY_MEGABYTES
 
 logger = logging.getLogger("rookwood")
 
--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -29,8 +29,8 @@
 )
 from rookwood.controlplane.worker_table import WorkerTable
 from rookwood.coordination.group import ControlGroup, Primary
-from rookwood.httpserver.memory_budget import MemoryBudget
 from rookwood.mechanisms import ALL_MECHANISMS, Mechanism, Mechanisms
+from rookwood.memory_budget import MemoryBudget
 from rookwood.modelplacement.loads import LoadOrder, LoadPlanner
 from rookwood.modelplacement.types import WeightsKey, WorkerWeights
 
--- a/rookwood/controlplane/program.py
+++ b/rookwood/controlplane/program.py
@@ -63,11 +63,11 @@
     Snapshot,
 )
 from rookwood.httpserver.admission import Admission
-from rookwood.httpserver.limits import ListenerLimits, control_connections
-from rookwood.httpserver.memory_budget import MemoryBudget
+from rookwood.httpserver.limits import ListenerLimits, control_connections, link_connections
 from rookwood.httpserver.middlewares import admit_bodies, write_within
 from rookwood.httpserver.server import BoundedServer
 from rookwood.mechanisms import ALL_MECHANISMS, Mechanisms
+from rookwood.memory_budget import MemoryBudget
 from rookwood.metrics.loop_lag import LoopLag
 from rookwood.metrics.server import MetricsServer
 
@@ -107,12 +107,16 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started = 0.0
         self._commit_timer: asyncio.TimerHandle | None = None
+        self._memory = MemoryBudget.for_memory(settings.memory_megabytes)
         self.group = ControlGroup(
-            group_settings(settings), on_commit=self._handle_commit, on_role=self._handle_role_change
+            group_settings(settings),
+            on_commit=self._handle_commit,
+            on_role=self._handle_role_change,
+            budget=self._memory,
         )
         self._configuration = ConfigurationFeed(self.group)
         self._view = ClusterView(self._handle_worker_change, self._handle_worker_gone)
-        self._feed = FeedServer(self)
+        self._feed = FeedServer(self, self._memory, link_connections(settings.descriptors))
         self._loop_lag = LoopLag()
         self.dispatchers = DispatcherProgress(stalled=lambda: self._loop_lag.total)
         self._dispatcher_count = DispatcherCount()
@@ -121,7 +125,6 @@
         self._worker_relay = WorkerRelay(self._view.registry.get, self._send_to_dispatchers)
         self._table = WorkerTable(self._view, settings.ip, settings.heartbeat_interval, self._publish)
         self._tenure = Tenure(settings.ip, settings.bounds.lease, settings.bounds.fenced)
-        self._memory = MemoryBudget.for_memory(settings.memory_megabytes)
         self._scheduler = LoadScheduler(
             settings.hostname,
             settings.bounds,
@@ -161,7 +164,9 @@
         await self._feed.start(self._settings.ip, self._settings.feed_port)
         await self._serve_http()
         hello = Hello(self._settings.ip, TIER_CORE, self._settings.zone, PROTOCOL_RELEASE)
-        self._links = LinkSet(self._settings.feed_port, hello, self._peers, self._settings.ip)
+        self._links = LinkSet(
+            self._settings.feed_port, hello, self._peers, self._settings.ip, budget=self._memory
+        )
         self._metrics = MetricsServer(
             self._settings.ip,
             partial(self._load_metrics, self._links),
--- a/rookwood/controlplane/worker_client.py
+++ b/rookwood/controlplane/worker_client.py
@@ -12,7 +12,7 @@
 from rookwood.httpclient.client import HttpClient, Response
 from rookwood.httpclient.limits import ResponseLimits
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
-from rookwood.httpserver.memory_budget import MemoryBudget
+from rookwood.memory_budget import MemoryBudget
 
 CALL_LIMIT = 0.7  # seconds from the start of a call to a worker to the end of the response
 MAX_CONNECTIONS = 100
--- a/rookwood/coordination/framing.py
+++ b/rookwood/coordination/framing.py
@@ -12,10 +12,15 @@
 from rookwood.coordination.codec import DecodeError, encode_message
 from rookwood.coordination.document import MAX_PAYLOAD_BYTES
 from rookwood.coordination.messages import Message, Promise, Write
+from rookwood.memory_budget import Holding
 
 LENGTH_BYTES = 4
 INCARNATION_BYTES = 8
 PREAMBLE_BYTES = 4
+SMALL_FRAME_BYTES = 64 * 1024  # of a frame that is read without asking for memory
+PREAMBLE_TIMEOUT = 2.0  # seconds
+FRAME_TIMEOUT = 15.0  # seconds from the length of a frame to its last byte
+MEMORY_TIMEOUT = 2.0  # seconds for which a frame waits for memory
 MAX_FRAME_BYTES = 2 * MAX_PAYLOAD_BYTES  # the previous version accepted documents of up to 8 MB
 
 
@@ -53,7 +58,15 @@
 
 
 async def read_preamble(reader: asyncio.StreamReader) -> Preamble:
-    """Read the preamble of a connection; raises `DecodeError` if a member did not open it."""
+    """Read the preamble of a connection; raises `DecodeError` if a member did not open it, or not in time."""
+    try:
+        async with asyncio.timeout(PREAMBLE_TIMEOUT):
+            return await _read_preamble(reader)
+    except TimeoutError as error:
+        raise DecodeError("no connection preamble in time") from error
+
+
+async def _read_preamble(reader: asyncio.StreamReader) -> Preamble:
     marker = await reader.readexactly(PREAMBLE_BYTES)
     try:
         channel = Channel(marker)
@@ -64,9 +77,22 @@
     return Preamble(channel, (await reader.readexactly(length)).decode(), incarnation)
 
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Read the body of the next frame."""
+async def read_frame(reader: asyncio.StreamReader, memory: Holding | None = None) -> bytes:
+    """Read the body of the next frame; `memory` holds a large one from before it is read.
+
+    Raises `DecodeError` for a frame that is too large, takes too long or finds no room.
+    """
     length = int.from_bytes(await reader.readexactly(LENGTH_BYTES))
     if length > MAX_FRAME_BYTES:
         raise DecodeError("frame exceeds the maximum length")
-    return await reader.readexactly(length)
+    if memory is not None and not await _hold_frame(memory, length):
+        raise DecodeError("no memory for a frame")
+    try:
+        async with asyncio.timeout(FRAME_TIMEOUT):
+            return await reader.readexactly(length)
+    except TimeoutError as error:
+        raise DecodeError("a frame took too long") from error
+
+
+async def _hold_frame(memory: Holding, length: int) -> bool:
+    return length <= SMALL_FRAME_BYTES or await memory.add_within(length, MEMORY_TIMEOUT)
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -39,6 +39,7 @@
 from rookwood.coordination.storage_thread import StorageThread
 from rookwood.coordination.timing import Timing
 from rookwood.coordination.transport import Transport
+from rookwood.memory_budget import MemoryBudget
 
 __all__ = [
     "Backup",
@@ -106,7 +107,9 @@
         on_commit: Callable[[Snapshot], None],
         on_role: Callable[[Role], None],
         storage: Storage | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """`budget`: owns the memory of the process."""
         self._settings = settings
         self._on_commit = on_commit
         self._on_role = on_role
@@ -121,6 +124,7 @@
             settings.port,
             self._receive,
             self._disconnected,
+            budget,
         )
         self._replica: Replica | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/rookwood/coordination/transport.py
+++ b/rookwood/coordination/transport.py
@@ -18,6 +18,7 @@
     read_preamble,
 )
 from rookwood.coordination.messages import Message
+from rookwood.memory_budget import Holding, MemoryBudget, Purpose
 from rookwood.metrics.traffic import PEER_CORE, MessageTraffic
 
 MAX_BUFFER_BYTES = MAX_FRAME_BYTES  # unsent bytes on a connection beyond which it is closed
@@ -25,6 +26,8 @@
 CONNECT_TIMEOUT = 0.5  # seconds
 RECONNECT_DELAY = 0.2  # seconds from a failed attempt to open a connection to the next
 DOCUMENT_RECONNECT_DELAY = 1.0  # seconds between two attempts to open a document channel
+KERNEL_RECEIVE_BUFFER = 256 * 1024  # bytes that the kernel keeps unread; Linux doubles it
+MAX_INCOMING = 64  # connections that others opened; a group has nine members at most, with two each
 SILENCE_LIMIT = 1.5  # seconds after which a peer that sent nothing back counts as unresponsive
 UNACKNOWLEDGED_TIMEOUT_MS = 1000  # for sent data; TCP then closes the connection
 UNSENT_KERNEL_BYTES = 64 * 1024  # unsent bytes of a document that the kernel may buffer
@@ -76,7 +79,10 @@
         port: int,
         receiver: Receiver,
         on_disconnect: Callable[[str], None],
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """`budget`: owns the memory of the process; a frame that finds no room closes its connection."""
+        self._budget = budget
         self._ip = ip
         self._incarnation = incarnation
         self._listen_ip = listen_ip
@@ -86,6 +92,7 @@
         self._links: dict[tuple[str, Channel], Link] = {}
         self._incoming: dict[tuple[str, Channel], IncomingConnection] = {}
         self._connection_tasks: set[asyncio.Task[None]] = set()
+        self._unidentified: dict[asyncio.StreamWriter, None] = {}  # without a preamble, oldest first
         self._server: asyncio.Server | None = None
         self._closed = False
         self.traffic = MessageTraffic()
@@ -273,9 +280,14 @@
         task = asyncio.current_task()
         assert task is not None
         self._connection_tasks.add(task)
+        self._unidentified[writer] = None
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_RECEIVE_BUFFER)
+        self._limit_incoming()
         preamble = None
         try:
             preamble = await read_preamble(reader)
+            self._unidentified.pop(writer, None)
             self._replace_incoming(preamble, writer)
             while True:
                 message = await self._receive(reader)
@@ -290,13 +302,26 @@
                 raise
         finally:
             self._connection_tasks.discard(task)
+            self._unidentified.pop(writer, None)
             if preamble is not None and self._is_current(preamble, writer):
                 self._remove_incoming(preamble)
             writer.transport.abort()
 
+    def _limit_incoming(self) -> None:
+        """Close the connection that has waited longest for its preamble if there are too many."""
+        if len(self._connection_tasks) > MAX_INCOMING:
+            oldest = next(iter(self._unidentified))
+            del self._unidentified[oldest]
+            oldest.transport.abort()
+
     async def _receive(self, reader: asyncio.StreamReader) -> Message:
-        body = await read_frame(reader)
-        message = decode_message(body)
+        if self._budget is None:
+            body = await read_frame(reader)
+            message = decode_message(body)
+        else:
+            with Holding(self._budget, Purpose.LINK) as memory:
+                body = await read_frame(reader, memory)
+                message = decode_message(body)
         self.traffic.received(PEER_CORE, type(message).__name__, LENGTH_BYTES + len(body))
         return message
 
--- a/rookwood/dataplane/control_links.py
+++ b/rookwood/dataplane/control_links.py
@@ -29,6 +29,7 @@
 from rookwood.cluster.settings import NodeSettings
 from rookwood.coordination.parent_choice import ParentChoice, ParentTiming
 from rookwood.coordination.rendezvous import rendezvous_weight
+from rookwood.memory_budget import MemoryBudget
 
 TICK_INTERVAL = 0.25  # seconds
 TIMING = ParentTiming(pause_limit=2 * TICK_INTERVAL)
@@ -46,13 +47,14 @@
         seeds: Callable[[], Iterable[str]],
         position: PositionReader,
         stalled: StallReader,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._identity = settings.ip
         self._zone = settings.zone
         self._handler = handler
         self._seeds = seeds
         hello = Hello(settings.ip, TIER_EDGE, settings.zone, PROTOCOL_RELEASE)
-        self.links = LinkSet(settings.feed_port, hello, self, settings.ip, position, stalled)
+        self.links = LinkSet(settings.feed_port, hello, self, settings.ip, position, stalled, budget)
         self._parent_choice: ParentChoice | None = None
         self._control_machines: tuple[ControlMachine, ...] = ()
         self._releases: dict[str, int] = {}
--- a/rookwood/dataplane/program.py
+++ b/rookwood/dataplane/program.py
@@ -32,9 +32,9 @@
 from rookwood.httpserver.admission import Admission
 from rookwood.httpserver.limits import DEFAULT_HEAD_BYTES, DescriptorPlan, ListenerLimits
 from rookwood.httpserver.listener import BoundedListener, run_loop_turns
-from rookwood.httpserver.memory_budget import MemoryBudget
 from rookwood.httpserver.server import BoundedServer
 from rookwood.mechanisms import Mechanism
+from rookwood.memory_budget import MemoryBudget
 from rookwood.metrics.loop_lag import LoopLag
 from rookwood.metrics.server import MetricsServer
 
@@ -109,6 +109,7 @@
             lambda: [seed.ip for seed in self._settings_file.settings.seeds],
             lambda: self._follower.position,
             lambda: lag.total,
+            self._memory,
         )
         self._tick_links()
         self._run_housekeeping()
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -35,9 +35,9 @@
 from rookwood.dataplane.router import Router
 from rookwood.dataplane.upstream import UpstreamClient
 from rookwood.dataplane.worker_search import WorkerSearch
-from rookwood.httpserver.memory_budget import DEFAULT_MEMORY_MEGABYTES, MemoryBudget
 from rookwood.httpserver.responses import is_large, write_in_pieces
 from rookwood.mechanisms import ALL_MECHANISMS, Mechanisms
+from rookwood.memory_budget import DEFAULT_MEMORY_MEGABYTES, MemoryBudget
 
 logger = logging.getLogger("rookwood")
 
--- a/rookwood/dataplane/request_bodies.py
+++ b/rookwood/dataplane/request_bodies.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from rookwood.dataplane.responses import DEFAULT_RETRY_AFTER, ErrorResponse
-from rookwood.httpserver.memory_budget import (
+from rookwood.memory_budget import (
     SMALL_BODY,
     UNCOUNTED_BODY,
     Holding,
--- a/rookwood/dataplane/responses.py
+++ b/rookwood/dataplane/responses.py
@@ -14,7 +14,7 @@
 from rookwood.dataplane.requests import RoutedRequest
 from rookwood.dataplane.upstream import Complete, Rejected
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
-from rookwood.httpserver.memory_budget import Holding, MemoryBudget, Purpose
+from rookwood.memory_budget import Holding, MemoryBudget, Purpose
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a timeout of 0
 DEFAULT_RETRY_AFTER = 0.3  # seconds
--- a/rookwood/dataplane/upstream.py
+++ b/rookwood/dataplane/upstream.py
@@ -13,7 +13,7 @@
 from rookwood.dataplane import headers as names
 from rookwood.httpclient.client import HttpClient, Response
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
-from rookwood.httpserver.memory_budget import Holding, MemoryBudget
+from rookwood.memory_budget import Holding, MemoryBudget
 
 CONNECT_LIMIT = 0.6  # seconds
 DEFAULT_IDLE_LIMIT = 4.0  # seconds for which an idle connection is reused if workers state no limit
--- a/rookwood/dataplane/upstream_requests.py
+++ b/rookwood/dataplane/upstream_requests.py
@@ -7,8 +7,8 @@
 from rookwood.dataplane.pool import WorkerTraffic
 from rookwood.dataplane.requests import RoutedRequest
 from rookwood.dataplane.upstream import UpstreamRequest
-from rookwood.httpserver.memory_budget import Holding
 from rookwood.mechanisms import Mechanism, Mechanisms
+from rookwood.memory_budget import Holding
 
 MILLISECONDS = 1000.0
 SHORT_PREFILL = 0.05  # seconds; a shorter prefill hardly delays other requests
--- a/rookwood/httpclient/body_growth.py
+++ b/rookwood/httpclient/body_growth.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rookwood.httpclient.limits import Excess, ExcessiveResponseError
-from rookwood.httpserver.memory_budget import SMALL_BODY, Holding
+from rookwood.memory_budget import SMALL_BODY, Holding
 
 MEMORY_WAIT_SECONDS = 2.0  # for more memory, while some is held
 
--- a/rookwood/httpclient/client.py
+++ b/rookwood/httpclient/client.py
@@ -21,8 +21,8 @@
 )
 from rookwood.httpclient.outcomes import NotSent, ResponseLost
 from rookwood.httpclient.piecewise import PiecewisePayload
-from rookwood.httpserver.memory_budget import SMALL_BODY, Holding, MemoryBudget
 from rookwood.httpserver.responses import PIECE
+from rookwood.memory_budget import SMALL_BODY, Holding, MemoryBudget
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 READ_BUFFER = 16 * 1024  # bytes of a response that are buffered before reading pauses, at most twice as many
--- a/rookwood/httpclient/connections.py
+++ b/rookwood/httpclient/connections.py
@@ -26,7 +26,7 @@
     ExcessiveResponseError,
     ResponseLimits,
 )
-from rookwood.httpserver.memory_budget import UNCOUNTED_BODY, Holding, MemoryBudget, Purpose
+from rookwood.memory_budget import UNCOUNTED_BODY, Holding, MemoryBudget, Purpose
 
 SWITCHING_PROTOCOLS = 101
 INTERIM_STATUSES = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
--- a/rookwood/httpserver/admission.py
+++ b/rookwood/httpserver/admission.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from rookwood.httpserver.limits import ListenerLimits
-from rookwood.httpserver.memory_budget import MemoryBudget
+from rookwood.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     from rookwood.httpserver.connection import BoundedConnection
--- a/rookwood/httpserver/connection.py
+++ b/rookwood/httpserver/connection.py
@@ -14,7 +14,7 @@
 from aiohttp.web_protocol import RequestPayloadError
 
 from rookwood.httpserver.admission import Admission
-from rookwood.httpserver.memory_budget import WAITER_BYTES, Holding, Purpose
+from rookwood.memory_budget import WAITER_BYTES, Holding, Purpose
 
 READ_BUFFER = 16 * 1024  # bytes of a body that are buffered before reading pauses, at most twice as many
 WRITE_HIGH_WATER = 16 * 1024  # bytes of responses in the transport above which writing pauses
--- a/rookwood/httpserver/limits.py
+++ b/rookwood/httpserver/limits.py
@@ -11,7 +11,9 @@
 UPSTREAM_SHARE = 1 / 3  # of the sockets, for connections to workers
 MIN_CLIENT_SOCKETS = 16
 MIN_UPSTREAM_SOCKETS = 16
-CONTROL_SHARE = 0.5  # of a control machine's sockets, for workers and operators; the rest is for links
+CONTROL_SHARE = 0.5  # of a control machine's sockets, for workers and operators
+LINK_SHARE = 0.25  # of a control machine's sockets, for links that others open
+MIN_LINKS = 16
 DEFAULT_HEAD_BYTES = 64 * 1024
 DEFAULT_HEAD_SECONDS = 3.0
 DEFAULT_UNREAD_SECONDS = 15.0
@@ -49,6 +51,11 @@
         return cls(max(MIN_CLIENT_SOCKETS, sockets - others), upstream)
 
 
+def link_connections(descriptors: int) -> int:
+    """How many links of dispatchers and other control machines a control machine accepts."""
+    return max(MIN_LINKS, int((descriptors - FILE_DESCRIPTORS) * LINK_SHARE))
+
+
 def control_connections(descriptors: int) -> int:
     """How many connections of workers and operators a control machine accepts."""
     return max(MIN_CLIENT_SOCKETS, int((descriptors - FILE_DESCRIPTORS) * CONTROL_SHARE))
--- a/rookwood/httpserver/middlewares.py
+++ b/rookwood/httpserver/middlewares.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
-from rookwood.httpserver.memory_budget import SMALL_BODY, Holding, MemoryBudget, Purpose
 from rookwood.httpserver.responses import is_large, large_size, write_in_pieces
+from rookwood.memory_budget import SMALL_BODY, Holding, MemoryBudget, Purpose
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/rookwood/httpserver/responses.py
+++ b/rookwood/httpserver/responses.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from rookwood.httpserver.memory_budget import SMALL_BODY
+from rookwood.memory_budget import SMALL_BODY
 
 PIECE = 64 * 1024  # bytes written at once
 
--- a/rookwood/httpserver/memory_budget.py
+++ b/rookwood/memory_budget.py
@@ -1,4 +1,4 @@
-"""The memory that a process may spend on its callers: bodies, responses, unread bytes and connections.
+"""The memory that a process may spend on its peers: bodies, responses, frames, unread bytes and connections.
 
 One `MemoryBudget` per process owns all of it. A part is for connections, which bounds their number. Of the
 bytes that they hold beyond that, each purpose has a ceiling, above which it gets nothing more, so that large
@@ -32,6 +32,7 @@
     READ_AHEAD = 0.625  # bytes of callers that wait or send ahead
     SMALL_BODY = 0.75
     RESPONSE = 1.0
+    LINK = 1.25  # frames between machines, which always find room beside what callers and workers send
 
 
 @dataclass(slots=True, eq=False)
@@ -42,7 +43,7 @@
 
 @dataclass(slots=True)
 class MemoryBudget:
-    """Grants bytes up to `total`, beside those of at most `connections` connections.
+    """Grants bytes up to `total`, links a part more, beside those of at most `connections` connections.
 
     A single need above its ceiling is granted if its purpose holds nothing.
     """
@@ -94,6 +95,10 @@
         self._held_for[purpose] -= size
         self._grant_waiters()
 
+    def held_for(self, purpose: Purpose) -> int:
+        """Bytes that are held for a purpose."""
+        return self._held_for[purpose]
+
     def _fits(self, size: int, purpose: Purpose) -> bool:
         ceiling = int(purpose.value * self.total)
         if size > ceiling:
@@ -129,6 +134,11 @@
     ) -> None:
         self.release()
 
+    @property
+    def size(self) -> int:
+        """The bytes that are held."""
+        return self._size
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing is held."""
--- a/rookwood/metrics/server.py
+++ b/rookwood/metrics/server.py
@@ -16,8 +16,8 @@
 
 from rookwood.httpserver.admission import Admission
 from rookwood.httpserver.limits import OBSERVER_SOCKETS, ListenerLimits
-from rookwood.httpserver.memory_budget import DEFAULT_MEMORY_MEGABYTES, MemoryBudget
 from rookwood.httpserver.server import BoundedServer
+from rookwood.memory_budget import DEFAULT_MEMORY_MEGABYTES, MemoryBudget
 from rookwood.metrics.loop_lag import LoopLag
 
 if TYPE_CHECKING:
--- a/tests/test_dataplane_end.py
+++ b/tests/test_dataplane_end.py
@@ -27,7 +27,7 @@
 from rookwood.httpserver.connection import BoundedConnection
 from rookwood.httpserver.limits import ListenerLimits
 from rookwood.httpserver.listener import BoundedListener, run_loop_turns
-from rookwood.httpserver.memory_budget import MemoryBudget
+from rookwood.memory_budget import MemoryBudget
 from rookwood.metrics.loop_lag import LoopLag as LoopMeter
 from tests.fake_worker import (
     HOST,
--- a/tests/test_dataplane_proxy.py
+++ b/tests/test_dataplane_proxy.py
@@ -26,8 +26,8 @@
 from rookwood.httpserver.admission import Admission
 from rookwood.httpserver.limits import ListenerLimits
 from rookwood.httpserver.listener import BoundedListener
-from rookwood.httpserver.memory_budget import MemoryBudget
 from rookwood.lab.raw_http import reset_at_close
+from rookwood.memory_budget import MemoryBudget
 from tests.fake_worker import (
     HOST,
     WAIT_LIMIT,
