Commands bound what they read of an answer, and the time of a call

The control and duties commands read answers with http.client: interim responses, trailers and bodies as long as they came, a body as a whole, and a time limit for each read alone. On the code before, interim responses without end keep the command for more than the test's minute.

--- a/rookwood/cli/control_client.py
+++ b/rookwood/cli/control_client.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import time
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
+from rookwood.cli.http_call import call_http
 from rookwood.cluster.control_status import (
     HISTORY_PATH,
     STATUS_PATH,
@@ -152,16 +152,10 @@
 
 def call(address: str, path: str, method: str = "GET", limit: float = CALL_LIMIT) -> Reply | Unreachable:
     """One call; a body that is not JSON counts as no answer."""
-    host, _, port = address.rpartition(":")
-    try:
-        connection = http.client.HTTPConnection(host, int(port), timeout=limit)
-    except ValueError:
+    if not address.rpartition(":")[2].isdecimal():
         return Unreachable(address, "not an address of the form ip:port")
     try:
-        connection.request(method, path)
-        answer = connection.getresponse()
-        return Reply(answer.status, json.loads(answer.read()))
-    except (OSError, http.client.HTTPException, ValueError) as error:
+        answer = call_http(address, path, method, limit)
+        return Reply(answer.status, json.loads(answer.body))
+    except (OSError, ValueError, RecursionError) as error:
         return Unreachable(address, str(error) or type(error).__name__)
-    finally:
-        connection.close()
--- a/rookwood/cli/site.py
+++ b/rookwood/cli/site.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import time
 from collections.abc import Iterator, Sequence
@@ -11,22 +10,15 @@
 import click
 
 from rookwood.cli.exit_codes import BROKEN, FAILED
+from rookwood.cli.http_call import call_http
 
 LIMIT = 2.0  # seconds for a call
 
 
 def called(place: str, path: str, method: str = "GET") -> tuple[int, bytes]:
     """Raises OSError where nobody answers in time."""
-    host, _, port = place.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=LIMIT)
-    try:
-        connection.request(method, path)
-        answer = connection.getresponse()
-        return answer.status, answer.read()
-    except (http.client.HTTPException, ValueError) as error:
-        raise OSError(f"no sound answer: {error}") from None
-    finally:
-        connection.close()
+    answer = call_http(place, path, method, LIMIT)
+    return answer.status, answer.body
 
 
 def _asked(places: Sequence[str], path: str) -> Iterator[tuple[str, dict[str, Any] | str]]:
