In service: a worker's answer has a limit, and its end is given up once broken

Trailers without end behind a result took a dispatcher with memory_mb 64 to 164 MB: the rest of a response was read for a second although the parser had failed, and kept. Interim responses, empty lines, progress without end and chunk extensions were read until the job's deadline, up to 24 MB of one answer.

A stream counts the bytes after a request, whatever they are, and 1 MiB is the most; beyond it the attempt ends as one that may have run, like an invalid line. The rest of a response is read only while it is HTTP.

--- a/rookwood/net/endpoints.py
+++ b/rookwood/net/endpoints.py
@@ -28,6 +28,7 @@
 SWEEP_INTERVAL = timedelta(seconds=1)
 IDLE_FRACTION = 0.75  # of a worker's idle timeout; after that, a request could cross with its close
 MAX_LINE = 4 * MAX_BODY
+MAX_RESPONSE = 16 * MAX_BODY  # bytes of all that follows a request: interim responses, lines and framing
 LAST_BYTE_DELAY = timedelta(
     milliseconds=5
 )  # a round trip, after which the reset of a dead connection has arrived
@@ -255,6 +256,7 @@
                 while True:
                     async with self._lease(address, careful=not is_retry_safe) as connection:
                         leased = [connection]
+                        connection.stream.limit_reads(MAX_RESPONSE)
                         if not should_send():
                             return AttemptResult(AttemptOutcome.NOT_SENT)
                         data = encode_request(connection.stream, request, deadline - self._clock.now())
@@ -295,8 +297,8 @@
                 return AttemptResult(AttemptOutcome.RESET)
             await self._record_break(leased[0])
             return AttemptResult(AttemptOutcome.STALE_CONNECTION)
-        except InvalidSettingError as error:  # the worker has accepted the request, so it may have run
-            log.warning("%s sent an invalid line: %s", address, error)
+        except (InvalidSettingError, TooLargeError) as error:  # the request may have run
+            log.warning("%s sent an invalid response: %s", address, error)
             return AttemptResult(AttemptOutcome.RESET)
 
     async def _send_all_but_last_byte(self, stream: HttpStream, data: bytes) -> bool:
@@ -375,6 +377,7 @@
 
     async def _probe(self, connection: Connection) -> ProbeResult:
         stream = connection.stream
+        stream.limit_reads(MAX_RESPONSE)
         head = h11.Request(method="GET", target="/-/load", headers=[("Host", connection.address)])
         await stream.write(stream.encode(head, h11.EndOfMessage()))
         response = await stream.next_event()
@@ -482,13 +485,17 @@
                 pass
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    def _is_broken_or_read(self, connection: Connection) -> bool:
+        """Whether nothing more is to be read of the response: it is complete, or no HTTP."""
+        return self._read_to_end(connection) or connection.stream.http.their_state is h11.ERROR
+
     async def _finish_response(self, connection: Connection) -> None:
         """Read to the end of the response, then return the connection to the pool; close it on failure."""
         try:
             async with asyncio.timeout(RESPONSE_END_TIMEOUT.total_seconds()):
-                while not self._read_to_end(connection) and await connection.stream.read_once():
+                while not self._is_broken_or_read(connection) and await connection.stream.read_once():
                     pass
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, TooLargeError):
             pass
         finally:
             await (self._return_to_pool if self._read_to_end(connection) else self._close)(connection)
--- a/rookwood/net/http1.py
+++ b/rookwood/net/http1.py
@@ -40,16 +40,27 @@
         self.has_overflowed = False  # whether data was dropped, so that later messages are lost
         # Total bytes read, and the event loop's time then, for each of the latest reads.
         self._read_times = deque([(0, 0.0)], maxlen=MAX_READ_TIMES)
+        self._read_limit: int | None = None  # in total bytes read
         # `drain` then waits until the last byte is written, which tells a request that was not sent from a
         # connection that broke afterwards.
         writer.transport.set_write_buffer_limits(high=0)
 
+    def limit_reads(self, size: int) -> None:
+        """Allow only so many more bytes to be read, whatever they are."""
+        self._read_limit = self._read_times[-1][0] + size
+
     async def read_once(self) -> int:
-        """Read once; return the number of bytes, 0 at the end of the stream."""
+        """Read once; return the number of bytes, 0 at the end of the stream.
+
+        Raises `TooLargeError` for bytes beyond the limit, which are dropped.
+        """
         data = await self.reader.read(CHUNK)
+        total = self._read_times[-1][0] + len(data)
+        if self._read_limit is not None and total > self._read_limit:
+            raise TooLargeError("more bytes than a message may have")
         self.http.receive_data(data)
         self.last_read = next(READ_COUNTER)
-        self._read_times.append((self._read_times[-1][0] + len(data), asyncio.get_running_loop().time()))
+        self._read_times.append((total, asyncio.get_running_loop().time()))
         return len(data)
 
     def time_since_message(self) -> timedelta:
