--- a/tests/test_cluster_feed.py
+++ b/tests/test_cluster_feed.py
@@ -26,6 +26,7 @@
 )
 from rookwood.cluster.workers import WorkerRecord, WorkerState
 from rookwood.lab.free_ports import find_free_port
+from rookwood.memory_budget import MemoryBudget
 from tests.fake_worker import HOST, WAIT_LIMIT, within
 
 HELLO = Hello("10.0.0.7", "edge", "z1")
@@ -44,13 +45,13 @@
     """A feed handler that sends fixed initial messages and records its callbacks."""
 
     def __init__(self, greeting: Iterable[Message] = (STATUS,)) -> None:
-        self._greeting = tuple(greeting)
+        self.greeting = tuple(greeting)
         self.messages: asyncio.Queue[Message] = asyncio.Queue()
         self.closed: asyncio.Queue[Connection] = asyncio.Queue()
 
     def initial_messages(self, connection: Connection) -> Iterable[Message]:
         """Return the fixed messages."""
-        return self._greeting
+        return self.greeting
 
     def message_received(self, connection: Connection, message: Message) -> None:
         """Record the message."""
@@ -333,6 +334,53 @@
         self.assertIsNone(link.connection)
 
 
+class LinkLimitTests(FeedCase):
+    async def test_a_link_whose_endless_frame_finds_no_memory_is_closed(self) -> None:
+        unfinished = encode_frame(LARGE_LIST)[:-1]
+        budget = MemoryBudget(len(unfinished) // 2, connections=10)
+        sender = FeedServer(ServerRecorder((STATUS,)))
+        port = find_free_port(HOST)
+        await sender.start(HOST, port)
+        self.addAsyncCleanup(sender.stop)
+        recorder = LinkRecorder()
+        link = FeedLink(HOST, port, HELLO, recorder, budget=budget)
+        self.addCleanup(link.close)
+        await within(recorder.messages.get())
+        for connection in sender.connections:
+            connection.send_frame(unfinished)
+        self.assertEqual(HOST, await within(recorder.closed.get()))
+        self.assertEqual(0, budget.held)
+        await within(recorder.messages.get())  # the link is open again
+
+    async def test_a_frame_that_fits_gives_its_memory_back(self) -> None:
+        budget = MemoryBudget(2 * len(encode_frame(LARGE_LIST)), connections=10)
+        self.handler.greeting = (LARGE_LIST,)
+        recorder = LinkRecorder()
+        link = FeedLink(HOST, self.port, HELLO, recorder, budget=budget)
+        self.addCleanup(link.close)
+        self.assertEqual(LARGE_LIST, await within(recorder.messages.get()))
+        self.assertEqual(0, budget.held)
+
+    async def test_links_without_a_hello_make_room_for_those_with_one(self) -> None:
+        crowded = FeedServer(ServerRecorder(), max_links=3)
+        port = find_free_port(HOST)
+        await crowded.start(HOST, port)
+        self.addAsyncCleanup(crowded.stop)
+        silent = [await asyncio.open_connection(HOST, port) for _ in range(3)]
+        recorders = [LinkRecorder() for _ in range(3)]
+        for recorder in recorders:
+            link = FeedLink(HOST, port, HELLO, recorder)
+            self.addCleanup(link.close)
+            await within(recorder.messages.get())
+        for reader, writer in silent:
+            self.assertEqual(b"", await within(read_to_end(reader)))
+            writer.close()
+        reader, writer = await asyncio.open_connection(HOST, port)
+        self.assertEqual(b"", await within(read_to_end(reader)))
+        writer.close()
+        self.assertEqual(3, len(crowded.connections))
+
+
 class LinkSetTests(FeedCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
