Memory budget: responses have half of it for themselves

Workers that state lengths within the limit and then stall could hold the whole budget until the deadlines of their requests, and requests with bodies over 4 KiB got 503 meanwhile. Responses together now have half, or one larger alone; a test shows room for small bodies beside them, which failed before.

--- a/rookwood/memory_budget.py
+++ b/rookwood/memory_budget.py
@@ -2,8 +2,9 @@
 
 One `MemoryBudget` per process owns all of it. A part is for connections, which bounds their number. Of the
 bytes that they hold beyond that, each purpose has a ceiling, above which it gets nothing more, so that large
-bodies can't take the room of small requests, nor these the room of responses. Whoever needs more than is free
-waits in order of arrival.
+bodies can't take the room of small requests, nor these the room of responses. Responses have a share of their
+own, so that workers that stall can't take the room of requests. Whoever needs more than is free waits in order of
+arrival.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from typing import Self
 
 MEBIBYTE = 1024 * 1024
+RESPONSE_SHARE = 0.5  # of the budget, for all responses together unless it is a single one
 DEFAULT_MEMORY_MEGABYTES = 256  # of a process whose settings name no limit
 SHARE_OF_MEMORY = 0.25  # of the process's memory, for bytes that callers make it hold
 CONNECTIONS_SHARE = 0.125  # of the process's memory, for connections
@@ -103,7 +105,11 @@
         ceiling = int(purpose.value * self.total)
         if size > ceiling:
             return self._held_for[purpose] == 0
-        return self.held + size <= ceiling
+        if self.held + size > ceiling:
+            return False
+        if purpose is not Purpose.RESPONSE or self._held_for[purpose] == 0:
+            return True
+        return self._held_for[purpose] + size <= RESPONSE_SHARE * self.total
 
     def _grant(self, size: int, purpose: Purpose) -> None:
         self.held += size
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -25,6 +25,12 @@
         self.assertTrue(self.budget.take(250, Purpose.RESPONSE))
         self.assertFalse(self.budget.take(1, Purpose.RESPONSE))
 
+    def test_responses_of_stalled_workers_leave_room_for_requests(self) -> None:
+        for _ in range(5):
+            self.assertTrue(self.budget.take(100, Purpose.RESPONSE))
+        self.assertFalse(self.budget.take(100, Purpose.RESPONSE))
+        self.assertTrue(self.budget.take(250, Purpose.SMALL_BODY))
+
     def test_links_find_room_beside_all_others(self) -> None:
         self.assertTrue(self.budget.take(TOTAL, Purpose.RESPONSE))
         self.assertTrue(self.budget.take(TOTAL // 4, Purpose.LINK))
