--- a/rookwood/controlplane/load_scheduler.py
+++ b/rookwood/controlplane/load_scheduler.py
@@ -256,6 +256,8 @@
         """Record a worker's report; returns None if it failed or another worker sent it."""
         if isinstance(report, ReportFailed) or is_of_another_worker(status.report, report):
             status.failures += 1
+            if isinstance(report, ReportFailed) and status.failures == 1:
+                logger.info("report failed", extra={"worker": worker, "reason": report.reason})
             return None
         status.failures = 0
         status.report = report
--- a/rookwood/dataplane/proxy.py
+++ b/rookwood/dataplane/proxy.py
@@ -229,7 +229,13 @@
             error = ErrorResponse(502, "the worker's answer was lost")
         logger.info(
             "request given up",
-            extra={"request": request.id, "status": error.status, "reason": error.reason},
+            extra={
+                "request": request.id,
+                "status": error.status,
+                "reason": error.reason,
+                "loss": progress.loss_reason,
+                "workers": sorted(progress.excluded_workers),
+            },
         )
         return error.build()
 
--- a/rookwood/memory_budget.py
+++ b/rookwood/memory_budget.py
@@ -2,9 +2,9 @@
 
 One `MemoryBudget` per process owns all of it. A part is for connections, which bounds their number. Of the
 bytes that they hold beyond that, each purpose has a ceiling, above which it gets nothing more, so that large
-bodies can't take the room of small requests, nor these the room of responses. Responses have a share of their
-own, so that workers that stall can't take the room of requests. Whoever needs more than is free waits in order of
-arrival.
+bodies can't take the room of small requests, nor these the room of responses. Responses
+have a share of their own, so that workers that stall can't take the room of requests. Whoever needs more than
+is free waits in order of arrival.
 """
 
 from __future__ import annotations
