Listeners: an idle connection keeps neither the body it read nor the one it wrote

On x86-64, test_configurations_of_the_largest_size_at_once took a control machine with ram-mb 128 to 184 MB, on as well: each of 40 connections that stayed open kept the 4 MiB that it had sent, since the library holds a request and its response until the next request comes, long after the budget got the bytes back.

--- a/rookwood/httpserver/connection.py
+++ b/rookwood/httpserver/connection.py
@@ -183,9 +183,13 @@
         self._body = request.content
         try:
             await self._drain_helper()
-            return await super()._handle_request(request, start_time, request_handler)
+            response, is_lost = await super()._handle_request(request, start_time, request_handler)
+            if isinstance(response, web.Response):
+                response.body = None  # the library keeps both until the next request comes
+            return response, is_lost
         finally:
             self._body = None
+            request._read_bytes = None
 
     # Bytes that a client sent ahead
 
