Control status tells of a change of members under way; tests wait for its end

Traced: in three of three failures, all machines were within the change that admits the first emptied disk; until it is complete the members before it must have a majority as well, and the test had emptied two of those. A machine says Backup, and has stored what is committed, before that, so neither the test nor an operator could tell.

--- a/rookwood/cluster/control_status.py
+++ b/rookwood/cluster/control_status.py
@@ -67,7 +67,8 @@
     machine knows to be committed, `digest` the digest of its payload and `version` the version of its
     configuration. `stored` is the position that the machine has synced to disk. `holds_copy` is false while
     the machine is joining or recovering, when its disk does not count towards a majority. `dispatchers` is
-    None for a machine of a release that does not report it.
+    None for a machine of a release that does not report it. `changes_members`: a machine or a disk is being
+    admitted in place of another one, and both sets of members must have a majority until that is complete.
     """
 
     machine: str
@@ -84,6 +85,7 @@
     version: int
     digest: str
     dispatchers: DispatcherOverview | None
+    changes_members: bool = False
 
     @property
     def claims_primary(self) -> bool:
@@ -114,6 +116,7 @@
                 version=int(fields["version"]),
                 digest=str(fields["digest"]),
                 dispatchers=_parse_overview(fields.get("dispatchers")),
+                changes_members=bool(fields.get("changes_members", False)),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise ControlStatusError(f"not the status of a control machine: {error!r}") from error
--- a/rookwood/controlplane/control_api.py
+++ b/rookwood/controlplane/control_api.py
@@ -100,6 +100,7 @@
             version=read_payload(snapshot.payload).version,
             digest=hashlib.sha256(snapshot.payload).hexdigest()[:DIGEST_CHARACTERS],
             dispatchers=dispatcher_overview(self._dispatchers),
+            changes_members=group.is_changing_members(),
         )
 
     def _primary_of(self, role: Role) -> str:
--- a/rookwood/coordination/group.py
+++ b/rookwood/coordination/group.py
@@ -193,6 +193,10 @@
         """Return the addresses of the members in the newest known configuration."""
         return () if self._replica is None else self._replica.members()
 
+    def is_changing_members(self) -> bool:
+        """Return whether a change of the members is under way in the newest known configuration."""
+        return self._replica is not None and self._replica.is_changing_members()
+
     def reachable_members(self) -> frozenset[str]:
         """Return the members from which a message arrived within the lease time, and this one."""
         return frozenset() if self._replica is None else self._replica.reachable_members(self._now())
--- a/rookwood/coordination/replication.py
+++ b/rookwood/coordination/replication.py
@@ -95,6 +95,10 @@
         """Return the addresses of the members in the newest known configuration."""
         return self._context.configuration().addresses()
 
+    def is_changing_members(self) -> bool:
+        """Return whether a change of the members is under way in the newest known configuration."""
+        return bool(self._context.configuration().outgoing)
+
     def is_member(self) -> bool:
         """Return whether this replica is a member with the storage that it has."""
         return self._context.is_member()
--- a/rookwood/lab/systemstage/stage.py
+++ b/rookwood/lab/systemstage/stage.py
@@ -221,7 +221,8 @@
         if status is None or not status.holds_copy or status.role is ControlRole.UNATTACHED:
             return False
         members = {machine.settings.ip for machine in self.control_planes}
-        is_settled = set(status.members) == members and status.stored == status.committed
+        is_complete = set(status.members) == members and not status.changes_members
+        is_settled = is_complete and status.stored == status.committed
         return is_settled and status.version == configuration.version
 
     async def _status(self, machine: SystemProcess) -> MachineStatus | None:
